--- /dev/null
+++ b/crates/simhost/src/host.rs
@@ -0,0 +1,92 @@
+//! One decision module per mixer: each is handed its own events and nothing else.
+
+use std::collections::BTreeMap;
+
+use anyhow::{Context, Result};
+use pewterwharf::interface::{Decide, Event, Listed};
+use pewterwharf::logic::Mixer;
+
+use crate::codec::{Batch, Knock, Record, Reply};
+use crate::terms;
+
+/// The mixers of this process, and the numbered lists that the wire shares among them.
+#[derive(Default)]
+pub struct Host {
+    mixers: BTreeMap<u32, Mixer>,
+    lists: BTreeMap<u32, Vec<Listed>>,
+}
+
+impl Host {
+    /// Plays one batch to all whom it concerns.
+    pub fn batch(&mut self, batch: Batch) -> Result<Reply> {
+        let mut heard: BTreeMap<u32, Vec<Event>> = BTreeMap::new();
+        let mut at = None;
+        for record in batch.records {
+            match record {
+                Record::At(mixer) => at = Some(mixer),
+                Record::Table { slot, lines } => {
+                    self.lists.insert(slot, lines);
+                }
+                other => {
+                    let mixer = at.context("a record stands before the first 'at'")?;
+                    self.record(mixer, other, &mut heard)?;
+                }
+            }
+        }
+        let mut reply = Reply::to(batch.number);
+        for (mixer, events) in heard {
+            if let Some(module) = self.mixers.get_mut(&mixer) {
+                reply.actions(mixer, &module.turn(batch.now, events));
+            }
+        }
+        Ok(reply)
+    }
+
+    fn record(&mut self, mixer: u32, record: Record, heard: &mut BTreeMap<u32, Vec<Event>>) -> Result<()> {
+        let event = match record {
+            Record::Create { seed, settings } => {
+                let opened = terms::open(&settings, seed).context("settings")?;
+                self.mixers.insert(mixer, opened);
+                heard.insert(mixer, Vec::new());
+                return Ok(());
+            }
+            Record::Exit => {
+                self.mixers.remove(&mixer);
+                heard.remove(&mixer);
+                return Ok(());
+            }
+            Record::PeersKnown { kind, slot } => {
+                Event::List { kind, lines: self.lists.get(&slot).cloned().unwrap_or_default() }
+            }
+            Record::Knock(knock) => knocked(&knock),
+            Record::Settled { part, dispatch, searcher, ending, took_ms } => {
+                Event::Ended { part, dispatch, searcher, ending, took_ms }
+            }
+            Record::TimedOutClient { scan } => Event::ClientGone { scan },
+            Record::Pong { searcher, took_ms, ending } => Event::Probed { searcher, ending, took_ms },
+            Record::Wakeup => Event::Wake,
+            // Streams and talk among mixers have no part in scans.
+            Record::Begun | Record::Datagram => return Ok(()),
+            Record::At(_) | Record::Table { .. } => return Ok(()),
+        };
+        heard.entry(mixer).or_default().push(event);
+        Ok(())
+    }
+}
+
+fn knocked(knock: &Knock) -> Event {
+    let number = knock.number as u32;
+    if knock.slab >= 0.0 {
+        let weight = f64::from(knock.measure);
+        return Event::Part { id: knock.id, number, shard: knock.slab as u32, weight };
+    }
+    Event::Scan {
+        id: knock.id,
+        number,
+        table_type: usize::from(knock.table_type),
+        customer: knock.customer as usize,
+        client_gone_at: knock.gone_at,
+        work_ms: (knock.flags & 1 != 0).then_some(knock.work_ms),
+        retry: knock.flags & 2 != 0,
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,4 @@
+//! pewterwharf: the decisions of a mixer, which reads many shards for one scan.
+
+pub mod interface;
+pub mod logic;
