--- a/src/logic.rs
+++ b/src/logic.rs
@@ -487,7 +487,7 @@
             return;
         }
         if ok {
-            part.state = State::In;
+            (part.state, part.caught) = (State::In, false);
             for (i, (_, end)) in part.sent.iter().enumerate() {
                 if end.is_none() && self.permits.cancel {
                     post.out.push(Action::Cancel { part: leg.0, dispatch: i as u8 });
