--- a/src/logic.rs
+++ b/src/logic.rs
@@ -737,6 +737,9 @@
         lats.get(lats.len() / 2).copied().unwrap_or(1.0) * self.norms.normal[kind]
     }
 
+    const PRESSED: f64 = 0.5;
+    const CUT: f64 = 0.8;
+
     /// The limit on parts in flight: cut by a share while the middle searcher takes half a target time.
     fn press(&mut self, now: f64) {
         for seen in &mut self.by_customer {
@@ -750,11 +753,13 @@
                 times.pop_front();
             }
         }
-        let pressed =
-            (0..self.types.len()).map(|k| self.typical(k) / self.types[k].target_ms).fold(0.0, f64::max);
-        if pressed > 0.5 && now - self.cut_at > 200.0 {
-            self.limit = (self.limit.min(self.flights.len() as f64) * 0.8).max(4.0);
-            self.cut_at = now;
+        for kind in 0..self.types.len() {
+            let typical = self.typical(kind);
+            if typical > Self::PRESSED * self.types[kind].target_ms && now - self.cut_at > typical {
+                let ready = self.seats.iter().filter(|s| s.life == Life::Ready).count() as f64;
+                self.limit = (self.limit.min(self.flights.len() as f64) * Self::CUT).max(ready);
+                self.cut_at = now;
+            }
         }
     }
 
@@ -773,9 +778,7 @@
         let Some(scan) = &mut self.scans[at] else { return };
         let whole = whole && scan.whole;
         post.out.push(Action::Complete { scan: scan.id, whole });
-        if self.flights.len() as f64 + 8.0 > self.limit * 0.7 {
-            self.limit += 1.0;
-        }
+        self.limit += 1.0;
         if scan.step == 1 && self.types[scan.kind].second_step {
             // The second step brings parts of its own and needs them all.
             let floored = scan.floor + HAIR < scan.need;
