Shorter module; late catches within our own budget; customers compared by shares

Under overload every part is late, and replacing them all was the worse load; customers' scans are compared with their part of all shares, as a mixer can't tell how much its peers see.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,6 +4,7 @@
 //! actor, the [`Gauge`] knows what is normal and the [`Desk`] has the scans; they talk only by notes that
 //! one loop takes from their inboxes.
 
+use std::cmp::Ordering::Equal;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -53,6 +54,7 @@
 }
 
 /// All inboxes, and the actions that are to leave at the end of the turn.
+#[derive(Default)]
 struct Post {
     desk: VecDeque<Note>,
     gauge: VecDeque<Note>,
@@ -257,14 +259,12 @@
     cell: u32,
     since: f64,
     life: Life,
-    lat: f64,
-    marked: bool,
-    trial: bool,
+    tile: (f64, bool, bool), // smoothed latency, marked, on trial
     calls: u32,
     spent: VecDeque<(f64, f64)>,
 }
 
-#[derive(Clone, Copy, PartialEq, Debug)]
+#[derive(Clone, Copy, PartialEq)]
 enum State {
     Unsent,
     Out,
@@ -286,8 +286,9 @@
     fn proved_unrun(&self) -> bool {
         self.sent.iter().all(|s| s.1.is_some_and(Ending::never_ran))
     }
-    fn out(&self) -> usize {
-        self.sent.iter().filter(|s| s.1.is_none()).count()
+
+    fn out(&self) -> impl Iterator<Item = u8> {
+        self.sent.iter().enumerate().filter(|s| s.1.1.is_none()).map(|s| s.0 as u8)
     }
 }
 
@@ -301,29 +302,36 @@
     parts: Vec<Part>,
     need: f64,
     floor: f64,
-    step: u8,
     whole: bool,
     fresh: bool,
     hungry: bool,
+    second: bool,
 }
 
 impl Scan {
     fn weight(&self, of: impl Fn(&Part) -> bool) -> f64 {
         self.parts.iter().filter(|p| of(p)).map(|p| p.weight).sum()
     }
+
+    fn have(&self) -> f64 {
+        self.weight(|p| p.state == State::In) + HAIR
+    }
+
+    fn lacks(&self) -> bool {
+        self.have() + self.weight(|p| p.state == State::Out && !p.caught) < self.need
+    }
 }
 
 enum Due {
-    Late(u64, u8),
-    Target(usize, u64),
-    Gone(usize, u64),
+    Late(Leg),
+    Target(usize),
+    Gone(usize),
 }
 
 struct Flight {
     srv: usize,
     kind: usize,
     call: u64,
-    at: f64,
     allotted: f64,
 }
 
@@ -337,42 +345,32 @@
     mixers: f64,
     norms: Rc<Norms>,
     seats: Vec<Seat>,
-    scans: Vec<Option<Scan>>,
-    free: Vec<usize>,
-    numbers: HashMap<u32, usize>,
-    owners: HashMap<u64, (usize, usize)>,
+    scans: BTreeMap<usize, Scan>,
+    owners: HashMap<u64, (usize, usize)>, // of a scan or part: the scan's index, and the part's in it
     flights: BTreeMap<Leg, Flight>,
-    calls: BTreeMap<u64, u32>,
-    this_turn: BTreeMap<usize, (u64, u32)>,
-    next_call: u64,
+    this_turn: BTreeMap<usize, (u64, u32)>, // the call to each searcher, and its parts
     due: BTreeMap<(u64, u64), Due>,
-    next_due: u64,
+    next: u64,
     taken: VecDeque<f64>,
     extras: VecDeque<f64>,
+    lates: VecDeque<f64>,
+    seen: VecDeque<(f64, usize)>,
     limit: f64,
     cut_at: f64,
-    by_customer: Vec<VecDeque<f64>>,
 }
 
 /// Sums of weights may fall this short of what is needed (the weights come rounded).
 const HAIR: f64 = 1e-5;
 
 impl Desk {
-    /// Final answers leave so long before the time is up: a periodic timer and some slack.
-    const AHEAD_MS: f64 = 30.0;
-    /// Where no budget is stated, further dispatches stay within a tenth of the parts, and a few.
-    const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
-    /// Of the cold allowance, the share that is used: the rest is for chance among mixers.
-    const COLD_USED: f64 = 0.8;
-
     fn note(&mut self, note: Note, now: f64, post: &mut Post) {
         match note {
             Note::Tile { srv, lat, marked, trial } => {
-                let seat = &mut self.seats[srv];
-                let caught = marked && !seat.marked;
-                (seat.lat, seat.marked, seat.trial) = (lat, marked, trial);
-                if caught {
-                    self.catch(srv);
+                let caught = marked && !self.seats[srv].tile.1;
+                self.seats[srv].tile = (lat, marked, trial);
+                let legs = self.flights.iter().filter(|(_, f)| caught && f.srv == srv);
+                for id in legs.map(|(leg, _)| leg.0).collect::<Vec<_>>() {
+                    self.catch(id);
                 }
             }
             Note::Norms(norms) => self.norms = norms,
@@ -383,67 +381,50 @@
         }
     }
 
+    fn next(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
     fn push_due(&mut self, at: f64, due: Due) {
-        self.next_due += 1;
-        self.due.insert((at.max(0.0).to_bits(), self.next_due), due);
+        let next = self.next();
+        self.due.insert((at.max(0.0).to_bits(), next), due);
     }
 
+    /// Final answers leave so long before the time is up: a periodic timer and some slack.
+    const AHEAD_MS: f64 = 30.0;
+
     fn told(&mut self, event: Event, now: f64, post: &mut Post) {
         match event {
             Event::Scan { id, number, table_type: kind, customer, client_gone_at, work_ms, .. } => {
+                self.taken.push_back(now);
+                self.seen.push_back((now, customer));
                 let Some(terms) = self.types.get(kind) else { return };
                 let stretch = terms.target_stretch * work_ms.unwrap_or(0.0);
                 let gone_at = client_gone_at - Self::AHEAD_MS;
                 let target_at =
                     now + (terms.target_ms + stretch).min(terms.query_timeout_ms) - Self::AHEAD_MS;
-                let scan = Scan {
-                    id,
-                    number,
-                    kind,
-                    customer,
-                    target_at,
-                    gone_at,
-                    parts: Vec::new(),
-                    need: terms.need,
-                    floor: terms.floor.min(terms.need),
-                    step: 1,
-                    whole: true,
-                    fresh: true,
-                    hungry: true,
-                };
-                let at = self.free.pop().unwrap_or_else(|| {
-                    self.scans.push(None);
-                    self.scans.len() - 1
-                });
-                self.scans[at] = Some(scan);
-                self.numbers.insert(number, at);
+                let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
+                let (whole, fresh, hungry, second) = (true, true, true, false);
+                #[rustfmt::skip]
+                let scan = Scan { id, number, kind, customer, target_at, gone_at, parts, need, floor, whole,
+                    fresh, hungry, second };
+                let at = self.next() as usize;
+                self.scans.insert(at, scan);
                 self.owners.insert(id, (at, usize::MAX));
-                self.push_due(target_at, Due::Target(at, id));
-                self.push_due(gone_at, Due::Gone(at, id));
-                self.taken.push_back(now);
-                if let Some(seen) = self.by_customer.get_mut(customer) {
-                    seen.push_back(now);
-                }
+                self.push_due(target_at, Due::Target(at));
+                self.push_due(gone_at, Due::Gone(at));
             }
             Event::Part { id, number, shard, weight } => {
                 self.taken.push_back(now);
-                let Some(&at) = self.numbers.get(&number) else { return };
-                let Some(scan) = &mut self.scans[at] else { return };
-                let sent = Vec::new();
-                scan.parts.push(Part {
-                    id,
-                    shard,
-                    weight,
-                    state: State::Unsent,
-                    caught: false,
-                    sent,
-                    first_at: 0.0,
-                });
+                let Some((at, scan)) = self.scans.iter_mut().rfind(|s| s.1.number == number) else { return };
+                self.owners.insert(id, (*at, scan.parts.len()));
+                let (state, caught, sent, first_at) = (State::Unsent, false, Vec::new(), now);
+                scan.parts.push(Part { id, shard, weight, state, caught, sent, first_at });
                 scan.hungry = true;
-                self.owners.insert(id, (at, scan.parts.len() - 1));
             }
             Event::Ended { part, dispatch, ending, took_ms, .. } => {
-                self.ended((part, dispatch), ending, took_ms, now, post)
+                self.ended((part, dispatch), ending, took_ms, now, post);
             }
             Event::ClientGone { scan } => {
                 if let Some(&(at, usize::MAX)) = self.owners.get(&scan) {
@@ -456,15 +437,10 @@
 
     fn ended(&mut self, leg: Leg, ending: Ending, took: f64, now: f64, post: &mut Post) {
         let Some(flight) = self.flights.remove(&leg) else { return };
-        if let Some(left) = self.calls.get_mut(&flight.call) {
-            *left -= 1;
-            if *left == 0 {
-                self.calls.remove(&flight.call);
-                self.seats[flight.srv].calls -= 1;
-            }
+        if !self.flights.values().any(|f| f.call == flight.call) {
+            self.seats[flight.srv].calls -= 1;
         }
         let normal = self.norms.normal[flight.kind];
-        let ok = ending == Ending::Ok;
         // Failing must never look fast (errors, a dead zone's resets): it is filed at no less than the
         // time it was allowed. Called off, a part counts with its age, and as normal at least.
         let ms = match ending {
@@ -472,144 +448,112 @@
             Ending::Cancelled | Ending::Moot => took.max(normal),
             _ => took.max(flight.allotted),
         };
-        if ok {
+        if ending == Ending::Ok {
             post.gauge.push_back(Note::Heard { kind: flight.kind, ms });
         }
         if ending != Ending::Moot {
-            let ok = ok || ending == Ending::Cancelled;
+            let ok = matches!(ending, Ending::Ok | Ending::Cancelled);
             post.srvs[flight.srv].push_back(Note::Filed { leg, share: ms / normal, ok });
         }
         let Some(&(at, nth)) = self.owners.get(&leg.0) else { return };
-        let Some(scan) = &mut self.scans[at] else { return };
-        let part = &mut scan.parts[nth];
+        let Some(part) = self.scans.get_mut(&at).map(|s| &mut s.parts[nth]) else { return };
         part.sent[usize::from(leg.1)].1 = Some(ending);
         if part.state == State::In {
             return;
         }
-        if ok {
+        if ending == Ending::Ok {
             (part.state, part.caught) = (State::In, false);
-            for (i, (_, end)) in part.sent.iter().enumerate() {
-                if end.is_none() && self.permits.cancel {
-                    post.out.push(Action::Cancel { part: leg.0, dispatch: i as u8 });
-                }
+            if self.permits.cancel {
+                post.out.extend(part.out().map(|dispatch| Action::Cancel { part: leg.0, dispatch }));
             }
-        } else if part.out() == 0 {
-            part.state = State::Broken;
+        } else if part.out().next().is_none() {
+            (part.state, part.caught) = (State::Broken, false);
         }
         self.advance(at, now, post);
     }
 
-    /// Parts out at a searcher that was marked just now are caught there.
-    fn catch(&mut self, srv: usize) {
-        let legs = self.flights.iter().filter(|(_, f)| f.srv == srv).map(|(leg, _)| leg.0);
-        for id in legs.collect::<Vec<_>>() {
-            self.catch_part(id);
-        }
-    }
-
-    fn catch_part(&mut self, id: u64) {
+    /// A part out at a searcher that was marked just now, or out for too long itself, is caught there.
+    fn catch(&mut self, id: u64) {
         let Some(&(at, nth)) = self.owners.get(&id) else { return };
-        let Some(scan) = &mut self.scans[at] else { return };
+        let Some(scan) = self.scans.get_mut(&at) else { return };
         if scan.parts[nth].state == State::Out && scan.parts[nth].sent.len() == 1 {
-            scan.parts[nth].caught = true;
-            scan.hungry = true;
+            (scan.parts[nth].caught, scan.hungry) = (true, true);
         }
     }
 
     /// What the turn leaves to do: due times first, then every scan that lacks parts on the way.
     fn settle(&mut self, now: f64, post: &mut Post) {
-        while let Some(entry) = self.due.first_entry() {
-            if f64::from_bits(entry.key().0) > now {
-                break;
-            }
+        while let Some(entry) = self.due.first_entry().filter(|e| f64::from_bits(e.key().0) <= now) {
             match entry.remove() {
-                Due::Late(id, dispatch) => {
-                    if self.flights.contains_key(&(id, dispatch)) {
-                        self.catch_part(id);
+                // Late on its own, before its searcher is marked; within our own budget, as under overload
+                // everything is late and replacing it all would be the worse load.
+                Due::Late(leg) if self.flights.contains_key(&leg) => {
+                    if Self::fits(&Self::OWN, &self.lates, &self.taken, now) {
+                        self.lates.push_back(now);
+                        self.catch(leg.0);
                     }
                 }
-                Due::Target(at, id) => {
-                    let Some(scan) = self.scans[at].as_ref().filter(|s| s.id == id) else { continue };
+                Due::Late(_) => {}
+                Due::Target(at) => {
+                    let Some(scan) = self.scans.get(&at) else { continue };
                     let terms = &self.types[scan.kind];
-                    let have = scan.weight(|p| p.state == State::In);
-                    let partial =
-                        if have + HAIR >= scan.floor { terms.partial_share * have / scan.need } else { 0.0 };
-                    if terms.late_share <= partial {
-                        self.end(at, now, post);
-                    }
-                }
-                Due::Gone(at, id) => {
-                    if self.scans[at].as_ref().is_some_and(|s| s.id == id) {
-                        self.end(at, now, post);
+                    let partial = if scan.have() >= scan.floor { scan.have() / scan.need } else { 0.0 };
+                    if terms.late_share <= partial * terms.partial_share {
+                        self.end(at, post);
                     }
                 }
+                Due::Gone(at) => self.end(at, post),
             }
         }
-        for at in 0..self.scans.len() {
-            if self.scans[at].as_ref().is_some_and(|s| s.hungry) {
-                self.advance(at, now, post);
-            }
+        let hungry = self.scans.iter().filter(|s| s.1.hungry).map(|s| *s.0);
+        for at in hungry.collect::<Vec<_>>() {
+            self.advance(at, now, post);
         }
         self.this_turn.clear();
     }
 
     /// Sends what the scan lacks, and ends it as soon as it is whole or can't become so.
     fn advance(&mut self, at: usize, now: f64, post: &mut Post) {
-        let Some(scan) = &self.scans[at] else { return };
-        let have = scan.weight(|p| p.state == State::In);
-        if have + HAIR >= scan.need {
+        let Some(scan) = self.scans.get(&at) else { return };
+        if scan.have() >= scan.need {
             return self.complete(at, true, post);
         }
         if scan.parts.is_empty() {
             return;
         }
-        if scan.fresh && !self.admit(at, now) {
-            return self.end(at, now, post);
+        if scan.fresh && !self.admit(scan) {
+            return self.end(at, post);
         }
-        loop {
-            let Some(scan) = &self.scans[at] else { return };
-            let on_way = scan.weight(|p| p.state == State::In || p.state == State::Out && !p.caught);
-            if on_way + HAIR >= scan.need {
-                break;
-            }
-            let mut best: Option<(u8, bool, f64, usize, usize)> = None;
-            for (nth, part) in scan.parts.iter().enumerate() {
+        while let Some(scan) = self.scans.get(&at).filter(|s| s.lacks()) {
+            let choices = scan.parts.iter().enumerate().filter_map(|(nth, part)| {
                 let first = part.state == State::Unsent;
-                if !first && !((part.state == State::Broken || part.caught) && self.again(scan, part, now)) {
-                    continue;
-                }
-                let Some((tier, cost, srv)) = self.replica(scan, part, now) else { continue };
-                if part.state == State::Out && tier > 0 {
-                    continue;
-                }
-                let this = (tier, !first, cost / part.weight.max(HAIR), nth, srv);
-                if best.is_none_or(|b| (this.0, this.1, this.2) < (b.0, b.1, b.2)) {
-                    best = Some(this);
+                let again = part.state == State::Broken || part.caught;
+                if !first && !(again && self.again(scan, part, now)) {
+                    return None;
                 }
-            }
-            let Some((_, _, _, nth, srv)) = best else { break };
+                let (tier, cost, srv) = self.replica(scan, part, now)?;
+                let useless = part.state == State::Out && tier > 0;
+                (!useless).then_some(((tier, !first, cost / part.weight.max(HAIR)), nth, srv))
+            });
+            let Some((_, nth, srv)) = choices.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Equal)) else {
+                break;
+            };
             self.dispatch(at, nth, srv, now, post);
         }
-        let Some(scan) = &self.scans[at] else { return };
-        let on_way = scan.weight(|p| p.state == State::In || p.state == State::Out && !p.caught);
-        let hungry = on_way + HAIR < scan.need;
-        let hopeful = |p: &Part| match p.state {
+        let Some(scan) = self.scans.get(&at) else { return };
+        let ready = |p: &Part| self.holders(p.shard).any(|s| self.seats[s].life == Life::Ready);
+        let hope = scan.weight(|p| match p.state {
             State::In | State::Out => true,
-            State::Unsent => self.holders(p.shard).any(|s| self.seats[s].life == Life::Ready),
-            State::Broken => {
-                self.may_repeat(scan, p, now)
-                    && self.holders(p.shard).any(|s| self.seats[s].life == Life::Ready)
-            }
-        };
-        let hope = scan.weight(hopeful);
-        let floored = scan.floor + HAIR < scan.need && hope + HAIR >= scan.floor;
-        let waiting = scan.parts.iter().any(|p| p.state == State::Out);
-        if hope + HAIR < scan.need && !(floored && waiting) {
-            return self.end(at, now, post);
+            State::Unsent => ready(p),
+            State::Broken => self.may_repeat(scan, p, now) && ready(p),
+        }) + HAIR;
+        let lacks = scan.lacks();
+        let waiting = hope >= scan.floor && scan.parts.iter().any(|p| p.state == State::Out);
+        if hope < scan.need && !waiting {
+            return self.end(at, post);
         }
-        if let Some(scan) = &mut self.scans[at] {
-            scan.hungry = hungry;
-            scan.fresh = false;
+        if let Some(scan) = self.scans.get_mut(&at) {
+            (scan.hungry, scan.fresh) = (lacks, false);
         }
     }
 
@@ -623,55 +567,59 @@
         }
     }
 
+    /// Where no budget is stated, further dispatches stay within a tenth of the parts, and a few.
+    const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
+
     fn again(&self, scan: &Scan, part: &Part, now: f64) -> bool {
-        let copy = part.out() > 0;
-        self.may_repeat(scan, part, now)
-            && !(copy && (!self.permits.second_copies || part.sent.len() > 1))
-            && self.budget(now)
-    }
-
-    /// One more further dispatch fits into the budget, stated or our own. A millisecond is added to what
-    /// was sent and taken off what was taken, so that the edges of the window can't matter.
-    fn budget(&self, now: f64) -> bool {
-        let fits = |b: &Budget| {
-            let sent = self.extras.iter().rev().take_while(|t| **t >= now - b.window_ms - 1.0).count();
-            let taken = self.taken.iter().rev().take_while(|t| **t >= now - b.window_ms + 1.0).count();
-            (sent + 1) as f64 <= b.free + b.share * taken as f64
+        let copy_ok = part.out().next().is_none() || self.permits.second_copies && part.sent.len() == 1;
+        let fits = |budget| Self::fits(budget, &self.extras, &self.taken, now);
+        copy_ok && self.may_repeat(scan, part, now) && fits(self.guards.budget.as_ref().unwrap_or(&Self::OWN))
+    }
+
+    /// One more fits into a budget. A millisecond is added to the window of what was sent and taken off
+    /// that of what was taken, so that its edges can't matter.
+    fn fits(b: &Budget, sent: &VecDeque<f64>, taken: &VecDeque<f64>, now: f64) -> bool {
+        let count = |of: &VecDeque<f64>, slack| {
+            of.iter().rev().take_while(|t| **t >= now - b.window_ms + slack).count()
         };
-        fits(&Self::OWN) && self.guards.budget.as_ref().is_none_or(fits)
+        (count(sent, -1.0) + 1) as f64 <= b.free + b.share * count(taken, 1.0) as f64
     }
 
     fn holders(&self, shard: u32) -> impl Iterator<Item = usize> {
-        let cells = self.layout.cells;
-        let holds = move |cell: u32| (cell + cells - shard % cells) % cells < self.layout.reach;
+        let (cells, reach) = (self.layout.cells, self.layout.reach);
+        let holds = move |cell: u32| (cell + cells - shard % cells) % cells < reach;
         (0..self.seats.len()).filter(move |s| holds(self.seats[*s].cell))
     }
 
+    /// A call that leaves for this searcher in this turn and has room for one more part.
+    fn shared(&self, srv: usize) -> bool {
+        self.this_turn.get(&srv).is_some_and(|c| c.1 < self.layout.parts_per_call)
+    }
+
+    fn work(&self, kind: usize, srv: usize) -> f64 {
+        self.norms.normal[kind] + if self.shared(srv) { 0.0 } else { self.layout.call_work_ms }
+    }
+
     /// The replica rule: least smoothed latency times one plus own calls out. Marked ones come last: when
     /// all are marked, the least bad serves.
     fn replica(&self, scan: &Scan, part: &Part, now: f64) -> Option<(u8, f64, usize)> {
-        let mut best: Option<(u8, f64, usize)> = None;
-        for srv in self.holders(part.shard) {
+        let choices = self.holders(part.shard).filter_map(|srv| {
             let seat = &self.seats[srv];
             let tried = part.sent.iter().any(|s| s.0 == srv);
-            let shared = self.this_turn.get(&srv).is_some_and(|c| c.1 < self.layout.parts_per_call);
-            let work = self.work(scan.kind, shared);
-            if seat.life != Life::Ready || !self.room(seat, work, now) || tried && part.state == State::Out {
-                continue;
-            }
-            let calls = seat.calls - u32::from(shared);
-            let tier = u8::from(seat.marked || seat.trial && calls > 0 || tried);
-            let cost = seat.lat * f64::from(1 + calls);
-            if best.is_none_or(|b| (tier, cost) < (b.0, b.1)) {
-                best = Some((tier, cost, srv));
-            }
-        }
-        best
+            let able = seat.life == Life::Ready && self.room(seat, self.work(scan.kind, srv), now);
+            if !able || tried && part.state == State::Out {
+                return None;
+            }
+            let calls = seat.calls - u32::from(self.shared(srv));
+            let (lat, marked, trial) = seat.tile;
+            let tier = u8::from(marked || trial && calls > 0 || tried);
+            Some((tier, lat * f64::from(1 + calls), srv))
+        });
+        choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal))
     }
 
-    fn work(&self, kind: usize, shared: bool) -> f64 {
-        self.norms.normal[kind] + if shared { 0.0 } else { self.layout.call_work_ms }
-    }
+    /// Of the cold allowance, the share that is used: the rest is for chance among mixers.
+    const COLD_USED: f64 = 0.8;
 
     /// What a mixer may send a cold searcher in a fall window: its part of the multiple of what one core
     /// can do at that age, if it warms up as slowly as it may. Guards against newcomers, restarts and
@@ -689,10 +637,16 @@
     }
 
     fn dispatch(&mut self, at: usize, nth: usize, srv: usize, now: f64, post: &mut Post) {
-        let shared = self.this_turn.get(&srv).is_some_and(|c| c.1 < self.layout.parts_per_call);
-        let Some(scan) = &mut self.scans[at] else { return };
-        let kind = scan.kind;
-        let work = self.norms.normal[kind] + if shared { 0.0 } else { self.layout.call_work_ms };
+        let Some(kind) = self.scans.get(&at).map(|s| s.kind) else { return };
+        let work = self.work(kind, srv);
+        if !self.shared(srv) {
+            self.seats[srv].calls += 1;
+            let call = self.next();
+            self.this_turn.insert(srv, (call, 0));
+        }
+        let Some(scan) = self.scans.get_mut(&at) else { return };
+        let Some((call, parts)) = self.this_turn.get_mut(&srv) else { return };
+        *parts += 1;
         let part = &mut scan.parts[nth];
         let leg = (part.id, part.sent.len() as u8);
         if part.sent.is_empty() {
@@ -702,57 +656,50 @@
         }
         part.sent.push((srv, None));
         (part.state, part.caught) = (State::Out, false);
-        let end =
-            if self.types[kind].late_share > 0.0 { scan.gone_at } else { scan.gone_at.min(scan.target_at) };
+        let late_counts = self.types[kind].late_share > 0.0;
+        let end = if late_counts { scan.gone_at } else { scan.gone_at.min(scan.target_at) };
         let allotted = (end - now).max(1.0) + Self::AHEAD_MS / 2.0;
         let late = (self.norms.limit() * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
-        let addr = self.seats[srv].addr;
+        self.flights.insert(leg, Flight { srv, kind, call: *call, allotted });
         let seat = &mut self.seats[srv];
         seat.spent.push_back((now, work));
         while seat.spent.front().is_some_and(|s| s.0 < now - self.guards.fall_ms) {
             seat.spent.pop_front();
         }
-        if !shared {
-            self.next_call += 1;
-            seat.calls += 1;
-            self.this_turn.insert(srv, (self.next_call, 0));
-        }
-        if let Some((call, parts)) = self.this_turn.get_mut(&srv) {
-            *parts += 1;
-            *self.calls.entry(*call).or_insert(0) += 1;
-            self.flights.insert(leg, Flight { srv, kind, call: *call, at: now, allotted });
-        }
-        post.out.push(Action::Dispatch { part: leg.0, searcher: addr, patience_ms: allotted });
+        post.out.push(Action::Dispatch { part: leg.0, searcher: seat.addr, patience_ms: allotted });
         post.srvs[srv].push_back(Note::Sent { leg, kind });
         if late > 0.0 {
-            self.push_due(now + late, Due::Late(leg.0, leg.1));
+            self.push_due(now + late, Due::Late(leg));
         }
     }
 
     /// How long a part takes now, at the middle of the searchers.
     fn typical(&self, kind: usize) -> f64 {
-        let mut lats: Vec<f64> =
-            self.seats.iter().filter(|s| s.life == Life::Ready && !s.marked).map(|s| s.lat).collect();
+        let usable = self.seats.iter().filter(|s| s.life == Life::Ready && !s.tile.1);
+        let mut lats: Vec<f64> = usable.map(|s| s.tile.0).collect();
         lats.sort_by(f64::total_cmp);
         lats.get(lats.len() / 2).copied().unwrap_or(1.0) * self.norms.normal[kind]
     }
 
+    /// Share of a target time that a typical part may take: its scan waits for the slowest of several.
     const PRESSED: f64 = 0.5;
+    /// What a cut leaves of the limit.
     const CUT: f64 = 0.8;
+    /// Span in which customers' shares of the scans are compared.
+    const SEEN_MS: f64 = 5000.0;
 
-    /// The limit on parts in flight: cut by a share while the middle searcher takes half a target time.
+    /// The limit on parts in flight grows by one with every completion and is cut by a share, once a
+    /// latency, while the middle searcher is too slow for a target time.
     fn press(&mut self, now: f64) {
-        for seen in &mut self.by_customer {
-            while seen.front().is_some_and(|t| *t < now - 2000.0) {
-                seen.pop_front();
-            }
-        }
-        let keep = self.guards.budget.map_or(0.0, |b| b.window_ms).max(Self::OWN.window_ms) + 10.0;
-        for times in [&mut self.taken, &mut self.extras] {
-            while times.front().is_some_and(|t| *t < now - keep) {
+        let keep = now - self.guards.budget.map_or(0.0, |b| b.window_ms).max(Self::OWN.window_ms) - 10.0;
+        for times in [&mut self.taken, &mut self.extras, &mut self.lates] {
+            while times.front().is_some_and(|t| *t < keep) {
                 times.pop_front();
             }
         }
+        while self.seen.front().is_some_and(|s| s.0 < now - Self::SEEN_MS) {
+            self.seen.pop_front();
+        }
         for kind in 0..self.types.len() {
             let typical = self.typical(kind);
             if typical > Self::PRESSED * self.types[kind].target_ms && now - self.cut_at > typical {
@@ -763,70 +710,65 @@
         }
     }
 
-    fn admit(&self, at: usize, now: f64) -> bool {
-        let Some(scan) = &self.scans[at] else { return false };
-        let _ = now;
-        let parts = scan.parts.len() as f64 * scan.need;
+    /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
+    /// shares, as one mixer can't tell how much its peers see.
+    fn admit(&self, scan: &Scan) -> bool {
+        let shares: f64 = self.customers.iter().map(|c| c.scans_per_s).sum();
         let over = self.customers.get(scan.customer).is_some_and(|c| {
-            self.by_customer[scan.customer].len() as f64 * self.mixers > c.scans_per_s * 2.0
+            let own = self.seen.iter().filter(|s| s.1 == scan.customer).count() as f64;
+            own * shares > c.scans_per_s * self.seen.len() as f64 * 1.1
         });
-        let rank = if over { 0.5 } else { 1.0 };
-        self.flights.is_empty() || self.flights.len() as f64 + parts <= self.limit * rank
+        let limit = if over { 0.5 * self.limit } else { self.limit };
+        self.flights.is_empty() || self.flights.len() as f64 + scan.parts.len() as f64 * scan.need <= limit
     }
 
     fn complete(&mut self, at: usize, whole: bool, post: &mut Post) {
-        let Some(scan) = &mut self.scans[at] else { return };
+        let Some(scan) = self.scans.get_mut(&at) else { return };
         let whole = whole && scan.whole;
         post.out.push(Action::Complete { scan: scan.id, whole });
         self.limit += 1.0;
-        if scan.step == 1 && self.types[scan.kind].second_step {
-            // The second step brings parts of its own and needs them all.
-            let floored = scan.floor + HAIR < scan.need;
-            (scan.step, scan.whole, scan.hungry) = (2, whole, false);
-            (scan.need, scan.floor) = (1.0, if floored { scan.floor } else { 1.0 });
-            let old = std::mem::take(&mut scan.parts);
-            self.drop_parts(old, post);
-        } else {
-            self.close(at, post);
+        if scan.second || !self.types[scan.kind].second_step {
+            return self.close(at, post);
         }
+        // The second step brings parts of its own and needs them all.
+        (scan.second, scan.whole, scan.hungry) = (true, whole, false);
+        scan.floor = if scan.floor < scan.need { scan.floor } else { 1.0 };
+        scan.need = 1.0;
+        let old = std::mem::take(&mut scan.parts);
+        self.drop_parts(old, post);
     }
 
     fn drop_parts(&mut self, parts: Vec<Part>, post: &mut Post) {
         for part in parts {
             self.owners.remove(&part.id);
-            for (i, (_, end)) in part.sent.iter().enumerate() {
-                if end.is_none() && self.permits.cancel {
-                    post.out.push(Action::Cancel { part: part.id, dispatch: i as u8 });
-                }
+            if self.permits.cancel {
+                post.out.extend(part.out().map(|dispatch| Action::Cancel { part: part.id, dispatch }));
             }
         }
     }
 
     /// The final answer of a scan that will not be whole: what is in if that is enough, else a throttling
     /// reply where trying again is harmless, else an abandonment.
-    fn end(&mut self, at: usize, now: f64, post: &mut Post) {
-        let _ = now;
-        let Some(scan) = &self.scans[at] else { return };
-        let have = scan.weight(|p| p.state == State::In);
-        if have > 0.0 && have + HAIR >= scan.floor {
-            return self.complete(at, have + HAIR >= scan.need, post);
+    fn end(&mut self, at: usize, post: &mut Post) {
+        let Some(scan) = self.scans.get(&at) else { return };
+        let (id, have) = (scan.id, scan.have());
+        if have >= scan.floor {
+            return self.complete(at, have >= scan.need, post);
         }
         let unrun = scan.parts.iter().all(Part::proved_unrun);
-        if scan.step == 1 && (unrun || self.types[scan.kind].repeat != Repeat::NonReplayable) {
+        if !scan.second && (unrun || self.types[scan.kind].repeat != Repeat::NonReplayable) {
             let back_in_ms = self.permits.back_in_ms.map(|most| (2.0 * self.typical(scan.kind)).min(most));
-            post.out.push(Action::Throttle { scan: scan.id, back_in_ms });
+            post.out.push(Action::Throttle { scan: id, back_in_ms });
         } else {
-            post.out.push(Action::Abandon { scan: scan.id });
+            post.out.push(Action::Abandon { scan: id });
         }
         self.close(at, post);
     }
 
     fn close(&mut self, at: usize, post: &mut Post) {
-        let Some(scan) = self.scans[at].take() else { return };
+        let Some(scan) = self.scans.remove(&at) else { return };
         self.owners.remove(&scan.id);
-        self.numbers.remove(&scan.number);
         self.drop_parts(scan.parts, post);
-        self.free.push(at);
     }
 }
 
@@ -861,48 +803,17 @@
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let gauge = Gauge { normal: start.iter().map(|n| (*n, 1.0)).collect(), means: Vec::new() };
-        let (probing, subscribe) = (permits.probe, permits.subscribe);
-        let by_customer = vec![VecDeque::new(); customers.len()];
-        let desk = Desk {
-            types,
-            customers,
-            layout,
-            guards,
-            permits,
-            mixers: f64::from(berth.mixers.max(1)),
-            norms: Rc::new(Norms { normal: start, median: 1.0 }),
-            seats: Vec::new(),
-            scans: Vec::new(),
-            free: Vec::new(),
-            numbers: HashMap::new(),
-            owners: HashMap::new(),
-            flights: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            this_turn: BTreeMap::new(),
-            next_call: 0,
-            due: BTreeMap::new(),
-            next_due: 0,
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
-            limit: f64::INFINITY,
-            cut_at: 0.0,
-            by_customer,
-        };
-        let post = Post { desk: VecDeque::new(), gauge: VecDeque::new(), srvs: Vec::new(), out: Vec::new() };
+        let (probing, subscribe, mixers) = (permits.probe, permits.subscribe, f64::from(berth.mixers.max(1)));
+        let norms = Rc::new(Norms { normal: start, median: 1.0 });
+        #[rustfmt::skip]
+        let desk = Desk { types, customers, layout, guards, permits, mixers, norms, seats: Vec::new(),
+            scans: BTreeMap::new(), owners: HashMap::new(), flights: BTreeMap::new(), due: BTreeMap::new(),
+            this_turn: BTreeMap::new(), next: 0, taken: VecDeque::new(), extras: VecDeque::new(),
+            lates: VecDeque::new(), seen: VecDeque::new(), limit: f64::INFINITY, cut_at: 0.0 };
+        let (ids, srvs, post) = (HashMap::new(), Vec::new(), Post::default());
         let (asked_at, next_tick) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
         let seed = Rand64::new(u128::from(seed));
-        Self {
-            seed,
-            probing,
-            subscribe,
-            asked_at,
-            next_tick,
-            ids: HashMap::new(),
-            srvs: Vec::new(),
-            gauge,
-            desk,
-            post,
-        }
+        Self { seed, probing, subscribe, asked_at, next_tick, ids, srvs, gauge, desk, post }
     }
 
     /// The list: a searcher is known by its address; a new start voids its past.
@@ -924,7 +835,6 @@
                 let seat = &mut self.desk.seats[srv];
                 if seat.since != since && life == Life::Ready {
                     seat.since = since;
-                    (seat.marked, seat.trial, seat.lat) = (false, false, 1.0);
                     self.post.srvs[srv].push_back(Note::Renewed);
                 }
                 (seat.cell, seat.life) = (cell, life);
@@ -933,32 +843,14 @@
             let me = self.srvs.len();
             self.ids.insert(addr, me);
             self.post.srvs.push(VecDeque::new());
-            self.srvs.push(Searcher {
-                me,
-                addr,
-                norms: self.desk.norms.clone(),
-                // Mixers must not all judge, and so all shift their load, at the same moment.
-                offset: self.seed.rand_float() * Searcher::SLICE_MS,
-                slices: BTreeMap::new(),
-                next: 0,
-                legs: Vec::new(),
-                lat: 1.0,
-                marked: false,
-                trial: false,
-                strikes: 0,
-                probe_at: 0.0,
-            });
-            self.desk.seats.push(Seat {
-                addr,
-                cell,
-                since,
-                life,
-                lat: 1.0,
-                marked: false,
-                trial: false,
-                calls: 0,
-                spent: VecDeque::new(),
-            });
+            // Mixers must not all judge, and so all shift their load, at the same moment.
+            let offset = self.seed.rand_float() * Searcher::SLICE_MS;
+            let norms = self.desk.norms.clone();
+            #[rustfmt::skip]
+            self.srvs.push(Searcher { me, addr, norms, offset, slices: BTreeMap::new(), next: 0, lat: 1.0,
+                legs: Vec::new(), marked: false, trial: false, strikes: 0, probe_at: 0.0 });
+            let (tile, calls, spent) = ((1.0, false, false), 0, VecDeque::new());
+            self.desk.seats.push(Seat { addr, cell, since, life, tile, calls, spent });
         }
     }
 
