Cut the limit when a typical part takes 0.35 of a target time

A scan waits for the slowest of several parts, so half a target time came too late. Could harm where parts are long against the target time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -682,7 +682,7 @@
     }
 
     /// Share of a target time that a typical part may take: its scan waits for the slowest of several.
-    const PRESSED: f64 = 0.5;
+    const PRESSED: f64 = 0.35;
     /// What a cut leaves of the limit.
     const CUT: f64 = 0.8;
     /// Span in which customers' shares of the scans are compared.
