The cold allowance counts a part's own work, not its normal latency

Cause: with calls and queues in it, the normal latency filled a newcomer's allowance with less than one part, so a release left the fleet at 6 of 12 searchers. Guards every return from cold; could harm where nothing but queues was ever seen, as the estimate is then too high.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,6 +23,7 @@
 #[derive(Clone, Debug)]
 struct Norms {
     normal: Vec<f64>,
+    work: Vec<f64>,
     median: f64,
 }
 
@@ -213,12 +214,15 @@
 /// What is normal: for each table type, and over all searchers' slices.
 struct Gauge {
     normal: Vec<(f64, f64)>,
+    work: Vec<f64>,
     means: Vec<Option<f64>>,
 }
 
 impl Gauge {
     /// Weight of the newest part in a table type's normal latency: a few hundred parts, some seconds.
     const SMOOTH: f64 = 0.01;
+    /// Step of the work estimate: it halves within some fifty parts, and strays by a few in a hundred.
+    const STEP: f64 = 0.01;
     /// A median of fewer searchers says little; until then one normal stands for it.
     const FEW: usize = 3;
 
@@ -229,6 +233,10 @@
                 *heard += 1.0;
                 // Clipped, so that one slow searcher does not become the norm.
                 let clipped = if *heard > 10.0 { ms.min(MULTIPLE * *normal) } else { ms };
+                // A part's own work shows where little waits: a step up and three down settle at the
+                // quarter of the parts that were quickest.
+                self.work[kind] *=
+                    if ms > self.work[kind] { 1.0 + Self::STEP } else { 1.0 - 3.0 * Self::STEP };
                 *normal += (1.0 / *heard).max(Self::SMOOTH) * (clipped - *normal);
             }
             Note::Slice { srv, mean } => {
@@ -241,8 +249,8 @@
                 let mut means: Vec<f64> = self.means.iter().flatten().copied().collect();
                 means.sort_by(f64::total_cmp);
                 let median = if means.len() < Self::FEW { 1.0 } else { means[means.len() / 2] };
-                let norms =
-                    Rc::new(Norms { normal: self.normal.iter().map(|n| n.0.max(1.0)).collect(), median });
+                let (normal, work) = (self.normal.iter().map(|n| n.0.max(1.0)).collect(), self.work.clone());
+                let norms = Rc::new(Norms { normal, work, median });
                 for inbox in &mut post.srvs {
                     inbox.push_back(Note::Norms(norms.clone()));
                 }
@@ -597,7 +605,7 @@
     }
 
     fn work(&self, kind: usize, srv: usize) -> f64 {
-        self.norms.normal[kind] + if self.shared(srv) { 0.0 } else { self.layout.call_work_ms }
+        self.norms.work[kind] + if self.shared(srv) { 0.0 } else { self.layout.call_work_ms }
     }
 
     /// The replica rule: least smoothed latency times one plus own calls out. Marked ones come last: when
@@ -802,9 +810,10 @@
         berth: Berth,
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
-        let gauge = Gauge { normal: start.iter().map(|n| (*n, 1.0)).collect(), means: Vec::new() };
+        let normal = start.iter().map(|n| (*n, 1.0)).collect();
+        let gauge = Gauge { normal, work: start.clone(), means: Vec::new() };
         let (probing, subscribe, mixers) = (permits.probe, permits.subscribe, f64::from(berth.mixers.max(1)));
-        let norms = Rc::new(Norms { normal: start, median: 1.0 });
+        let norms = Rc::new(Norms { normal: start.clone(), work: start, median: 1.0 });
         #[rustfmt::skip]
         let desk = Desk { types, customers, layout, guards, permits, mixers, norms, seats: Vec::new(),
             scans: BTreeMap::new(), owners: HashMap::new(), flights: BTreeMap::new(), due: BTreeMap::new(),
