Refuse at the door what its best replicas lately could not answer in time

The limit follows the middle of the fleet and misses a hot set. Guards against any hot spot; harms if a smoothed latency stays high after its cause, until it fades.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -529,7 +529,7 @@
         if scan.parts.is_empty() {
             return;
         }
-        if scan.fresh && !self.admit(scan) {
+        if scan.fresh && !self.admit(scan, now) {
             return self.end(at, post);
         }
         while let Some(scan) = self.scans.get(&at).filter(|s| s.lacks()) {
@@ -718,9 +718,21 @@
         }
     }
 
+    /// Share of a target time that a part's best replica may take lately.
+    const SLOW: f64 = 0.7;
+
+    /// What cannot come in time is refused at the door, by the replicas that it needs.
     /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
     /// shares, as one mixer can't tell how much its peers see.
-    fn admit(&self, scan: &Scan) -> bool {
+    fn admit(&self, scan: &Scan, now: f64) -> bool {
+        let most = Self::SLOW * self.types[scan.kind].target_ms / self.norms.normal[scan.kind];
+        let in_time = scan.weight(|p| {
+            self.replica(scan, p, now)
+                .is_some_and(|(tier, _, srv)| tier > 0 || self.seats[srv].tile.0 <= most)
+        });
+        if in_time + HAIR < scan.need {
+            return false;
+        }
         let shares: f64 = self.customers.iter().map(|c| c.scans_per_s).sum();
         let over = self.customers.get(scan.customer).is_some_and(|c| {
             let own = self.seen.iter().filter(|s| s.1 == scan.customer).count() as f64;
