--- a/src/logic.rs
+++ b/src/logic.rs
@@ -719,7 +719,7 @@
     }
 
     /// Share of a target time that a part's best replica may take lately.
-    const SLOW: f64 = 0.7;
+    const SLOW: f64 = 0.6;
 
     /// What cannot come in time is refused at the door, by the replicas that it needs.
     /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
