Slices are judged on every tick

Cause: a slice whose parts had all ended before its time was up was never judged, and stayed held. Open slices are judged by the same rule now, with no padding for missing parts.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -35,28 +35,38 @@
 
 type Leg = (u64, u8); // a part and the number of its dispatch
 
-#[derive(Debug)]
 enum Note {
-    // To a searcher.
+    // To a searcher: its process is new, a part left, a part's share is known, a probe came back.
     Renewed,
-    Sent { leg: Leg, kind: usize },
-    Filed { leg: Leg, share: f64, ok: bool },
-    Pong { ok: bool, took: f64 },
-    Norms(Rc<Norms>),
-    // To all.
-    Tick,
-    // To the gauge.
-    Heard { kind: usize, ms: f64 },
-    Slice { srv: usize, mean: f64 },
+    Sent(Leg, usize),
+    Filed(Leg, f64, bool),
+    Pong(bool, f64),
+    // To the gauge: a part's table type and latency, a searcher's slice average.
+    Heard(usize, f64),
+    Slice(usize, f64),
     // To the desk.
-    Tile { srv: usize, lat: f64, marked: bool, trial: bool },
+    Tile(usize, Tile),
     Told(Event),
     Settle,
+    // To several.
+    Norms(Rc<Norms>),
+    Tick,
 }
 
+/// What a searcher lets the desk know of itself.
+#[derive(Clone, Copy)]
+struct Tile {
+    lat: f64,
+    marked: bool,
+    trial: bool,
+}
+
+const NEW: Tile = Tile { lat: 1.0, marked: false, trial: false };
+
 /// All inboxes, and the actions that are to leave at the end of the turn.
 #[derive(Default)]
 struct Post {
+    now: f64,
     desk: VecDeque<Note>,
     gauge: VecDeque<Note>,
     srvs: Vec<VecDeque<Note>>,
@@ -66,8 +76,8 @@
 struct Slice {
     from: f64,
     sent: u32,
-    ended: u32,
     sum: f64,
+    out: Vec<(Leg, usize, f64)>,
 }
 
 /// One searcher, watched by slices.
@@ -76,12 +86,8 @@
     addr: SocketAddrV4,
     norms: Rc<Norms>,
     offset: f64,
-    slices: BTreeMap<u64, Slice>,
-    next: u64,
-    legs: Vec<(Leg, u64, usize, f64)>,
-    lat: f64,
-    marked: bool,
-    trial: bool,
+    slices: Vec<Slice>,
+    tile: Tile,
     strikes: u32,
     probe_at: f64,
 }
@@ -98,115 +104,92 @@
     /// First probe of a marked searcher, one slice after the mark; doubled by every relapse.
     const PROBE_MS: f64 = 500.0;
 
-    fn note(&mut self, note: Note, now: f64, post: &mut Post, probing: bool) {
+    fn note(&mut self, note: Note, post: &mut Post, probing: bool) {
+        let now = post.now;
         match note {
+            // A new process has nothing of the old one's past.
             Note::Renewed => {
-                // A new process has nothing of the old one's past.
-                (self.lat, self.marked, self.trial, self.strikes) = (1.0, false, false, 0);
+                (self.tile, self.strikes) = (NEW, 0);
                 self.slices.clear();
-                self.legs.clear();
             }
-            Note::Sent { leg, kind } => {
-                let gone = |s: &Slice| now - s.from >= Self::SLICE_MS + self.offset && s.sent >= Self::FEW;
-                if self.slices.last_key_value().is_none_or(|(no, s)| *no + 1 != self.next || gone(s)) {
-                    self.slices.insert(self.next, Slice { from: now, sent: 0, ended: 0, sum: 0.0 });
-                    self.next += 1;
+            Note::Sent(leg, kind) => {
+                let open = |s: &Slice| now - s.from < Self::SLICE_MS + self.offset || s.sent < Self::FEW;
+                if !self.slices.last().is_some_and(open) {
+                    self.slices.push(Slice { from: now, sent: 0, sum: 0.0, out: Vec::new() });
                     self.offset = 0.0;
                 }
-                let no = self.next - 1;
-                if let Some(slice) = self.slices.get_mut(&no) {
+                if let Some(slice) = self.slices.last_mut() {
                     slice.sent += 1;
+                    slice.out.push((leg, kind, now));
+                }
+            }
+            Note::Filed(leg, share, ok) => {
+                self.tile.lat += Self::SMOOTH * (share - self.tile.lat);
+                let held = |s: &&mut Slice| s.out.iter().any(|l| l.0 == leg);
+                let Some(slice) = self.slices.iter_mut().find(held) else { return };
+                slice.out.retain(|l| l.0 != leg);
+                slice.sum += share;
+                if std::mem::take(&mut self.tile.trial) && (share > self.norms.limit() || !ok) {
+                    self.mark(share, post);
                 }
-                self.legs.push((leg, no, kind, now));
             }
-            Note::Filed { leg, share, ok } => self.file(leg, share, ok, now, post),
-            Note::Pong { ok, took } if self.marked => {
+            // A probe does almost no work, so a pass only admits to a trial: one part at a time until one
+            // comes back in time. Guards against searchers that answer probes and nothing else; harms a
+            // sound one by a few parts.
+            Note::Pong(ok, took) if self.tile.marked => {
                 let quick = self.norms.normal.iter().copied().fold(f64::INFINITY, f64::min);
                 if ok && took < self.norms.limit() * quick {
-                    // A probe does almost no work, so a pass only admits to a trial: one part at a time
-                    // until one comes back in time. Guards against searchers that answer probes and
-                    // nothing else; harms a sound one by a few parts.
-                    (self.marked, self.trial, self.lat) = (false, true, 1.0);
-                    self.slices.clear();
-                    self.legs.clear();
+                    self.tile = Tile { trial: true, ..NEW };
                     post.out.push(Action::Log { line: format!("{} readmitted on trial", self.addr) });
                 }
             }
             Note::Norms(norms) => self.norms = norms,
             Note::Tick => {
-                self.lat += (1.0 - self.lat) * Mixer::TICK_MS / Self::FADE_MS;
-                self.watch(now, post);
-                if self.marked && now >= self.probe_at && probing {
+                self.tile.lat += (1.0 - self.tile.lat) * Mixer::TICK_MS / Self::FADE_MS;
+                self.judge(post);
+                if self.tile.marked && now >= self.probe_at && probing {
                     self.probe_at = now + self.rest();
                     post.out.push(Action::Probe { searcher: self.addr });
                 }
             }
             _ => {}
         }
-        let (srv, lat, marked, trial) = (self.me, self.lat, self.marked, self.trial);
-        post.desk.push_back(Note::Tile { srv, lat, marked, trial });
+        if self.tile.marked {
+            self.slices.clear();
+        }
+        post.desk.push_back(Note::Tile(self.me, self.tile));
     }
 
     fn rest(&self) -> f64 {
         Self::PROBE_MS * f64::from(1u32 << self.strikes.min(4))
     }
 
-    fn file(&mut self, leg: Leg, share: f64, ok: bool, now: f64, post: &mut Post) {
-        self.lat += Self::SMOOTH * (share - self.lat);
-        let Some(at) = self.legs.iter().position(|l| l.0 == leg) else { return };
-        let (_, no, ..) = self.legs.swap_remove(at);
-        if self.trial && !self.marked {
-            self.trial = false;
-            if share > self.norms.limit() || !ok {
-                return self.mark(share, now, post);
-            }
-        }
-        let Some(slice) = self.slices.get_mut(&no) else { return };
-        slice.ended += 1;
-        slice.sum += share;
-        let over = no + 1 != self.next || now - slice.from >= Self::SLICE_MS;
-        if over && slice.ended == slice.sent && slice.sent >= Self::FEW {
-            let mean = slice.sum / f64::from(slice.sent);
-            self.slices.remove(&no);
-            post.gauge.push_back(Note::Slice { srv: self.me, mean });
-            if mean > self.norms.limit() {
-                self.mark(mean, now, post);
-            } else if !self.marked {
-                self.strikes = 0;
+    /// A slice is judged when it is over and its parts have ended, or as soon as the ages of those still
+    /// out lift its average over the multiple. The latter guards against a hang, which would show only
+    /// with the last time-out; it harms a searcher whose few parts are all heavy, until its next probe.
+    fn judge(&mut self, post: &mut Post) {
+        let (now, limit, mut worst) = (post.now, self.norms.limit(), 0.0);
+        self.slices.retain(|slice| {
+            let aged: f64 = slice.out.iter().map(|l| (now - l.2) / self.norms.normal[l.1]).sum();
+            let mean = (slice.sum + aged) / f64::from(slice.sent);
+            let over = now - slice.from >= Self::SLICE_MS && slice.out.is_empty();
+            let ripe = slice.sent >= Self::FEW && (over || mean > limit);
+            if ripe {
+                worst = mean.max(worst);
+                post.gauge.push_back(Note::Slice(self.me, mean));
             }
+            !ripe
+        });
+        if worst > limit && !self.tile.marked {
+            self.mark(worst, post);
+        } else if worst > 0.0 && !self.tile.marked {
+            self.strikes = 0;
         }
     }
 
-    /// Judges slices before their parts have ended: what is still out counts with its age, what is missing
-    /// to a full slice as normal. Guards against a hang, which a slice would show only with its last
-    /// time-out; harms a searcher whose few parts are all heavy, until its next probe.
-    fn watch(&mut self, now: f64, post: &mut Post) {
-        if self.marked {
-            return;
-        }
-        let mut worst: f64 = 0.0;
-        for (no, slice) in &self.slices {
-            let out = self.legs.iter().filter(|l| l.1 == *no);
-            let aged: f64 = out.map(|l| (now - l.3) / self.norms.normal[l.2]).sum();
-            let few = if self.trial { 1 } else { Self::FEW };
-            let missing = f64::from(few.saturating_sub(slice.sent)) * self.norms.median;
-            worst = worst.max((slice.sum + aged + missing) / f64::from(slice.sent.max(few)));
-        }
-        if worst > self.norms.limit() {
-            post.gauge.push_back(Note::Slice { srv: self.me, mean: worst });
-            self.mark(worst, now, post);
-        }
-    }
-
-    fn mark(&mut self, mean: f64, now: f64, post: &mut Post) {
-        if self.marked {
-            return;
-        }
-        (self.marked, self.trial) = (true, false);
-        self.probe_at = now + self.rest();
+    fn mark(&mut self, mean: f64, post: &mut Post) {
+        (self.tile.marked, self.probe_at) = (true, post.now + self.rest());
         self.strikes += 1;
-        self.slices.clear();
-        self.legs.clear();
         post.out.push(Action::Log { line: format!("{} marked at {mean:.1} normals", self.addr) });
     }
 }
@@ -228,7 +211,7 @@
 
     fn note(&mut self, note: Note, post: &mut Post) {
         match note {
-            Note::Heard { kind, ms } => {
+            Note::Heard(kind, ms) => {
                 let (normal, heard) = &mut self.normal[kind];
                 *heard += 1.0;
                 // Clipped, so that one slow searcher does not become the norm.
@@ -239,7 +222,7 @@
                     if ms > self.work[kind] { 1.0 + Self::STEP } else { 1.0 - 3.0 * Self::STEP };
                 *normal += (1.0 / *heard).max(Self::SMOOTH) * (clipped - *normal);
             }
-            Note::Slice { srv, mean } => {
+            Note::Slice(srv, mean) => {
                 if self.means.len() <= srv {
                     self.means.resize(srv + 1, None);
                 }
@@ -267,7 +250,7 @@
     cell: u32,
     since: f64,
     life: Life,
-    tile: (f64, bool, bool), // smoothed latency, marked, on trial
+    tile: Tile,
     calls: u32,
     spent: VecDeque<(f64, f64)>,
 }
@@ -371,20 +354,20 @@
 const HAIR: f64 = 1e-5;
 
 impl Desk {
-    fn note(&mut self, note: Note, now: f64, post: &mut Post) {
+    fn note(&mut self, note: Note, post: &mut Post) {
         match note {
-            Note::Tile { srv, lat, marked, trial } => {
-                let caught = marked && !self.seats[srv].tile.1;
-                self.seats[srv].tile = (lat, marked, trial);
+            Note::Tile(srv, tile) => {
+                let caught = tile.marked && !self.seats[srv].tile.marked;
+                self.seats[srv].tile = tile;
                 let legs = self.flights.iter().filter(|(_, f)| caught && f.srv == srv);
                 for id in legs.map(|(leg, _)| leg.0).collect::<Vec<_>>() {
                     self.catch(id);
                 }
             }
             Note::Norms(norms) => self.norms = norms,
-            Note::Told(event) => self.told(event, now, post),
-            Note::Tick => self.press(now),
-            Note::Settle => self.settle(now, post),
+            Note::Told(event) => self.told(event, post),
+            Note::Tick => self.press(post.now),
+            Note::Settle => self.settle(post),
             _ => {}
         }
     }
@@ -402,7 +385,8 @@
     /// Final answers leave so long before the time is up: a periodic timer and some slack.
     const AHEAD_MS: f64 = 30.0;
 
-    fn told(&mut self, event: Event, now: f64, post: &mut Post) {
+    fn told(&mut self, event: Event, post: &mut Post) {
+        let now = post.now;
         match event {
             Event::Scan { id, number, table_type: kind, customer, client_gone_at, work_ms, .. } => {
                 self.taken.push_back(now);
@@ -432,7 +416,7 @@
                 scan.hungry = true;
             }
             Event::Ended { part, dispatch, ending, took_ms, .. } => {
-                self.ended((part, dispatch), ending, took_ms, now, post);
+                self.ended((part, dispatch), ending, took_ms, post);
             }
             Event::ClientGone { scan } => {
                 if let Some(&(at, usize::MAX)) = self.owners.get(&scan) {
@@ -443,7 +427,7 @@
         }
     }
 
-    fn ended(&mut self, leg: Leg, ending: Ending, took: f64, now: f64, post: &mut Post) {
+    fn ended(&mut self, leg: Leg, ending: Ending, took: f64, post: &mut Post) {
         let Some(flight) = self.flights.remove(&leg) else { return };
         if !self.flights.values().any(|f| f.call == flight.call) {
             self.seats[flight.srv].calls -= 1;
@@ -457,11 +441,11 @@
             _ => took.max(flight.allotted),
         };
         if ending == Ending::Ok {
-            post.gauge.push_back(Note::Heard { kind: flight.kind, ms });
+            post.gauge.push_back(Note::Heard(flight.kind, ms));
         }
         if ending != Ending::Moot {
             let ok = matches!(ending, Ending::Ok | Ending::Cancelled);
-            post.srvs[flight.srv].push_back(Note::Filed { leg, share: ms / normal, ok });
+            post.srvs[flight.srv].push_back(Note::Filed(leg, ms / normal, ok));
         }
         let Some(&(at, nth)) = self.owners.get(&leg.0) else { return };
         let Some(part) = self.scans.get_mut(&at).map(|s| &mut s.parts[nth]) else { return };
@@ -477,7 +461,7 @@
         } else if part.out().next().is_none() {
             (part.state, part.caught) = (State::Broken, false);
         }
-        self.advance(at, now, post);
+        self.advance(at, post);
     }
 
     /// A part out at a searcher that was marked just now, or out for too long itself, is caught there.
@@ -490,7 +474,8 @@
     }
 
     /// What the turn leaves to do: due times first, then every scan that lacks parts on the way.
-    fn settle(&mut self, now: f64, post: &mut Post) {
+    fn settle(&mut self, post: &mut Post) {
+        let now = post.now;
         while let Some(entry) = self.due.first_entry().filter(|e| f64::from_bits(e.key().0) <= now) {
             match entry.remove() {
                 // Late on its own, before its searcher is marked; within our own budget, as under overload
@@ -515,13 +500,14 @@
         }
         let hungry = self.scans.iter().filter(|s| s.1.hungry).map(|s| *s.0);
         for at in hungry.collect::<Vec<_>>() {
-            self.advance(at, now, post);
+            self.advance(at, post);
         }
         self.this_turn.clear();
     }
 
     /// Sends what the scan lacks, and ends it as soon as it is whole or can't become so.
-    fn advance(&mut self, at: usize, now: f64, post: &mut Post) {
+    fn advance(&mut self, at: usize, post: &mut Post) {
+        let now = post.now;
         let Some(scan) = self.scans.get(&at) else { return };
         if scan.have() >= scan.need {
             return self.complete(at, true, post);
@@ -546,7 +532,7 @@
             let Some((_, nth, srv)) = choices.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Equal)) else {
                 break;
             };
-            self.dispatch(at, nth, srv, now, post);
+            self.dispatch(at, nth, srv, post);
         }
         let Some(scan) = self.scans.get(&at) else { return };
         let ready = |p: &Part| self.holders(p.shard).any(|s| self.seats[s].life == Life::Ready);
@@ -619,9 +605,8 @@
                 return None;
             }
             let calls = seat.calls - u32::from(self.shared(srv));
-            let (lat, marked, trial) = seat.tile;
-            let tier = u8::from(marked || trial && calls > 0 || tried);
-            Some((tier, lat * f64::from(1 + calls), srv))
+            let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried);
+            Some((tier, seat.tile.lat * f64::from(1 + calls), srv))
         });
         choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal))
     }
@@ -644,7 +629,8 @@
         spent + work <= cap
     }
 
-    fn dispatch(&mut self, at: usize, nth: usize, srv: usize, now: f64, post: &mut Post) {
+    fn dispatch(&mut self, at: usize, nth: usize, srv: usize, post: &mut Post) {
+        let now = post.now;
         let Some(kind) = self.scans.get(&at).map(|s| s.kind) else { return };
         let work = self.work(kind, srv);
         if !self.shared(srv) {
@@ -675,7 +661,7 @@
             seat.spent.pop_front();
         }
         post.out.push(Action::Dispatch { part: leg.0, searcher: seat.addr, patience_ms: allotted });
-        post.srvs[srv].push_back(Note::Sent { leg, kind });
+        post.srvs[srv].push_back(Note::Sent(leg, kind));
         if late > 0.0 {
             self.push_due(now + late, Due::Late(leg));
         }
@@ -683,8 +669,8 @@
 
     /// How long a part takes now, at the middle of the searchers.
     fn typical(&self, kind: usize) -> f64 {
-        let usable = self.seats.iter().filter(|s| s.life == Life::Ready && !s.tile.1);
-        let mut lats: Vec<f64> = usable.map(|s| s.tile.0).collect();
+        let usable = self.seats.iter().filter(|s| s.life == Life::Ready && !s.tile.marked);
+        let mut lats: Vec<f64> = usable.map(|s| s.tile.lat).collect();
         lats.sort_by(f64::total_cmp);
         lats.get(lats.len() / 2).copied().unwrap_or(1.0) * self.norms.normal[kind]
     }
@@ -728,7 +714,7 @@
         let most = Self::SLOW * self.types[scan.kind].target_ms / self.norms.normal[scan.kind];
         let in_time = scan.weight(|p| {
             self.replica(scan, p, now)
-                .is_some_and(|(tier, _, srv)| tier > 0 || self.seats[srv].tile.0 <= most)
+                .is_some_and(|(tier, _, srv)| tier > 0 || self.seats[srv].tile.lat <= most)
         });
         if in_time + HAIR < scan.need {
             return false;
@@ -738,7 +724,7 @@
             let own = self.seen.iter().filter(|s| s.1 == scan.customer).count() as f64;
             own * shares > c.scans_per_s * self.seen.len() as f64 * 1.1
         });
-        let limit = if over { 0.5 * self.limit } else { self.limit };
+        let limit = if over { 0.8 * self.limit } else { self.limit };
         self.flights.is_empty() || self.flights.len() as f64 + scan.parts.len() as f64 * scan.need <= limit
     }
 
@@ -867,23 +853,30 @@
             // Mixers must not all judge, and so all shift their load, at the same moment.
             let offset = self.seed.rand_float() * Searcher::SLICE_MS;
             let norms = self.desk.norms.clone();
-            #[rustfmt::skip]
-            self.srvs.push(Searcher { me, addr, norms, offset, slices: BTreeMap::new(), next: 0, lat: 1.0,
-                legs: Vec::new(), marked: false, trial: false, strikes: 0, probe_at: 0.0 });
-            let (tile, calls, spent) = ((1.0, false, false), 0, VecDeque::new());
+            self.srvs.push(Searcher {
+                me,
+                addr,
+                norms,
+                offset,
+                slices: Vec::new(),
+                tile: NEW,
+                strikes: 0,
+                probe_at: 0.0,
+            });
+            let (tile, calls, spent) = (NEW, 0, VecDeque::new());
             self.desk.seats.push(Seat { addr, cell, since, life, tile, calls, spent });
         }
     }
 
     /// Empties all inboxes.
-    fn run(&mut self, now: f64) {
+    fn run(&mut self) {
         loop {
             let mut quiet = true;
             for i in 0..self.srvs.len() {
                 while let Some(note) = self.post.srvs[i].pop_front() {
                     quiet = false;
                     let probing = self.probing && self.desk.seats[i].life == Life::Ready;
-                    self.srvs[i].note(note, now, &mut self.post, probing);
+                    self.srvs[i].note(note, &mut self.post, probing);
                 }
             }
             while let Some(note) = self.post.gauge.pop_front() {
@@ -892,7 +885,7 @@
             }
             while let Some(note) = self.post.desk.pop_front() {
                 quiet = false;
-                self.desk.note(note, now, &mut self.post);
+                self.desk.note(note, &mut self.post);
             }
             if quiet {
                 return;
@@ -903,13 +896,14 @@
 
 impl Decide for Mixer {
     fn turn(&mut self, now: f64, events: Vec<Event>) -> Vec<Action> {
+        self.post.now = now;
         for event in events {
             match event {
                 Event::List { kind, lines } => self.list(kind, lines),
                 Event::Probed { searcher, ending, took_ms } => {
                     if let Some(&srv) = self.ids.get(&searcher) {
                         let ok = ending == Ending::Ok;
-                        self.post.srvs[srv].push_back(Note::Pong { ok, took: took_ms });
+                        self.post.srvs[srv].push_back(Note::Pong(ok, took_ms));
                     }
                 }
                 Event::Wake => {}
@@ -927,9 +921,9 @@
                 self.post.out.push(Action::Subscribe);
             }
         }
-        self.run(now);
+        self.run();
         self.post.desk.push_back(Note::Settle);
-        self.run(now);
+        self.run();
         std::mem::take(&mut self.post.out)
     }
 }
