--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! one loop takes from their inboxes.
 
 use std::cmp::Ordering::Equal;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -35,22 +35,12 @@
 
 type Leg = (u64, u8); // a part and the number of its dispatch
 
+#[rustfmt::skip]
 enum Note {
-    // To a searcher: its process is new, a part left, a part's share is known, a probe came back.
-    Renewed,
-    Sent(Leg, usize),
-    Filed(Leg, f64, bool),
-    Pong(bool, f64),
-    // To the gauge: a part's table type and latency, a searcher's slice average.
-    Heard(usize, f64),
-    Slice(usize, f64),
-    // To the desk.
-    Tile(usize, Tile),
-    Told(Event),
-    Settle,
-    // To several.
-    Norms(Rc<Norms>),
-    Tick,
+    Renewed, Sent(Leg, usize), Filed(Leg, f64, bool), Pong(bool, f64), // to a searcher
+    Heard(usize, f64), Slice(usize, f64), // to the gauge: of a table type, of a searcher
+    Tile(usize, Tile), Told(Event), Settle, // to the desk
+    Norms(Rc<Norms>), Tick, // to several
 }
 
 /// What a searcher lets the desk know of itself.
@@ -64,32 +54,37 @@
 const NEW: Tile = Tile { lat: 1.0, marked: false, trial: false };
 
 /// All inboxes, and the actions that are to leave at the end of the turn.
-#[derive(Default)]
 struct Post {
     now: f64,
-    desk: VecDeque<Note>,
-    gauge: VecDeque<Note>,
-    srvs: Vec<VecDeque<Note>>,
+    boxes: Vec<VecDeque<Note>>,
     out: Vec<Action>,
 }
 
-struct Slice {
-    from: f64,
-    sent: u32,
-    sum: f64,
-    out: Vec<(Leg, usize, f64)>,
+const DESK: usize = 0;
+const GAUGE: usize = 1;
+const SRVS: usize = 2; // the first searcher's inbox
+
+impl Post {
+    fn put(&mut self, to: usize, note: Note) {
+        self.boxes[to].push_back(note);
+    }
+}
+
+/// Drops what stands too old at the front of a queue.
+fn trim<T>(queue: &mut VecDeque<T>, old: impl Fn(&T) -> bool) {
+    while queue.front().is_some_and(&old) {
+        queue.pop_front();
+    }
 }
 
+#[rustfmt::skip]
+struct Slice { from: f64, sent: u32, sum: f64, out: Vec<(Leg, usize, f64)> }
+
 /// One searcher, watched by slices.
+#[rustfmt::skip]
 struct Searcher {
-    me: usize,
-    addr: SocketAddrV4,
-    norms: Rc<Norms>,
-    offset: f64,
-    slices: Vec<Slice>,
-    tile: Tile,
-    strikes: u32,
-    probe_at: f64,
+    me: usize, addr: SocketAddrV4, norms: Rc<Norms>, tile: Tile,
+    slices: Vec<Slice>, offset: f64, strikes: u32, probe_at: f64,
 }
 
 impl Searcher {
@@ -157,7 +152,7 @@
         if self.tile.marked {
             self.slices.clear();
         }
-        post.desk.push_back(Note::Tile(self.me, self.tile));
+        post.put(DESK, Note::Tile(self.me, self.tile));
     }
 
     fn rest(&self) -> f64 {
@@ -176,7 +171,7 @@
             let ripe = slice.sent >= Self::FEW && (over || mean > limit);
             if ripe {
                 worst = mean.max(worst);
-                post.gauge.push_back(Note::Slice(self.me, mean));
+                post.put(GAUGE, Note::Slice(self.me, mean));
             }
             !ripe
         });
@@ -196,9 +191,9 @@
 
 /// What is normal: for each table type, and over all searchers' slices.
 struct Gauge {
-    normal: Vec<(f64, f64)>,
+    normal: Vec<(f64, f64)>, // milliseconds, and parts heard
     work: Vec<f64>,
-    means: Vec<Option<f64>>,
+    means: BTreeMap<usize, f64>,
 }
 
 impl Gauge {
@@ -222,22 +217,15 @@
                     if ms > self.work[kind] { 1.0 + Self::STEP } else { 1.0 - 3.0 * Self::STEP };
                 *normal += (1.0 / *heard).max(Self::SMOOTH) * (clipped - *normal);
             }
-            Note::Slice(srv, mean) => {
-                if self.means.len() <= srv {
-                    self.means.resize(srv + 1, None);
-                }
-                self.means[srv] = Some(mean);
-            }
+            Note::Slice(srv, mean) => drop(self.means.insert(srv, mean)),
             Note::Tick => {
-                let mut means: Vec<f64> = self.means.iter().flatten().copied().collect();
+                let mut means: Vec<f64> = self.means.values().copied().collect();
                 means.sort_by(f64::total_cmp);
                 let median = if means.len() < Self::FEW { 1.0 } else { means[means.len() / 2] };
                 let (normal, work) = (self.normal.iter().map(|n| n.0.max(1.0)).collect(), self.work.clone());
                 let norms = Rc::new(Norms { normal, work, median });
-                for inbox in &mut post.srvs {
-                    inbox.push_back(Note::Norms(norms.clone()));
-                }
-                post.desk.push_back(Note::Norms(norms));
+                let readers = (0..post.boxes.len()).filter(|to| *to != GAUGE);
+                readers.for_each(|to| post.put(to, Note::Norms(norms.clone())));
             }
             _ => {}
         }
@@ -245,32 +233,20 @@
 }
 
 /// A searcher as the desk sees it.
+#[rustfmt::skip]
 struct Seat {
-    addr: SocketAddrV4,
-    cell: u32,
-    since: f64,
-    life: Life,
-    tile: Tile,
-    calls: u32,
-    spent: VecDeque<(f64, f64)>,
+    addr: SocketAddrV4, cell: u32, since: f64, life: Life,
+    tile: Tile, calls: u32, spent: VecDeque<(f64, f64)>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
-enum State {
-    Unsent,
-    Out,
-    In,
-    Broken,
-}
+#[rustfmt::skip]
+enum State { Unsent, Out, In, Broken }
 
+#[rustfmt::skip]
 struct Part {
-    id: u64,
-    shard: u32,
-    weight: f64,
-    state: State,
-    caught: bool,
-    sent: Vec<(usize, Option<Ending>)>,
-    first_at: f64,
+    id: u64, shard: u32, weight: f64, state: State,
+    caught: bool, sent: Vec<(usize, Option<Ending>)>, first_at: f64,
 }
 
 impl Part {
@@ -283,20 +259,11 @@
     }
 }
 
+#[rustfmt::skip]
 struct Scan {
-    id: u64,
-    number: u32,
-    kind: usize,
-    customer: usize,
-    target_at: f64,
-    gone_at: f64,
-    parts: Vec<Part>,
-    need: f64,
-    floor: f64,
-    whole: bool,
-    fresh: bool,
-    hungry: bool,
-    second: bool,
+    id: u64, number: u32, kind: usize, customer: usize, target_at: f64, gone_at: f64,
+    parts: Vec<Part>, need: f64, floor: f64,
+    whole: bool, fresh: bool, hungry: bool, second: bool,
 }
 
 impl Scan {
@@ -313,41 +280,100 @@
     }
 }
 
-enum Due {
-    Late(Leg),
-    Target(usize),
-    Gone(usize),
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+#[rustfmt::skip]
+enum Due { Late(Leg), Target(usize), Gone(usize) }
+
+#[rustfmt::skip]
+struct Flight { srv: usize, kind: usize, call: usize, allotted: f64 }
+
+/// The budget of further dispatches, stated or our own.
+struct Purse {
+    stated: Option<Budget>,
+    taken: VecDeque<f64>,
+    extras: VecDeque<f64>,
+    lates: VecDeque<f64>,
+}
+
+impl Purse {
+    /// Our own: a tenth of the parts, and a few; more was measured to feed overload.
+    const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
+
+    fn trim(&mut self, now: f64) {
+        let keep = now - self.stated.map_or(0.0, |b| b.window_ms).max(Self::OWN.window_ms) - 10.0;
+        for times in [&mut self.taken, &mut self.extras, &mut self.lates] {
+            trim(times, |t| *t < keep);
+        }
+    }
+
+    /// One more fits. A millisecond is added to the window of what was sent and taken off that of what was
+    /// taken, so that its edges can't matter.
+    fn fits(&self, b: &Budget, sent: &VecDeque<f64>, now: f64) -> bool {
+        let from = now - b.window_ms;
+        let sent = sent.iter().filter(|t| **t >= from - 1.0).count() as f64;
+        let taken = self.taken.iter().filter(|t| **t >= from + 1.0).count() as f64;
+        sent + 1.0 <= b.free + b.share * taken
+    }
+
+    fn extra(&self, now: f64) -> bool {
+        self.fits(self.stated.as_ref().unwrap_or(&Self::OWN), &self.extras, now)
+    }
+
+    fn late(&mut self, now: f64) -> bool {
+        let fits = self.fits(&Self::OWN, &self.lates, now);
+        if fits {
+            self.lates.push_back(now);
+        }
+        fits
+    }
 }
 
-struct Flight {
-    srv: usize,
-    kind: usize,
-    call: u64,
-    allotted: f64,
+/// The door: how many parts may be in flight, and whose go first.
+struct Door {
+    customers: Vec<Customer>,
+    seen: VecDeque<(f64, usize)>,
+    limit: f64,
+    cut_at: f64,
+}
+
+impl Door {
+    /// What a cut leaves of the limit.
+    const CUT: f64 = 0.8;
+    /// Of the limit, what a customer over its share may fill.
+    const OVER: f64 = 0.8;
+    /// Span in which customers' shares of the scans are compared: some tens of scans.
+    const SEEN_MS: f64 = 5000.0;
+
+    /// The limit on parts in flight grows by one with every completion and is cut by a share, once a
+    /// latency; a part a searcher always fits.
+    fn cut(&mut self, flights: usize, ready: usize, now: f64) {
+        self.limit = (self.limit.min(flights as f64) * Self::CUT).max(ready as f64);
+        self.cut_at = now;
+    }
+
+    /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
+    /// shares, as one mixer can't tell how much its peers see.
+    fn admits(&self, customer: usize, flights: usize, parts: f64) -> bool {
+        let shares: f64 = self.customers.iter().map(|c| c.scans_per_s).sum();
+        let over = self.customers.get(customer).is_some_and(|c| {
+            let own = self.seen.iter().filter(|s| s.1 == customer).count() as f64;
+            own * shares > c.scans_per_s * self.seen.len() as f64 * 1.1
+        });
+        flights == 0 || flights as f64 + parts <= self.limit * if over { Self::OVER } else { 1.0 }
+    }
 }
 
 /// The scans, and what goes where.
+#[rustfmt::skip]
 struct Desk {
-    types: Vec<TableType>,
-    customers: Vec<Customer>,
-    layout: Layout,
-    guards: Guards,
-    permits: Permits,
-    mixers: f64,
-    norms: Rc<Norms>,
-    seats: Vec<Seat>,
+    types: Vec<TableType>, layout: Layout, guards: Guards, permits: Permits, mixers: f64,
+    norms: Rc<Norms>, seats: Vec<Seat>, purse: Purse, door: Door,
     scans: BTreeMap<usize, Scan>,
     owners: HashMap<u64, (usize, usize)>, // of a scan or part: the scan's index, and the part's in it
     flights: BTreeMap<Leg, Flight>,
-    this_turn: BTreeMap<usize, (u64, u32)>, // the call to each searcher, and its parts
-    due: BTreeMap<(u64, u64), Due>,
-    next: u64,
-    taken: VecDeque<f64>,
-    extras: VecDeque<f64>,
-    lates: VecDeque<f64>,
-    seen: VecDeque<(f64, usize)>,
-    limit: f64,
-    cut_at: f64,
+    this_turn: BTreeMap<usize, (usize, u32)>, // the call to each searcher, and its parts
+    due: BTreeSet<(u64, Due)>,
+    next: usize,
 }
 
 /// Sums of weights may fall this short of what is needed (the weights come rounded).
@@ -372,14 +398,13 @@
         }
     }
 
-    fn next(&mut self) -> u64 {
+    fn next(&mut self) -> usize {
         self.next += 1;
         self.next
     }
 
     fn push_due(&mut self, at: f64, due: Due) {
-        let next = self.next();
-        self.due.insert((at.max(0.0).to_bits(), next), due);
+        self.due.insert((at.max(0.0).to_bits(), due));
     }
 
     /// Final answers leave so long before the time is up: a periodic timer and some slack.
@@ -389,8 +414,8 @@
         let now = post.now;
         match event {
             Event::Scan { id, number, table_type: kind, customer, client_gone_at, work_ms, .. } => {
-                self.taken.push_back(now);
-                self.seen.push_back((now, customer));
+                self.purse.taken.push_back(now);
+                self.door.seen.push_back((now, customer));
                 let Some(terms) = self.types.get(kind) else { return };
                 let stretch = terms.target_stretch * work_ms.unwrap_or(0.0);
                 let gone_at = client_gone_at - Self::AHEAD_MS;
@@ -401,14 +426,14 @@
                 #[rustfmt::skip]
                 let scan = Scan { id, number, kind, customer, target_at, gone_at, parts, need, floor, whole,
                     fresh, hungry, second };
-                let at = self.next() as usize;
+                let at = self.next();
                 self.scans.insert(at, scan);
                 self.owners.insert(id, (at, usize::MAX));
                 self.push_due(target_at, Due::Target(at));
                 self.push_due(gone_at, Due::Gone(at));
             }
             Event::Part { id, number, shard, weight } => {
-                self.taken.push_back(now);
+                self.purse.taken.push_back(now);
                 let Some((at, scan)) = self.scans.iter_mut().rfind(|s| s.1.number == number) else { return };
                 self.owners.insert(id, (*at, scan.parts.len()));
                 let (state, caught, sent, first_at) = (State::Unsent, false, Vec::new(), now);
@@ -441,11 +466,11 @@
             _ => took.max(flight.allotted),
         };
         if ending == Ending::Ok {
-            post.gauge.push_back(Note::Heard(flight.kind, ms));
+            post.put(GAUGE, Note::Heard(flight.kind, ms));
         }
         if ending != Ending::Moot {
             let ok = matches!(ending, Ending::Ok | Ending::Cancelled);
-            post.srvs[flight.srv].push_back(Note::Filed(leg, ms / normal, ok));
+            post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ok));
         }
         let Some(&(at, nth)) = self.owners.get(&leg.0) else { return };
         let Some(part) = self.scans.get_mut(&at).map(|s| &mut s.parts[nth]) else { return };
@@ -476,18 +501,15 @@
     /// What the turn leaves to do: due times first, then every scan that lacks parts on the way.
     fn settle(&mut self, post: &mut Post) {
         let now = post.now;
-        while let Some(entry) = self.due.first_entry().filter(|e| f64::from_bits(e.key().0) <= now) {
-            match entry.remove() {
+        while self.due.first().is_some_and(|d| f64::from_bits(d.0) <= now) {
+            match self.due.pop_first().map(|d| d.1) {
                 // Late on its own, before its searcher is marked; within our own budget, as under overload
                 // everything is late and replacing it all would be the worse load.
-                Due::Late(leg) if self.flights.contains_key(&leg) => {
-                    if Self::fits(&Self::OWN, &self.lates, &self.taken, now) {
-                        self.lates.push_back(now);
-                        self.catch(leg.0);
-                    }
+                Some(Due::Late(leg)) if self.flights.contains_key(&leg) && self.purse.late(now) => {
+                    self.catch(leg.0);
                 }
-                Due::Late(_) => {}
-                Due::Target(at) => {
+                Some(Due::Late(_)) | None => {}
+                Some(Due::Target(at)) => {
                     let Some(scan) = self.scans.get(&at) else { continue };
                     let terms = &self.types[scan.kind];
                     let partial = if scan.have() >= scan.floor { scan.have() / scan.need } else { 0.0 };
@@ -495,7 +517,7 @@
                         self.end(at, post);
                     }
                 }
-                Due::Gone(at) => self.end(at, post),
+                Some(Due::Gone(at)) => self.end(at, post),
             }
         }
         let hungry = self.scans.iter().filter(|s| s.1.hungry).map(|s| *s.0);
@@ -515,7 +537,7 @@
         if scan.parts.is_empty() {
             return;
         }
-        if scan.fresh && !self.admit(scan, now) {
+        if scan.fresh && !self.admits(scan, now) {
             return self.end(at, post);
         }
         while let Some(scan) = self.scans.get(&at).filter(|s| s.lacks()) {
@@ -561,22 +583,9 @@
         }
     }
 
-    /// Where no budget is stated, further dispatches stay within a tenth of the parts, and a few.
-    const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
-
     fn again(&self, scan: &Scan, part: &Part, now: f64) -> bool {
         let copy_ok = part.out().next().is_none() || self.permits.second_copies && part.sent.len() == 1;
-        let fits = |budget| Self::fits(budget, &self.extras, &self.taken, now);
-        copy_ok && self.may_repeat(scan, part, now) && fits(self.guards.budget.as_ref().unwrap_or(&Self::OWN))
-    }
-
-    /// One more fits into a budget. A millisecond is added to the window of what was sent and taken off
-    /// that of what was taken, so that its edges can't matter.
-    fn fits(b: &Budget, sent: &VecDeque<f64>, taken: &VecDeque<f64>, now: f64) -> bool {
-        let count = |of: &VecDeque<f64>, slack| {
-            of.iter().rev().take_while(|t| **t >= now - b.window_ms + slack).count()
-        };
-        (count(sent, -1.0) + 1) as f64 <= b.free + b.share * count(taken, 1.0) as f64
+        copy_ok && self.may_repeat(scan, part, now) && self.purse.extra(now)
     }
 
     fn holders(&self, shard: u32) -> impl Iterator<Item = usize> {
@@ -646,7 +655,7 @@
         if part.sent.is_empty() {
             part.first_at = now;
         } else {
-            self.extras.push_back(now);
+            self.purse.extras.push_back(now);
         }
         part.sent.push((srv, None));
         (part.state, part.caught) = (State::Out, false);
@@ -657,11 +666,9 @@
         self.flights.insert(leg, Flight { srv, kind, call: *call, allotted });
         let seat = &mut self.seats[srv];
         seat.spent.push_back((now, work));
-        while seat.spent.front().is_some_and(|s| s.0 < now - self.guards.fall_ms) {
-            seat.spent.pop_front();
-        }
+        trim(&mut seat.spent, |s| s.0 < now - self.guards.fall_ms);
         post.out.push(Action::Dispatch { part: leg.0, searcher: seat.addr, patience_ms: allotted });
-        post.srvs[srv].push_back(Note::Sent(leg, kind));
+        post.put(SRVS + srv, Note::Sent(leg, kind));
         if late > 0.0 {
             self.push_due(now + late, Due::Late(leg));
         }
@@ -677,62 +684,38 @@
 
     /// Share of a target time that a typical part may take: its scan waits for the slowest of several.
     const PRESSED: f64 = 0.35;
-    /// What a cut leaves of the limit.
-    const CUT: f64 = 0.8;
-    /// Span in which customers' shares of the scans are compared.
-    const SEEN_MS: f64 = 5000.0;
 
-    /// The limit on parts in flight grows by one with every completion and is cut by a share, once a
-    /// latency, while the middle searcher is too slow for a target time.
+    /// Cuts the limit while the middle searcher is too slow for a target time.
     fn press(&mut self, now: f64) {
-        let keep = now - self.guards.budget.map_or(0.0, |b| b.window_ms).max(Self::OWN.window_ms) - 10.0;
-        for times in [&mut self.taken, &mut self.extras, &mut self.lates] {
-            while times.front().is_some_and(|t| *t < keep) {
-                times.pop_front();
-            }
-        }
-        while self.seen.front().is_some_and(|s| s.0 < now - Self::SEEN_MS) {
-            self.seen.pop_front();
-        }
-        for kind in 0..self.types.len() {
-            let typical = self.typical(kind);
-            if typical > Self::PRESSED * self.types[kind].target_ms && now - self.cut_at > typical {
-                let ready = self.seats.iter().filter(|s| s.life == Life::Ready).count() as f64;
-                self.limit = (self.limit.min(self.flights.len() as f64) * Self::CUT).max(ready);
-                self.cut_at = now;
-            }
+        self.purse.trim(now);
+        trim(&mut self.door.seen, |s| s.0 < now - Door::SEEN_MS);
+        let slow = |kind: &usize| self.typical(*kind) > Self::PRESSED * self.types[*kind].target_ms;
+        let late = (0..self.types.len()).filter(slow).any(|k| now - self.door.cut_at > self.typical(k));
+        if late {
+            let ready = self.seats.iter().filter(|s| s.life == Life::Ready).count();
+            self.door.cut(self.flights.len(), ready, now);
         }
     }
 
     /// Share of a target time that a part's best replica may take lately.
     const SLOW: f64 = 0.6;
 
-    /// What cannot come in time is refused at the door, by the replicas that it needs.
-    /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
-    /// shares, as one mixer can't tell how much its peers see.
-    fn admit(&self, scan: &Scan, now: f64) -> bool {
+    /// What cannot come in time is refused at the door, by the replicas that it needs. Guards against hot
+    /// spots that the limit, which follows the middle of the fleet, can't see; harms while a smoothed
+    /// latency outlasts its cause.
+    fn admits(&self, scan: &Scan, now: f64) -> bool {
         let most = Self::SLOW * self.types[scan.kind].target_ms / self.norms.normal[scan.kind];
-        let in_time = scan.weight(|p| {
-            self.replica(scan, p, now)
-                .is_some_and(|(tier, _, srv)| tier > 0 || self.seats[srv].tile.lat <= most)
-        });
-        if in_time + HAIR < scan.need {
-            return false;
-        }
-        let shares: f64 = self.customers.iter().map(|c| c.scans_per_s).sum();
-        let over = self.customers.get(scan.customer).is_some_and(|c| {
-            let own = self.seen.iter().filter(|s| s.1 == scan.customer).count() as f64;
-            own * shares > c.scans_per_s * self.seen.len() as f64 * 1.1
-        });
-        let limit = if over { 0.8 * self.limit } else { self.limit };
-        self.flights.is_empty() || self.flights.len() as f64 + scan.parts.len() as f64 * scan.need <= limit
+        let quick = |(tier, _, srv): (u8, f64, usize)| tier > 0 || self.seats[srv].tile.lat <= most;
+        let in_time = scan.weight(|p| self.replica(scan, p, now).is_some_and(quick));
+        let parts = scan.parts.len() as f64 * scan.need;
+        in_time + HAIR >= scan.need && self.door.admits(scan.customer, self.flights.len(), parts)
     }
 
     fn complete(&mut self, at: usize, whole: bool, post: &mut Post) {
         let Some(scan) = self.scans.get_mut(&at) else { return };
         let whole = whole && scan.whole;
         post.out.push(Action::Complete { scan: scan.id, whole });
-        self.limit += 1.0;
+        self.door.limit += 1.0;
         if scan.second || !self.types[scan.kind].second_step {
             return self.close(at, post);
         }
@@ -758,7 +741,7 @@
     fn end(&mut self, at: usize, post: &mut Post) {
         let Some(scan) = self.scans.get(&at) else { return };
         let (id, have) = (scan.id, scan.have());
-        if have >= scan.floor {
+        if have > HAIR && have >= scan.floor {
             return self.complete(at, have >= scan.need, post);
         }
         let unrun = scan.parts.iter().all(Part::proved_unrun);
@@ -779,17 +762,10 @@
 }
 
 /// One mixer: the door, the actors and their loop.
+#[rustfmt::skip]
 pub struct Mixer {
-    seed: Rand64,
-    probing: bool,
-    subscribe: bool,
-    asked_at: f64,
-    next_tick: f64,
-    ids: HashMap<SocketAddrV4, usize>,
-    srvs: Vec<Searcher>,
-    gauge: Gauge,
-    desk: Desk,
-    post: Post,
+    seed: Rand64, probing: bool, subscribe: bool, asked_at: f64, next_tick: f64,
+    ids: HashMap<SocketAddrV4, usize>, srvs: Vec<Searcher>, gauge: Gauge, desk: Desk, post: Post,
 }
 
 impl Mixer {
@@ -809,17 +785,19 @@
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0)).collect();
-        let gauge = Gauge { normal, work: start.clone(), means: Vec::new() };
+        let gauge = Gauge { normal, work: start.clone(), means: BTreeMap::new() };
         let (probing, subscribe, mixers) = (permits.probe, permits.subscribe, f64::from(berth.mixers.max(1)));
         let norms = Rc::new(Norms { normal: start.clone(), work: start, median: 1.0 });
+        let (taken, extras, lates) = (VecDeque::new(), VecDeque::new(), VecDeque::new());
+        let purse = Purse { stated: guards.budget, taken, extras, lates };
+        let door = Door { customers, seen: VecDeque::new(), limit: f64::INFINITY, cut_at: 0.0 };
         #[rustfmt::skip]
-        let desk = Desk { types, customers, layout, guards, permits, mixers, norms, seats: Vec::new(),
-            scans: BTreeMap::new(), owners: HashMap::new(), flights: BTreeMap::new(), due: BTreeMap::new(),
-            this_turn: BTreeMap::new(), next: 0, taken: VecDeque::new(), extras: VecDeque::new(),
-            lates: VecDeque::new(), seen: VecDeque::new(), limit: f64::INFINITY, cut_at: 0.0 };
-        let (ids, srvs, post) = (HashMap::new(), Vec::new(), Post::default());
+        let desk = Desk { types, layout, guards, permits, mixers, norms, seats: Vec::new(), purse, door,
+            scans: BTreeMap::new(), owners: HashMap::new(), flights: BTreeMap::new(),
+            this_turn: BTreeMap::new(), due: BTreeSet::new(), next: 0 };
+        let post = Post { now: 0.0, boxes: vec![VecDeque::new(), VecDeque::new()], out: Vec::new() };
         let (asked_at, next_tick) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
-        let seed = Rand64::new(u128::from(seed));
+        let (seed, ids, srvs) = (Rand64::new(u128::from(seed)), HashMap::new(), Vec::new());
         Self { seed, probing, subscribe, asked_at, next_tick, ids, srvs, gauge, desk, post }
     }
 
@@ -842,54 +820,36 @@
                 let seat = &mut self.desk.seats[srv];
                 if seat.since != since && life == Life::Ready {
                     seat.since = since;
-                    self.post.srvs[srv].push_back(Note::Renewed);
+                    self.post.put(SRVS + srv, Note::Renewed);
                 }
                 (seat.cell, seat.life) = (cell, life);
                 continue;
             }
             let me = self.srvs.len();
             self.ids.insert(addr, me);
-            self.post.srvs.push(VecDeque::new());
+            self.post.boxes.push(VecDeque::new());
             // Mixers must not all judge, and so all shift their load, at the same moment.
             let offset = self.seed.rand_float() * Searcher::SLICE_MS;
             let norms = self.desk.norms.clone();
-            self.srvs.push(Searcher {
-                me,
-                addr,
-                norms,
-                offset,
-                slices: Vec::new(),
-                tile: NEW,
-                strikes: 0,
-                probe_at: 0.0,
-            });
+            let (tile, slices, strikes, probe_at) = (NEW, Vec::new(), 0, 0.0);
+            self.srvs.push(Searcher { me, addr, norms, tile, slices, offset, strikes, probe_at });
             let (tile, calls, spent) = (NEW, 0, VecDeque::new());
             self.desk.seats.push(Seat { addr, cell, since, life, tile, calls, spent });
         }
     }
 
-    /// Empties all inboxes.
+    /// Empties all inboxes, the searchers' before the gauge's and the desk's.
     fn run(&mut self) {
-        loop {
-            let mut quiet = true;
-            for i in 0..self.srvs.len() {
-                while let Some(note) = self.post.srvs[i].pop_front() {
-                    quiet = false;
-                    let probing = self.probing && self.desk.seats[i].life == Life::Ready;
-                    self.srvs[i].note(note, &mut self.post, probing);
+        while let Some(to) = self.post.boxes.iter().rposition(|b| !b.is_empty()) {
+            let Some(note) = self.post.boxes[to].pop_front() else { return };
+            match to {
+                DESK => self.desk.note(note, &mut self.post),
+                GAUGE => self.gauge.note(note, &mut self.post),
+                _ => {
+                    let probing = self.probing && self.desk.seats[to - SRVS].life == Life::Ready;
+                    self.srvs[to - SRVS].note(note, &mut self.post, probing);
                 }
             }
-            while let Some(note) = self.post.gauge.pop_front() {
-                quiet = false;
-                self.gauge.note(note, &mut self.post);
-            }
-            while let Some(note) = self.post.desk.pop_front() {
-                quiet = false;
-                self.desk.note(note, &mut self.post);
-            }
-            if quiet {
-                return;
-            }
         }
     }
 }
@@ -902,27 +862,24 @@
                 Event::List { kind, lines } => self.list(kind, lines),
                 Event::Probed { searcher, ending, took_ms } => {
                     if let Some(&srv) = self.ids.get(&searcher) {
-                        let ok = ending == Ending::Ok;
-                        self.post.srvs[srv].push_back(Note::Pong(ok, took_ms));
+                        self.post.put(SRVS + srv, Note::Pong(ending == Ending::Ok, took_ms));
                     }
                 }
                 Event::Wake => {}
-                told => self.post.desk.push_back(Note::Told(told)),
+                told => self.post.put(DESK, Note::Told(told)),
             }
         }
         if now >= self.next_tick {
             self.next_tick = now + Self::TICK_MS;
             self.post.out.push(Action::WakeAt { at: self.next_tick });
-            for inbox in self.post.srvs.iter_mut().chain([&mut self.post.gauge, &mut self.post.desk]) {
-                inbox.push_back(Note::Tick);
-            }
+            self.post.boxes.iter_mut().for_each(|b| b.push_back(Note::Tick));
             if self.subscribe && now - self.asked_at >= 1000.0 {
                 (self.subscribe, self.asked_at) = (false, now);
                 self.post.out.push(Action::Subscribe);
             }
         }
         self.run();
-        self.post.desk.push_back(Note::Settle);
+        self.post.put(DESK, Note::Settle);
         self.run();
         std::mem::take(&mut self.post.out)
     }
