--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,8 @@
 //! The decisions of one mixer: ShortTail's sliced detection and degraded reads, kept and extended as
 //! `docs/design.md` tells. A host opens a [`Mixer`] with the deployment's terms and calls `turn` with all
 //! that happened at one time; types and trait stand in `src/interface.rs`. Inside, every searcher is an
-//! actor, the [`Gauge`] knows what is normal and the [`Desk`] has the scans; they talk only by notes that
-//! one loop takes from their inboxes.
+//! actor, the [`Gauge`] knows what is normal, the [`Desk`] has the scans; they talk only by notes put into
+//! inboxes that [`Mixer::run`] empties.
 
 use std::cmp::Ordering::Equal;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -11,29 +11,20 @@
 
 use oorandom::Rand64;
 
-use crate::interface::{
-    Action, Berth, Budget, Customer, Decide, Ending, Event, Guards, Layout, Life, ListKind, Listed, Permits,
-    Repeat, TableType,
-};
+use crate::interface::*;
 
-/// A searcher is marked when a slice averages over so many times the median: the paper's "about three".
-const MULTIPLE: f64 = 3.0;
+type Leg = (u64, u8); // a part and the number of its dispatch
 
-/// What is normal now: milliseconds for each table type, and the median share over all searchers' slices.
-#[derive(Clone, Debug)]
-struct Norms {
-    normal: Vec<f64>,
-    work: Vec<f64>,
-    median: f64,
-}
+/// What is normal now: milliseconds and own work of each table type, and the share that marks a searcher.
+#[rustfmt::skip]
+struct Norms { normal: Vec<f64>, work: Vec<f64>, limit: f64 }
 
-impl Norms {
-    fn limit(&self) -> f64 {
-        MULTIPLE * self.median
-    }
-}
+/// What a searcher lets the desk know of itself: smoothed latency in normals, marked, on trial.
+#[derive(Clone, Copy)]
+#[rustfmt::skip]
+struct Tile { lat: f64, marked: bool, trial: bool }
 
-type Leg = (u64, u8); // a part and the number of its dispatch
+const NEW: Tile = Tile { lat: 1.0, marked: false, trial: false };
 
 #[rustfmt::skip]
 enum Note {
@@ -43,27 +34,14 @@
     Norms(Rc<Norms>), Tick, // to several
 }
 
-/// What a searcher lets the desk know of itself.
-#[derive(Clone, Copy)]
-struct Tile {
-    lat: f64,
-    marked: bool,
-    trial: bool,
-}
-
-const NEW: Tile = Tile { lat: 1.0, marked: false, trial: false };
-
-/// All inboxes, and the actions that are to leave at the end of the turn.
-struct Post {
-    now: f64,
-    boxes: Vec<VecDeque<Note>>,
-    out: Vec<Action>,
-}
-
 const DESK: usize = 0;
 const GAUGE: usize = 1;
 const SRVS: usize = 2; // the first searcher's inbox
 
+/// The time of the turn, all inboxes, and the actions that leave at its end.
+#[rustfmt::skip]
+struct Post { now: f64, boxes: Vec<VecDeque<Note>>, out: Vec<Action> }
+
 impl Post {
     fn put(&mut self, to: usize, note: Note) {
         self.boxes[to].push_back(note);
@@ -77,6 +55,13 @@
     }
 }
 
+/// The middle value, of enough of them.
+fn median(values: impl Iterator<Item = f64>, enough: usize) -> Option<f64> {
+    let mut sorted: Vec<f64> = values.collect();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get(sorted.len() / 2).copied().filter(|_| sorted.len() >= enough)
+}
+
 #[rustfmt::skip]
 struct Slice { from: f64, sent: u32, sum: f64, out: Vec<(Leg, usize, f64)> }
 
@@ -90,13 +75,13 @@
 impl Searcher {
     /// The design's half second; the paper asks for the smallest that holds enough parts.
     const SLICE_MS: f64 = 500.0;
-    /// Parts that a slice waits for: the fewest whose average one straggler under 9 normals cannot lift.
+    /// Parts that a slice waits for: the fewest whose average one straggler under 7 normals cannot lift.
     const FEW: u32 = 3;
     /// Weight of the newest part in the smoothed latency: about the last five count.
     const SMOOTH: f64 = 0.2;
     /// A latency that nothing confirms fades to the average in about this time, some slices long.
     const FADE_MS: f64 = 5000.0;
-    /// First probe of a marked searcher, one slice after the mark; doubled by every relapse.
+    /// First probe of a marked searcher, one slice after the mark; doubled by every relapse, to 8 s.
     const PROBE_MS: f64 = 500.0;
 
     fn note(&mut self, note: Note, post: &mut Post, probing: bool) {
@@ -121,11 +106,12 @@
             Note::Filed(leg, share, ok) => {
                 self.tile.lat += Self::SMOOTH * (share - self.tile.lat);
                 let held = |s: &&mut Slice| s.out.iter().any(|l| l.0 == leg);
-                let Some(slice) = self.slices.iter_mut().find(held) else { return };
-                slice.out.retain(|l| l.0 != leg);
-                slice.sum += share;
-                if std::mem::take(&mut self.tile.trial) && (share > self.norms.limit() || !ok) {
-                    self.mark(share, post);
+                if let Some(slice) = self.slices.iter_mut().find(held) {
+                    slice.out.retain(|l| l.0 != leg);
+                    slice.sum += share;
+                    if std::mem::take(&mut self.tile.trial) && (share > self.norms.limit || !ok) {
+                        self.mark(share, post);
+                    }
                 }
             }
             // A probe does almost no work, so a pass only admits to a trial: one part at a time until one
@@ -133,7 +119,7 @@
             // sound one by a few parts.
             Note::Pong(ok, took) if self.tile.marked => {
                 let quick = self.norms.normal.iter().copied().fold(f64::INFINITY, f64::min);
-                if ok && took < self.norms.limit() * quick {
+                if ok && took < self.norms.limit * quick {
                     self.tile = Tile { trial: true, ..NEW };
                     post.out.push(Action::Log { line: format!("{} readmitted on trial", self.addr) });
                 }
@@ -155,15 +141,11 @@
         post.put(DESK, Note::Tile(self.me, self.tile));
     }
 
-    fn rest(&self) -> f64 {
-        Self::PROBE_MS * f64::from(1u32 << self.strikes.min(4))
-    }
-
     /// A slice is judged when it is over and its parts have ended, or as soon as the ages of those still
     /// out lift its average over the multiple. The latter guards against a hang, which would show only
     /// with the last time-out; it harms a searcher whose few parts are all heavy, until its next probe.
     fn judge(&mut self, post: &mut Post) {
-        let (now, limit, mut worst) = (post.now, self.norms.limit(), 0.0);
+        let (now, limit, mut worst) = (post.now, self.norms.limit, 0.0);
         self.slices.retain(|slice| {
             let aged: f64 = slice.out.iter().map(|l| (now - l.2) / self.norms.normal[l.1]).sum();
             let mean = (slice.sum + aged) / f64::from(slice.sent);
@@ -175,13 +157,17 @@
             }
             !ripe
         });
-        if worst > limit && !self.tile.marked {
+        if worst > limit {
             self.mark(worst, post);
-        } else if worst > 0.0 && !self.tile.marked {
+        } else if worst > 0.0 {
             self.strikes = 0;
         }
     }
 
+    fn rest(&self) -> f64 {
+        Self::PROBE_MS * f64::from(1u32 << self.strikes.min(4))
+    }
+
     fn mark(&mut self, mean: f64, post: &mut Post) {
         (self.tile.marked, self.probe_at) = (true, post.now + self.rest());
         self.strikes += 1;
@@ -189,14 +175,13 @@
     }
 }
 
-/// What is normal: for each table type, and over all searchers' slices.
-struct Gauge {
-    normal: Vec<(f64, f64)>, // milliseconds, and parts heard
-    work: Vec<f64>,
-    means: BTreeMap<usize, f64>,
-}
+/// What is normal: for each table type (milliseconds, parts heard, own work), and over all slices.
+#[rustfmt::skip]
+struct Gauge { normal: Vec<(f64, f64, f64)>, means: BTreeMap<usize, f64> }
 
 impl Gauge {
+    /// A searcher is marked when a slice averages over so many times the median: the paper's "about three".
+    const MULTIPLE: f64 = 3.0;
     /// Weight of the newest part in a table type's normal latency: a few hundred parts, some seconds.
     const SMOOTH: f64 = 0.01;
     /// Step of the work estimate: it halves within some fifty parts, and strays by a few in a hundred.
@@ -207,23 +192,21 @@
     fn note(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Heard(kind, ms) => {
-                let (normal, heard) = &mut self.normal[kind];
+                let (normal, heard, work) = &mut self.normal[kind];
                 *heard += 1.0;
                 // Clipped, so that one slow searcher does not become the norm.
-                let clipped = if *heard > 10.0 { ms.min(MULTIPLE * *normal) } else { ms };
+                let clipped = if *heard > 10.0 { ms.min(Self::MULTIPLE * *normal) } else { ms };
+                *normal += (1.0 / *heard).max(Self::SMOOTH) * (clipped - *normal);
                 // A part's own work shows where little waits: a step up and three down settle at the
                 // quarter of the parts that were quickest.
-                self.work[kind] *=
-                    if ms > self.work[kind] { 1.0 + Self::STEP } else { 1.0 - 3.0 * Self::STEP };
-                *normal += (1.0 / *heard).max(Self::SMOOTH) * (clipped - *normal);
+                *work *= if ms > *work { 1.0 + Self::STEP } else { 1.0 - 3.0 * Self::STEP };
             }
             Note::Slice(srv, mean) => drop(self.means.insert(srv, mean)),
             Note::Tick => {
-                let mut means: Vec<f64> = self.means.values().copied().collect();
-                means.sort_by(f64::total_cmp);
-                let median = if means.len() < Self::FEW { 1.0 } else { means[means.len() / 2] };
-                let (normal, work) = (self.normal.iter().map(|n| n.0.max(1.0)).collect(), self.work.clone());
-                let norms = Rc::new(Norms { normal, work, median });
+                // All slow: the median moves, and nobody is marked.
+                let median = median(self.means.values().copied(), Self::FEW).unwrap_or(1.0);
+                let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
+                let norms = Rc::new(Norms { normal, work, limit: Self::MULTIPLE * median });
                 let readers = (0..post.boxes.len()).filter(|to| *to != GAUGE);
                 readers.for_each(|to| post.put(to, Note::Norms(norms.clone())));
             }
@@ -232,109 +215,35 @@
     }
 }
 
-/// A searcher as the desk sees it.
-#[rustfmt::skip]
-struct Seat {
-    addr: SocketAddrV4, cell: u32, since: f64, life: Life,
-    tile: Tile, calls: u32, spent: VecDeque<(f64, f64)>,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-#[rustfmt::skip]
-enum State { Unsent, Out, In, Broken }
-
-#[rustfmt::skip]
-struct Part {
-    id: u64, shard: u32, weight: f64, state: State,
-    caught: bool, sent: Vec<(usize, Option<Ending>)>, first_at: f64,
-}
-
-impl Part {
-    fn proved_unrun(&self) -> bool {
-        self.sent.iter().all(|s| s.1.is_some_and(Ending::never_ran))
-    }
-
-    fn out(&self) -> impl Iterator<Item = u8> {
-        self.sent.iter().enumerate().filter(|s| s.1.1.is_none()).map(|s| s.0 as u8)
-    }
-}
-
+/// The budget of further dispatches, stated or our own. An extra is a further dispatch, or a part caught
+/// for its own lateness; the latter counts against ours alone.
 #[rustfmt::skip]
-struct Scan {
-    id: u64, number: u32, kind: usize, customer: usize, target_at: f64, gone_at: f64,
-    parts: Vec<Part>, need: f64, floor: f64,
-    whole: bool, fresh: bool, hungry: bool, second: bool,
-}
-
-impl Scan {
-    fn weight(&self, of: impl Fn(&Part) -> bool) -> f64 {
-        self.parts.iter().filter(|p| of(p)).map(|p| p.weight).sum()
-    }
-
-    fn have(&self) -> f64 {
-        self.weight(|p| p.state == State::In) + HAIR
-    }
-
-    fn lacks(&self) -> bool {
-        self.have() + self.weight(|p| p.state == State::Out && !p.caught) < self.need
-    }
-}
-
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-#[rustfmt::skip]
-enum Due { Late(Leg), Target(usize), Gone(usize) }
-
-#[rustfmt::skip]
-struct Flight { srv: usize, kind: usize, call: usize, allotted: f64 }
-
-/// The budget of further dispatches, stated or our own.
-struct Purse {
-    stated: Option<Budget>,
-    taken: VecDeque<f64>,
-    extras: VecDeque<f64>,
-    lates: VecDeque<f64>,
-}
+struct Purse { stated: Option<Budget>, taken: VecDeque<f64>, extras: VecDeque<(f64, bool)> }
 
 impl Purse {
     /// Our own: a tenth of the parts, and a few; more was measured to feed overload.
     const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
 
-    fn trim(&mut self, now: f64) {
-        let keep = now - self.stated.map_or(0.0, |b| b.window_ms).max(Self::OWN.window_ms) - 10.0;
-        for times in [&mut self.taken, &mut self.extras, &mut self.lates] {
-            trim(times, |t| *t < keep);
-        }
-    }
-
     /// One more fits. A millisecond is added to the window of what was sent and taken off that of what was
     /// taken, so that its edges can't matter.
-    fn fits(&self, b: &Budget, sent: &VecDeque<f64>, now: f64) -> bool {
+    fn fits(&self, late: bool, now: f64) -> bool {
+        let b = self.stated.filter(|_| !late).unwrap_or(Self::OWN);
         let from = now - b.window_ms;
-        let sent = sent.iter().filter(|t| **t >= from - 1.0).count() as f64;
+        let sent = self.extras.iter().filter(|e| e.1 == late && e.0 >= from - 1.0).count() as f64;
         let taken = self.taken.iter().filter(|t| **t >= from + 1.0).count() as f64;
         sent + 1.0 <= b.free + b.share * taken
     }
 
-    fn extra(&self, now: f64) -> bool {
-        self.fits(self.stated.as_ref().unwrap_or(&Self::OWN), &self.extras, now)
-    }
-
-    fn late(&mut self, now: f64) -> bool {
-        let fits = self.fits(&Self::OWN, &self.lates, now);
-        if fits {
-            self.lates.push_back(now);
-        }
-        fits
+    fn trim(&mut self, now: f64) {
+        let keep = now - self.stated.map_or(0.0, |b| b.window_ms).max(Self::OWN.window_ms) - 10.0;
+        trim(&mut self.taken, |t| *t < keep);
+        trim(&mut self.extras, |e| e.0 < keep);
     }
 }
 
 /// The door: how many parts may be in flight, and whose go first.
-struct Door {
-    customers: Vec<Customer>,
-    seen: VecDeque<(f64, usize)>,
-    limit: f64,
-    cut_at: f64,
-}
+#[rustfmt::skip]
+struct Door { customers: Vec<Customer>, seen: VecDeque<(f64, usize)>, limit: f64, cut_at: f64 }
 
 impl Door {
     /// What a cut leaves of the limit.
@@ -363,32 +272,83 @@
     }
 }
 
+/// A searcher as the desk sees it; `spent` has the work sent to it while cold.
+#[rustfmt::skip]
+struct Seat {
+    addr: SocketAddrV4, cell: u32, since: f64, life: Life, tile: Tile, calls: u32, spent: VecDeque<(f64, f64)>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+#[rustfmt::skip]
+enum State { Unsent, Out, In, Broken }
+
+/// A part; `sent` has the searcher and ending of every dispatch.
+#[rustfmt::skip]
+struct Part {
+    id: u64, shard: u32, weight: f64, state: State, caught: bool, sent: Vec<(usize, Option<Ending>)>, first_at: f64,
+}
+
+impl Part {
+    fn proved_unrun(&self) -> bool {
+        self.sent.iter().all(|s| s.1.is_some_and(Ending::never_ran))
+    }
+
+    fn out(&self) -> impl Iterator<Item = u8> {
+        self.sent.iter().enumerate().filter(|s| s.1.1.is_none()).map(|s| s.0 as u8)
+    }
+}
+
+#[rustfmt::skip]
+struct Scan {
+    id: u64, number: u32, kind: usize, customer: usize, target_at: f64, gone_at: f64, parts: Vec<Part>,
+    need: f64, floor: f64, whole: bool, fresh: bool, hungry: bool, second: bool,
+}
+
+/// Sums of weights may fall this short of what is needed (the weights come rounded).
+const HAIR: f64 = 1e-5;
+
+impl Scan {
+    fn weight(&self, of: impl Fn(&Part) -> bool) -> f64 {
+        self.parts.iter().filter(|p| of(p)).map(|p| p.weight).sum::<f64>() + HAIR
+    }
+
+    fn have(&self) -> f64 {
+        self.weight(|p| p.state == State::In)
+    }
+
+    fn lacks(&self) -> bool {
+        self.weight(|p| p.state == State::In || p.state == State::Out && !p.caught) < self.need
+    }
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+#[rustfmt::skip]
+enum Due { Late(Leg), Target(usize), Gone(usize) }
+
+#[rustfmt::skip]
+struct Flight { srv: usize, kind: usize, call: usize, allotted: f64 }
+
 /// The scans, and what goes where.
 #[rustfmt::skip]
 struct Desk {
     types: Vec<TableType>, layout: Layout, guards: Guards, permits: Permits, mixers: f64,
-    norms: Rc<Norms>, seats: Vec<Seat>, purse: Purse, door: Door,
-    scans: BTreeMap<usize, Scan>,
+    norms: Rc<Norms>, seats: Vec<Seat>, purse: Purse, door: Door, next: usize,
+    scans: BTreeMap<usize, Scan>, flights: BTreeMap<Leg, Flight>, due: BTreeSet<(u64, Due)>,
     owners: HashMap<u64, (usize, usize)>, // of a scan or part: the scan's index, and the part's in it
-    flights: BTreeMap<Leg, Flight>,
     this_turn: BTreeMap<usize, (usize, u32)>, // the call to each searcher, and its parts
-    due: BTreeSet<(u64, Due)>,
-    next: usize,
 }
 
-/// Sums of weights may fall this short of what is needed (the weights come rounded).
-const HAIR: f64 = 1e-5;
-
 impl Desk {
+    /// Final answers leave so long before the time is up: a periodic timer and some slack.
+    const AHEAD_MS: f64 = 30.0;
+
     fn note(&mut self, note: Note, post: &mut Post) {
         match note {
             Note::Tile(srv, tile) => {
                 let caught = tile.marked && !self.seats[srv].tile.marked;
                 self.seats[srv].tile = tile;
                 let legs = self.flights.iter().filter(|(_, f)| caught && f.srv == srv);
-                for id in legs.map(|(leg, _)| leg.0).collect::<Vec<_>>() {
-                    self.catch(id);
-                }
+                legs.map(|(leg, _)| leg.0).collect::<Vec<_>>().into_iter().for_each(|id| self.catch(id));
             }
             Note::Norms(norms) => self.norms = norms,
             Note::Told(event) => self.told(event, post),
@@ -407,9 +367,6 @@
         self.due.insert((at.max(0.0).to_bits(), due));
     }
 
-    /// Final answers leave so long before the time is up: a periodic timer and some slack.
-    const AHEAD_MS: f64 = 30.0;
-
     fn told(&mut self, event: Event, post: &mut Post) {
         let now = post.now;
         match event {
@@ -417,10 +374,9 @@
                 self.purse.taken.push_back(now);
                 self.door.seen.push_back((now, customer));
                 let Some(terms) = self.types.get(kind) else { return };
-                let stretch = terms.target_stretch * work_ms.unwrap_or(0.0);
+                let target = terms.target_ms + terms.target_stretch * work_ms.unwrap_or(0.0);
+                let target_at = now + target.min(terms.query_timeout_ms) - Self::AHEAD_MS;
                 let gone_at = client_gone_at - Self::AHEAD_MS;
-                let target_at =
-                    now + (terms.target_ms + stretch).min(terms.query_timeout_ms) - Self::AHEAD_MS;
                 let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
                 let (whole, fresh, hungry, second) = (true, true, true, false);
                 #[rustfmt::skip]
@@ -457,19 +413,18 @@
         if !self.flights.values().any(|f| f.call == flight.call) {
             self.seats[flight.srv].calls -= 1;
         }
-        let normal = self.norms.normal[flight.kind];
         // Failing must never look fast (errors, a dead zone's resets): it is filed at no less than the
         // time it was allowed. Called off, a part counts with its age, and as normal at least.
-        let ms = match ending {
-            Ending::Ok => took,
-            Ending::Cancelled | Ending::Moot => took.max(normal),
-            _ => took.max(flight.allotted),
+        let normal = self.norms.normal[flight.kind];
+        let (ms, ok) = match ending {
+            Ending::Ok => (took, true),
+            Ending::Cancelled | Ending::Moot => (took.max(normal), true),
+            _ => (took.max(flight.allotted), false),
         };
         if ending == Ending::Ok {
             post.put(GAUGE, Note::Heard(flight.kind, ms));
         }
         if ending != Ending::Moot {
-            let ok = matches!(ending, Ending::Ok | Ending::Cancelled);
             post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ok));
         }
         let Some(&(at, nth)) = self.owners.get(&leg.0) else { return };
@@ -479,16 +434,19 @@
             return;
         }
         if ending == Ending::Ok {
-            (part.state, part.caught) = (State::In, false);
-            if self.permits.cancel {
-                post.out.extend(part.out().map(|dispatch| Action::Cancel { part: leg.0, dispatch }));
-            }
+            (part.state, part.caught) = (State::In, false); // caught no more, or it would be sent again
+            Self::call_off(part, self.permits.cancel, post);
         } else if part.out().next().is_none() {
             (part.state, part.caught) = (State::Broken, false);
         }
         self.advance(at, post);
     }
 
+    fn call_off(part: &Part, may: bool, post: &mut Post) {
+        post.out
+            .extend(part.out().filter(|_| may).map(|dispatch| Action::Cancel { part: part.id, dispatch }));
+    }
+
     /// A part out at a searcher that was marked just now, or out for too long itself, is caught there.
     fn catch(&mut self, id: u64) {
         let Some(&(at, nth)) = self.owners.get(&id) else { return };
@@ -500,15 +458,16 @@
 
     /// What the turn leaves to do: due times first, then every scan that lacks parts on the way.
     fn settle(&mut self, post: &mut Post) {
-        let now = post.now;
-        while self.due.first().is_some_and(|d| f64::from_bits(d.0) <= now) {
+        while self.due.first().is_some_and(|d| f64::from_bits(d.0) <= post.now) {
             match self.due.pop_first().map(|d| d.1) {
                 // Late on its own, before its searcher is marked; within our own budget, as under overload
                 // everything is late and replacing it all would be the worse load.
-                Some(Due::Late(leg)) if self.flights.contains_key(&leg) && self.purse.late(now) => {
+                Some(Due::Late(leg))
+                    if self.flights.contains_key(&leg) && self.purse.fits(true, post.now) =>
+                {
+                    self.purse.extras.push_back((post.now, true));
                     self.catch(leg.0);
                 }
-                Some(Due::Late(_)) | None => {}
                 Some(Due::Target(at)) => {
                     let Some(scan) = self.scans.get(&at) else { continue };
                     let terms = &self.types[scan.kind];
@@ -518,74 +477,61 @@
                     }
                 }
                 Some(Due::Gone(at)) => self.end(at, post),
+                _ => {}
             }
         }
-        let hungry = self.scans.iter().filter(|s| s.1.hungry).map(|s| *s.0);
-        for at in hungry.collect::<Vec<_>>() {
-            self.advance(at, post);
-        }
+        let hungry: Vec<usize> = self.scans.iter().filter(|s| s.1.hungry).map(|s| *s.0).collect();
+        hungry.into_iter().for_each(|at| self.advance(at, post));
         self.this_turn.clear();
     }
 
     /// Sends what the scan lacks, and ends it as soon as it is whole or can't become so.
     fn advance(&mut self, at: usize, post: &mut Post) {
         let now = post.now;
-        let Some(scan) = self.scans.get(&at) else { return };
+        let Some(scan) = self.scans.get(&at).filter(|s| !s.parts.is_empty()) else { return };
         if scan.have() >= scan.need {
             return self.complete(at, true, post);
         }
-        if scan.parts.is_empty() {
-            return;
-        }
         if scan.fresh && !self.admits(scan, now) {
             return self.end(at, post);
         }
         while let Some(scan) = self.scans.get(&at).filter(|s| s.lacks()) {
             let choices = scan.parts.iter().enumerate().filter_map(|(nth, part)| {
-                let first = part.state == State::Unsent;
-                let again = part.state == State::Broken || part.caught;
-                if !first && !(again && self.again(scan, part, now)) {
+                let (first, copy) = (part.state == State::Unsent, part.state == State::Out);
+                let again = part.state == State::Broken
+                    || part.caught && self.permits.second_copies && part.sent.len() == 1;
+                if !first && !(again && self.may_repeat(scan, part, now) && self.purse.fits(false, now)) {
                     return None;
                 }
                 let (tier, cost, srv) = self.replica(scan, part, now)?;
-                let useless = part.state == State::Out && tier > 0;
-                (!useless).then_some(((tier, !first, cost / part.weight.max(HAIR)), nth, srv))
+                (!copy || tier == 0).then_some((tier, !first, cost / part.weight.max(HAIR), nth, srv))
             });
-            let Some((_, nth, srv)) = choices.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Equal)) else {
-                break;
-            };
+            let best = choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal));
+            let Some((_, _, _, nth, srv)) = best else { break };
             self.dispatch(at, nth, srv, post);
         }
         let Some(scan) = self.scans.get(&at) else { return };
         let ready = |p: &Part| self.holders(p.shard).any(|s| self.seats[s].life == Life::Ready);
-        let hope = scan.weight(|p| match p.state {
-            State::In | State::Out => true,
-            State::Unsent => ready(p),
-            State::Broken => self.may_repeat(scan, p, now) && ready(p),
-        }) + HAIR;
-        let lacks = scan.lacks();
-        let waiting = hope >= scan.floor && scan.parts.iter().any(|p| p.state == State::Out);
-        if hope < scan.need && !waiting {
+        let out = |p: &Part| p.state == State::Out;
+        let hope =
+            scan.weight(|p| p.state == State::In || out(p) || self.may_repeat(scan, p, now) && ready(p));
+        if hope < scan.need && !(hope >= scan.floor && scan.parts.iter().any(out)) {
             return self.end(at, post);
         }
+        let lacks = scan.lacks();
         if let Some(scan) = self.scans.get_mut(&at) {
             (scan.hungry, scan.fresh) = (lacks, false);
         }
     }
 
-    /// Whether the effect of a part allows a further dispatch (budget and places aside).
+    /// Whether the effect of a part allows one more dispatch (budget and places aside).
     fn may_repeat(&self, scan: &Scan, part: &Part, now: f64) -> bool {
-        let left = part.sent.len() < self.permits.dispatches as usize;
-        left && match self.types[scan.kind].repeat {
+        let may = match self.types[scan.kind].repeat {
             Repeat::Replayable => true,
             Repeat::Keyed { window_ms } => part.proved_unrun() || now < part.first_at + window_ms,
             Repeat::NonReplayable => part.proved_unrun(),
-        }
-    }
-
-    fn again(&self, scan: &Scan, part: &Part, now: f64) -> bool {
-        let copy_ok = part.out().next().is_none() || self.permits.second_copies && part.sent.len() == 1;
-        copy_ok && self.may_repeat(scan, part, now) && self.purse.extra(now)
+        };
+        may && part.sent.len() < self.permits.dispatches as usize
     }
 
     fn holders(&self, shard: u32) -> impl Iterator<Item = usize> {
@@ -610,12 +556,9 @@
             let seat = &self.seats[srv];
             let tried = part.sent.iter().any(|s| s.0 == srv);
             let able = seat.life == Life::Ready && self.room(seat, self.work(scan.kind, srv), now);
-            if !able || tried && part.state == State::Out {
-                return None;
-            }
             let calls = seat.calls - u32::from(self.shared(srv));
             let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried);
-            Some((tier, seat.tile.lat * f64::from(1 + calls), srv))
+            able.then_some((tier, seat.tile.lat * f64::from(1 + calls), srv))
         });
         choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal))
     }
@@ -627,21 +570,16 @@
     /// can do at that age, if it warms up as slowly as it may. Guards against newcomers, restarts and
     /// returns alike; harms when most of the fleet is cold, as the rest must then carry it.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
-        let g = &self.guards;
-        let age = now - seat.since;
-        if seat.since <= 0.0 || age >= g.warm_ms {
-            return true;
-        }
+        let (g, age) = (&self.guards, now - seat.since);
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
         let cap = Self::COLD_USED * g.tip_multiple * able * g.fall_ms / self.mixers;
         let spent: f64 = seat.spent.iter().filter(|s| s.0 >= now - g.fall_ms).map(|s| s.1).sum();
-        spent + work <= cap
+        seat.since <= 0.0 || age >= g.warm_ms || spent + work <= cap
     }
 
     fn dispatch(&mut self, at: usize, nth: usize, srv: usize, post: &mut Post) {
-        let now = post.now;
         let Some(kind) = self.scans.get(&at).map(|s| s.kind) else { return };
-        let work = self.work(kind, srv);
+        let (now, work) = (post.now, self.work(kind, srv));
         if !self.shared(srv) {
             self.seats[srv].calls += 1;
             let call = self.next();
@@ -655,31 +593,29 @@
         if part.sent.is_empty() {
             part.first_at = now;
         } else {
-            self.purse.extras.push_back(now);
+            self.purse.extras.push_back((now, false));
         }
         part.sent.push((srv, None));
         (part.state, part.caught) = (State::Out, false);
         let late_counts = self.types[kind].late_share > 0.0;
         let end = if late_counts { scan.gone_at } else { scan.gone_at.min(scan.target_at) };
-        let allotted = (end - now).max(1.0) + Self::AHEAD_MS / 2.0;
-        let late = (self.norms.limit() * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
-        self.flights.insert(leg, Flight { srv, kind, call: *call, allotted });
-        let seat = &mut self.seats[srv];
-        seat.spent.push_back((now, work));
-        trim(&mut seat.spent, |s| s.0 < now - self.guards.fall_ms);
-        post.out.push(Action::Dispatch { part: leg.0, searcher: seat.addr, patience_ms: allotted });
-        post.put(SRVS + srv, Note::Sent(leg, kind));
+        let patience_ms = (end - now).max(1.0) + Self::AHEAD_MS / 2.0;
+        self.flights.insert(leg, Flight { srv, kind, call: *call, allotted: patience_ms });
+        let late = (self.norms.limit * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
         if late > 0.0 {
             self.push_due(now + late, Due::Late(leg));
         }
+        let seat = &mut self.seats[srv];
+        trim(&mut seat.spent, |s| s.0 < now - self.guards.fall_ms);
+        seat.spent.push_back((now, work));
+        post.out.push(Action::Dispatch { part: leg.0, searcher: seat.addr, patience_ms });
+        post.put(SRVS + srv, Note::Sent(leg, kind));
     }
 
     /// How long a part takes now, at the middle of the searchers.
     fn typical(&self, kind: usize) -> f64 {
         let usable = self.seats.iter().filter(|s| s.life == Life::Ready && !s.tile.marked);
-        let mut lats: Vec<f64> = usable.map(|s| s.tile.lat).collect();
-        lats.sort_by(f64::total_cmp);
-        lats.get(lats.len() / 2).copied().unwrap_or(1.0) * self.norms.normal[kind]
+        median(usable.map(|s| s.tile.lat), 1).unwrap_or(1.0) * self.norms.normal[kind]
     }
 
     /// Share of a target time that a typical part may take: its scan waits for the slowest of several.
@@ -690,8 +626,7 @@
         self.purse.trim(now);
         trim(&mut self.door.seen, |s| s.0 < now - Door::SEEN_MS);
         let slow = |kind: &usize| self.typical(*kind) > Self::PRESSED * self.types[*kind].target_ms;
-        let late = (0..self.types.len()).filter(slow).any(|k| now - self.door.cut_at > self.typical(k));
-        if late {
+        if (0..self.types.len()).filter(slow).any(|k| now - self.door.cut_at > self.typical(k)) {
             let ready = self.seats.iter().filter(|s| s.life == Life::Ready).count();
             self.door.cut(self.flights.len(), ready, now);
         }
@@ -708,7 +643,7 @@
         let quick = |(tier, _, srv): (u8, f64, usize)| tier > 0 || self.seats[srv].tile.lat <= most;
         let in_time = scan.weight(|p| self.replica(scan, p, now).is_some_and(quick));
         let parts = scan.parts.len() as f64 * scan.need;
-        in_time + HAIR >= scan.need && self.door.admits(scan.customer, self.flights.len(), parts)
+        in_time >= scan.need && self.door.admits(scan.customer, self.flights.len(), parts)
     }
 
     fn complete(&mut self, at: usize, whole: bool, post: &mut Post) {
@@ -727,21 +662,12 @@
         self.drop_parts(old, post);
     }
 
-    fn drop_parts(&mut self, parts: Vec<Part>, post: &mut Post) {
-        for part in parts {
-            self.owners.remove(&part.id);
-            if self.permits.cancel {
-                post.out.extend(part.out().map(|dispatch| Action::Cancel { part: part.id, dispatch }));
-            }
-        }
-    }
-
     /// The final answer of a scan that will not be whole: what is in if that is enough, else a throttling
     /// reply where trying again is harmless, else an abandonment.
     fn end(&mut self, at: usize, post: &mut Post) {
         let Some(scan) = self.scans.get(&at) else { return };
         let (id, have) = (scan.id, scan.have());
-        if have > HAIR && have >= scan.floor {
+        if have > 2.0 * HAIR && have >= scan.floor {
             return self.complete(at, have >= scan.need, post);
         }
         let unrun = scan.parts.iter().all(Part::proved_unrun);
@@ -759,13 +685,20 @@
         self.owners.remove(&scan.id);
         self.drop_parts(scan.parts, post);
     }
+
+    fn drop_parts(&mut self, parts: Vec<Part>, post: &mut Post) {
+        for part in parts {
+            self.owners.remove(&part.id);
+            Self::call_off(&part, self.permits.cancel, post);
+        }
+    }
 }
 
-/// One mixer: the door, the actors and their loop.
+/// One mixer: the actors, their loop, and the index of searchers at the door.
 #[rustfmt::skip]
 pub struct Mixer {
-    seed: Rand64, probing: bool, subscribe: bool, asked_at: f64, next_tick: f64,
-    ids: HashMap<SocketAddrV4, usize>, srvs: Vec<Searcher>, gauge: Gauge, desk: Desk, post: Post,
+    seed: Rand64, ids: HashMap<SocketAddrV4, usize>, subscribe_at: f64, next_tick: f64,
+    srvs: Vec<Searcher>, gauge: Gauge, desk: Desk, post: Post,
 }
 
 impl Mixer {
@@ -773,6 +706,8 @@
     const TICK_MS: f64 = 20.0;
     /// Until parts have come, a table type's normal latency is taken for this share of its target time.
     const START: f64 = 0.25;
+    /// A failed subscription is asked for again after so long: often enough for a list seconds late.
+    const ASK_MS: f64 = 1000.0;
 
     pub fn open(
         seed: u64,
@@ -784,38 +719,33 @@
         berth: Berth,
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
-        let normal = start.iter().map(|n| (*n, 1.0)).collect();
-        let gauge = Gauge { normal, work: start.clone(), means: BTreeMap::new() };
-        let (probing, subscribe, mixers) = (permits.probe, permits.subscribe, f64::from(berth.mixers.max(1)));
-        let norms = Rc::new(Norms { normal: start.clone(), work: start, median: 1.0 });
-        let (taken, extras, lates) = (VecDeque::new(), VecDeque::new(), VecDeque::new());
-        let purse = Purse { stated: guards.budget, taken, extras, lates };
+        let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
+        let gauge = Gauge { normal, means: BTreeMap::new() };
+        let norms = Rc::new(Norms { normal: start.clone(), work: start, limit: Gauge::MULTIPLE });
+        let purse = Purse { stated: guards.budget, taken: VecDeque::new(), extras: VecDeque::new() };
         let door = Door { customers, seen: VecDeque::new(), limit: f64::INFINITY, cut_at: 0.0 };
+        let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
+        let mixers = f64::from(berth.mixers.max(1));
         #[rustfmt::skip]
         let desk = Desk { types, layout, guards, permits, mixers, norms, seats: Vec::new(), purse, door,
-            scans: BTreeMap::new(), owners: HashMap::new(), flights: BTreeMap::new(),
-            this_turn: BTreeMap::new(), due: BTreeSet::new(), next: 0 };
+            next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: BTreeSet::new(),
+            owners: HashMap::new(), this_turn: BTreeMap::new() };
         let post = Post { now: 0.0, boxes: vec![VecDeque::new(), VecDeque::new()], out: Vec::new() };
-        let (asked_at, next_tick) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
         let (seed, ids, srvs) = (Rand64::new(u128::from(seed)), HashMap::new(), Vec::new());
-        Self { seed, probing, subscribe, asked_at, next_tick, ids, srvs, gauge, desk, post }
+        Self { seed, ids, subscribe_at, next_tick: f64::NEG_INFINITY, srvs, gauge, desk, post }
     }
 
     /// The list: a searcher is known by its address; a new start voids its past.
     fn list(&mut self, kind: ListKind, lines: Vec<Listed>) {
         if kind == ListKind::Failed {
-            self.subscribe = self.desk.permits.subscribe;
+            self.subscribe_at = self.post.now + Self::ASK_MS;
             return;
         }
         if kind != ListKind::Changes {
-            for seat in &mut self.desk.seats {
-                if !lines.iter().any(|l| l.searcher == seat.addr) {
-                    seat.life = Life::Gone;
-                }
-            }
+            let missing = |s: &&mut Seat| !lines.iter().any(|l| l.searcher == s.addr);
+            self.desk.seats.iter_mut().filter(missing).for_each(|s| s.life = Life::Gone);
         }
-        for line in lines {
-            let Listed { searcher: addr, cell, since, life, .. } = line;
+        for Listed { searcher: addr, cell, since, life, .. } in lines {
             if let Some(&srv) = self.ids.get(&addr) {
                 let seat = &mut self.desk.seats[srv];
                 if seat.since != since && life == Life::Ready {
@@ -825,15 +755,14 @@
                 (seat.cell, seat.life) = (cell, life);
                 continue;
             }
-            let me = self.srvs.len();
+            let (me, norms) = (self.srvs.len(), self.desk.norms.clone());
             self.ids.insert(addr, me);
             self.post.boxes.push(VecDeque::new());
             // Mixers must not all judge, and so all shift their load, at the same moment.
             let offset = self.seed.rand_float() * Searcher::SLICE_MS;
-            let norms = self.desk.norms.clone();
             let (tile, slices, strikes, probe_at) = (NEW, Vec::new(), 0, 0.0);
             self.srvs.push(Searcher { me, addr, norms, tile, slices, offset, strikes, probe_at });
-            let (tile, calls, spent) = (NEW, 0, VecDeque::new());
+            let (calls, spent) = (0, VecDeque::new());
             self.desk.seats.push(Seat { addr, cell, since, life, tile, calls, spent });
         }
     }
@@ -846,7 +775,8 @@
                 DESK => self.desk.note(note, &mut self.post),
                 GAUGE => self.gauge.note(note, &mut self.post),
                 _ => {
-                    let probing = self.probing && self.desk.seats[to - SRVS].life == Life::Ready;
+                    let seat = &self.desk.seats[to - SRVS];
+                    let probing = self.desk.permits.probe && seat.life == Life::Ready;
                     self.srvs[to - SRVS].note(note, &mut self.post, probing);
                 }
             }
@@ -865,7 +795,6 @@
                         self.post.put(SRVS + srv, Note::Pong(ending == Ending::Ok, took_ms));
                     }
                 }
-                Event::Wake => {}
                 told => self.post.put(DESK, Note::Told(told)),
             }
         }
@@ -873,8 +802,8 @@
             self.next_tick = now + Self::TICK_MS;
             self.post.out.push(Action::WakeAt { at: self.next_tick });
             self.post.boxes.iter_mut().for_each(|b| b.push_back(Note::Tick));
-            if self.subscribe && now - self.asked_at >= 1000.0 {
-                (self.subscribe, self.asked_at) = (false, now);
+            if now >= self.subscribe_at {
+                self.subscribe_at = f64::INFINITY;
                 self.post.out.push(Action::Subscribe);
             }
         }
