--- a/src/logic.rs
+++ b/src/logic.rs
@@ -233,12 +233,6 @@
         let taken = self.taken.iter().filter(|t| **t >= from + 1.0).count() as f64;
         sent + 1.0 <= b.free + b.share * taken
     }
-
-    fn trim(&mut self, now: f64) {
-        let keep = now - self.stated.map_or(0.0, |b| b.window_ms).max(Self::OWN.window_ms) - 10.0;
-        trim(&mut self.taken, |t| *t < keep);
-        trim(&mut self.extras, |e| e.0 < keep);
-    }
 }
 
 /// The door: how many parts may be in flight, and whose go first.
@@ -253,13 +247,6 @@
     /// Span in which customers' shares of the scans are compared: some tens of scans.
     const SEEN_MS: f64 = 5000.0;
 
-    /// The limit on parts in flight grows by one with every completion and is cut by a share, once a
-    /// latency; a part a searcher always fits.
-    fn cut(&mut self, flights: usize, ready: usize, now: f64) {
-        self.limit = (self.limit.min(flights as f64) * Self::CUT).max(ready as f64);
-        self.cut_at = now;
-    }
-
     /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
     /// shares, as one mixer can't tell how much its peers see.
     fn admits(&self, customer: usize, flights: usize, parts: f64) -> bool {
@@ -301,7 +288,7 @@
 #[rustfmt::skip]
 struct Scan {
     id: u64, number: u32, kind: usize, customer: usize, target_at: f64, gone_at: f64, parts: Vec<Part>,
-    need: f64, floor: f64, whole: bool, fresh: bool, hungry: bool, second: bool,
+    need: f64, floor: f64, whole: bool, second: bool,
 }
 
 /// Sums of weights may fall this short of what is needed (the weights come rounded).
@@ -343,6 +330,7 @@
     const AHEAD_MS: f64 = 30.0;
 
     fn note(&mut self, note: Note, post: &mut Post) {
+        let now = post.now;
         match note {
             Note::Tile(srv, tile) => {
                 let caught = tile.marked && !self.seats[srv].tile.marked;
@@ -351,26 +339,15 @@
                 legs.map(|(leg, _)| leg.0).collect::<Vec<_>>().into_iter().for_each(|id| self.catch(id));
             }
             Note::Norms(norms) => self.norms = norms,
-            Note::Told(event) => self.told(event, post),
-            Note::Tick => self.press(post.now),
-            Note::Settle => self.settle(post),
-            _ => {}
-        }
-    }
-
-    fn next(&mut self) -> usize {
-        self.next += 1;
-        self.next
-    }
-
-    fn push_due(&mut self, at: f64, due: Due) {
-        self.due.insert((at.max(0.0).to_bits(), due));
-    }
-
-    fn told(&mut self, event: Event, post: &mut Post) {
-        let now = post.now;
-        match event {
-            Event::Scan { id, number, table_type: kind, customer, client_gone_at, work_ms, .. } => {
+            Note::Told(Event::Scan {
+                id,
+                number,
+                table_type: kind,
+                customer,
+                client_gone_at,
+                work_ms,
+                ..
+            }) => {
                 self.purse.taken.push_back(now);
                 self.door.seen.push_back((now, customer));
                 let Some(terms) = self.types.get(kind) else { return };
@@ -378,36 +355,47 @@
                 let target_at = now + target.min(terms.query_timeout_ms) - Self::AHEAD_MS;
                 let gone_at = client_gone_at - Self::AHEAD_MS;
                 let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
-                let (whole, fresh, hungry, second) = (true, true, true, false);
+                let (whole, second) = (true, false);
                 #[rustfmt::skip]
-                let scan = Scan { id, number, kind, customer, target_at, gone_at, parts, need, floor, whole,
-                    fresh, hungry, second };
+                let scan = Scan {
+                    id, number, kind, customer, target_at, gone_at, parts, need, floor, whole, second,
+                };
                 let at = self.next();
                 self.scans.insert(at, scan);
                 self.owners.insert(id, (at, usize::MAX));
                 self.push_due(target_at, Due::Target(at));
                 self.push_due(gone_at, Due::Gone(at));
             }
-            Event::Part { id, number, shard, weight } => {
+            Note::Told(Event::Part { id, number, shard, weight }) => {
                 self.purse.taken.push_back(now);
                 let Some((at, scan)) = self.scans.iter_mut().rfind(|s| s.1.number == number) else { return };
                 self.owners.insert(id, (*at, scan.parts.len()));
                 let (state, caught, sent, first_at) = (State::Unsent, false, Vec::new(), now);
                 scan.parts.push(Part { id, shard, weight, state, caught, sent, first_at });
-                scan.hungry = true;
             }
-            Event::Ended { part, dispatch, ending, took_ms, .. } => {
+            Note::Told(Event::Ended { part, dispatch, ending, took_ms, .. }) => {
                 self.ended((part, dispatch), ending, took_ms, post);
             }
-            Event::ClientGone { scan } => {
+            Note::Told(Event::ClientGone { scan }) => {
                 if let Some(&(at, usize::MAX)) = self.owners.get(&scan) {
                     self.close(at, post);
                 }
             }
+            Note::Tick => self.press(now),
+            Note::Settle => self.settle(post),
             _ => {}
         }
     }
 
+    fn next(&mut self) -> usize {
+        self.next += 1;
+        self.next
+    }
+
+    fn push_due(&mut self, at: f64, due: Due) {
+        self.due.insert((at.max(0.0).to_bits(), due));
+    }
+
     fn ended(&mut self, leg: Leg, ending: Ending, took: f64, post: &mut Post) {
         let Some(flight) = self.flights.remove(&leg) else { return };
         if !self.flights.values().any(|f| f.call == flight.call) {
@@ -450,10 +438,8 @@
     /// A part out at a searcher that was marked just now, or out for too long itself, is caught there.
     fn catch(&mut self, id: u64) {
         let Some(&(at, nth)) = self.owners.get(&id) else { return };
-        let Some(scan) = self.scans.get_mut(&at) else { return };
-        if scan.parts[nth].state == State::Out && scan.parts[nth].sent.len() == 1 {
-            (scan.parts[nth].caught, scan.hungry) = (true, true);
-        }
+        let Some(part) = self.scans.get_mut(&at).map(|s| &mut s.parts[nth]) else { return };
+        part.caught = part.state == State::Out && part.sent.len() == 1;
     }
 
     /// What the turn leaves to do: due times first, then every scan that lacks parts on the way.
@@ -480,8 +466,8 @@
                 _ => {}
             }
         }
-        let hungry: Vec<usize> = self.scans.iter().filter(|s| s.1.hungry).map(|s| *s.0).collect();
-        hungry.into_iter().for_each(|at| self.advance(at, post));
+        let open: Vec<usize> = self.scans.keys().copied().collect();
+        open.into_iter().for_each(|at| self.advance(at, post));
         self.this_turn.clear();
     }
 
@@ -492,7 +478,8 @@
         if scan.have() >= scan.need {
             return self.complete(at, true, post);
         }
-        if scan.fresh && !self.admits(scan, now) {
+        let fresh = !scan.second && scan.parts.iter().all(|p| p.sent.is_empty());
+        if fresh && !self.admits(scan, now) {
             return self.end(at, post);
         }
         while let Some(scan) = self.scans.get(&at).filter(|s| s.lacks()) {
@@ -500,10 +487,8 @@
                 let (first, copy) = (part.state == State::Unsent, part.state == State::Out);
                 let again = part.state == State::Broken
                     || part.caught && self.permits.second_copies && part.sent.len() == 1;
-                if !first && !(again && self.may_repeat(scan, part, now) && self.purse.fits(false, now)) {
-                    return None;
-                }
-                let (tier, cost, srv) = self.replica(scan, part, now)?;
+                let again = again && self.may_repeat(scan, part, now) && self.purse.fits(false, now);
+                let (tier, cost, srv) = self.replica(scan, part, now).filter(|_| first || again)?;
                 (!copy || tier == 0).then_some((tier, !first, cost / part.weight.max(HAIR), nth, srv))
             });
             let best = choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal));
@@ -516,11 +501,7 @@
         let hope =
             scan.weight(|p| p.state == State::In || out(p) || self.may_repeat(scan, p, now) && ready(p));
         if hope < scan.need && !(hope >= scan.floor && scan.parts.iter().any(out)) {
-            return self.end(at, post);
-        }
-        let lacks = scan.lacks();
-        if let Some(scan) = self.scans.get_mut(&at) {
-            (scan.hungry, scan.fresh) = (lacks, false);
+            self.end(at, post);
         }
     }
 
@@ -621,14 +602,18 @@
     /// Share of a target time that a typical part may take: its scan waits for the slowest of several.
     const PRESSED: f64 = 0.35;
 
-    /// Cuts the limit while the middle searcher is too slow for a target time.
+    /// The limit on parts in flight grows by one with every completion and is cut by a share, once a
+    /// latency, while the middle searcher is too slow for a target time; a part a searcher always fits.
     fn press(&mut self, now: f64) {
-        self.purse.trim(now);
+        let keep = now - self.purse.stated.map_or(0.0, |b| b.window_ms).max(Purse::OWN.window_ms) - 10.0;
+        trim(&mut self.purse.taken, |t| *t < keep);
+        trim(&mut self.purse.extras, |e| e.0 < keep);
         trim(&mut self.door.seen, |s| s.0 < now - Door::SEEN_MS);
         let slow = |kind: &usize| self.typical(*kind) > Self::PRESSED * self.types[*kind].target_ms;
         if (0..self.types.len()).filter(slow).any(|k| now - self.door.cut_at > self.typical(k)) {
-            let ready = self.seats.iter().filter(|s| s.life == Life::Ready).count();
-            self.door.cut(self.flights.len(), ready, now);
+            let ready = self.seats.iter().filter(|s| s.life == Life::Ready).count() as f64;
+            self.door.limit = (self.door.limit.min(self.flights.len() as f64) * Door::CUT).max(ready);
+            self.door.cut_at = now;
         }
     }
 
@@ -655,7 +640,7 @@
             return self.close(at, post);
         }
         // The second step brings parts of its own and needs them all.
-        (scan.second, scan.whole, scan.hungry) = (true, whole, false);
+        (scan.second, scan.whole) = (true, whole);
         scan.floor = if scan.floor < scan.need { scan.floor } else { 1.0 };
         scan.need = 1.0;
         let old = std::mem::take(&mut scan.parts);
