--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod interface;
 pub mod logic;
+mod state;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,59 +12,11 @@
 use oorandom::Rand64;
 
 use crate::interface::*;
+use crate::state::*;
 
-type Leg = (u64, u8); // a part and the number of its dispatch
-
-/// What is normal now: milliseconds and own work of each table type, and the share that marks a searcher.
-#[rustfmt::skip]
-struct Norms { normal: Vec<f64>, work: Vec<f64>, limit: f64 }
-
-/// What a searcher lets the desk know of itself: smoothed latency in normals, marked, on trial.
-#[derive(Clone, Copy)]
-#[rustfmt::skip]
-struct Tile { lat: f64, marked: bool, trial: bool }
-
+/// A searcher that is not yet heard from counts as average.
 const NEW: Tile = Tile { lat: 1.0, marked: false, trial: false };
 
-#[rustfmt::skip]
-enum Note {
-    Renewed, Sent(Leg, usize), Filed(Leg, f64, bool), Pong(bool, f64), // to a searcher
-    Heard(usize, f64), Slice(usize, f64), // to the gauge: of a table type, of a searcher
-    Tile(usize, Tile), Told(Event), Settle, // to the desk
-    Norms(Rc<Norms>), Tick, // to several
-}
-
-const DESK: usize = 0;
-const GAUGE: usize = 1;
-const SRVS: usize = 2; // the first searcher's inbox
-
-/// The time of the turn, all inboxes, and the actions that leave at its end.
-#[rustfmt::skip]
-struct Post { now: f64, boxes: Vec<VecDeque<Note>>, out: Vec<Action> }
-
-impl Post {
-    fn put(&mut self, to: usize, note: Note) {
-        self.boxes[to].push_back(note);
-    }
-}
-
-/// Drops what stands too old at the front of a queue.
-fn trim<T>(queue: &mut VecDeque<T>, old: impl Fn(&T) -> bool) {
-    while queue.front().is_some_and(&old) {
-        queue.pop_front();
-    }
-}
-
-/// The middle value, of enough of them.
-fn median(values: impl Iterator<Item = f64>, enough: usize) -> Option<f64> {
-    let mut sorted: Vec<f64> = values.collect();
-    sorted.sort_by(f64::total_cmp);
-    sorted.get(sorted.len() / 2).copied().filter(|_| sorted.len() >= enough)
-}
-
-#[rustfmt::skip]
-struct Slice { from: f64, sent: u32, sum: f64, out: Vec<(Leg, usize, f64)> }
-
 /// One searcher, watched by slices.
 #[rustfmt::skip]
 struct Searcher {
@@ -176,8 +128,10 @@
 }
 
 /// What is normal: for each table type (milliseconds, parts heard, own work), and over all slices.
-#[rustfmt::skip]
-struct Gauge { normal: Vec<(f64, f64, f64)>, means: BTreeMap<usize, f64> }
+struct Gauge {
+    normal: Vec<(f64, f64, f64)>,
+    means: BTreeMap<usize, f64>,
+}
 
 impl Gauge {
     /// A searcher is marked when a slice averages over so many times the median: the paper's "about three".
@@ -217,8 +171,11 @@
 
 /// The budget of further dispatches, stated or our own. An extra is a further dispatch, or a part caught
 /// for its own lateness; the latter counts against ours alone.
-#[rustfmt::skip]
-struct Purse { stated: Option<Budget>, taken: VecDeque<f64>, extras: VecDeque<(f64, bool)> }
+struct Purse {
+    stated: Option<Budget>,
+    taken: VecDeque<f64>,
+    extras: VecDeque<(f64, bool)>,
+}
 
 impl Purse {
     /// Our own: a tenth of the parts, and a few; more was measured to feed overload.
@@ -236,8 +193,12 @@
 }
 
 /// The door: how many parts may be in flight, and whose go first.
-#[rustfmt::skip]
-struct Door { customers: Vec<Customer>, seen: VecDeque<(f64, usize)>, limit: f64, cut_at: f64 }
+struct Door {
+    customers: Vec<Customer>,
+    seen: VecDeque<(f64, usize)>,
+    limit: f64,
+    cut_at: f64,
+}
 
 impl Door {
     /// What a cut leaves of the limit.
@@ -259,62 +220,6 @@
     }
 }
 
-/// A searcher as the desk sees it; `spent` has the work sent to it while cold.
-#[rustfmt::skip]
-struct Seat {
-    addr: SocketAddrV4, cell: u32, since: f64, life: Life, tile: Tile, calls: u32, spent: VecDeque<(f64, f64)>,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-#[rustfmt::skip]
-enum State { Unsent, Out, In, Broken }
-
-/// A part; `sent` has the searcher and ending of every dispatch.
-#[rustfmt::skip]
-struct Part {
-    id: u64, shard: u32, weight: f64, state: State, caught: bool, sent: Vec<(usize, Option<Ending>)>, first_at: f64,
-}
-
-impl Part {
-    fn proved_unrun(&self) -> bool {
-        self.sent.iter().all(|s| s.1.is_some_and(Ending::never_ran))
-    }
-
-    fn out(&self) -> impl Iterator<Item = u8> {
-        self.sent.iter().enumerate().filter(|s| s.1.1.is_none()).map(|s| s.0 as u8)
-    }
-}
-
-#[rustfmt::skip]
-struct Scan {
-    id: u64, number: u32, kind: usize, customer: usize, target_at: f64, gone_at: f64, parts: Vec<Part>,
-    need: f64, floor: f64, whole: bool, second: bool,
-}
-
-/// Sums of weights may fall this short of what is needed (the weights come rounded).
-const HAIR: f64 = 1e-5;
-
-impl Scan {
-    fn weight(&self, of: impl Fn(&Part) -> bool) -> f64 {
-        self.parts.iter().filter(|p| of(p)).map(|p| p.weight).sum::<f64>() + HAIR
-    }
-
-    fn have(&self) -> f64 {
-        self.weight(|p| p.state == State::In)
-    }
-
-    fn lacks(&self) -> bool {
-        self.weight(|p| p.state == State::In || p.state == State::Out && !p.caught) < self.need
-    }
-}
-
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-#[rustfmt::skip]
-enum Due { Late(Leg), Target(usize), Gone(usize) }
-
-#[rustfmt::skip]
-struct Flight { srv: usize, kind: usize, call: usize, allotted: f64 }
-
 /// The scans, and what goes where.
 #[rustfmt::skip]
 struct Desk {
@@ -326,6 +231,8 @@
 }
 
 impl Desk {
+    /// Sums of weights may fall this short of what is needed (the weights come rounded).
+    const HAIR: f64 = 1e-5;
     /// Final answers leave so long before the time is up: a periodic timer and some slack.
     const AHEAD_MS: f64 = 30.0;
 
@@ -457,7 +364,8 @@
                 Some(Due::Target(at)) => {
                     let Some(scan) = self.scans.get(&at) else { continue };
                     let terms = &self.types[scan.kind];
-                    let partial = if scan.have() >= scan.floor { scan.have() / scan.need } else { 0.0 };
+                    let partial =
+                        if scan.have() + Self::HAIR >= scan.floor { scan.have() / scan.need } else { 0.0 };
                     if terms.late_share <= partial * terms.partial_share {
                         self.end(at, post);
                     }
@@ -475,21 +383,21 @@
     fn advance(&mut self, at: usize, post: &mut Post) {
         let now = post.now;
         let Some(scan) = self.scans.get(&at).filter(|s| !s.parts.is_empty()) else { return };
-        if scan.have() >= scan.need {
+        if scan.have() + Self::HAIR >= scan.need {
             return self.complete(at, true, post);
         }
         let fresh = !scan.second && scan.parts.iter().all(|p| p.sent.is_empty());
         if fresh && !self.admits(scan, now) {
             return self.end(at, post);
         }
-        while let Some(scan) = self.scans.get(&at).filter(|s| s.lacks()) {
+        while let Some(scan) = self.scans.get(&at).filter(|s| s.coming() + Self::HAIR < s.need) {
             let choices = scan.parts.iter().enumerate().filter_map(|(nth, part)| {
                 let (first, copy) = (part.state == State::Unsent, part.state == State::Out);
                 let again = part.state == State::Broken
                     || part.caught && self.permits.second_copies && part.sent.len() == 1;
                 let again = again && self.may_repeat(scan, part, now) && self.purse.fits(false, now);
                 let (tier, cost, srv) = self.replica(scan, part, now).filter(|_| first || again)?;
-                (!copy || tier == 0).then_some((tier, !first, cost / part.weight.max(HAIR), nth, srv))
+                (!copy || tier == 0).then_some((tier, !first, cost / part.weight.max(Self::HAIR), nth, srv))
             });
             let best = choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal));
             let Some((_, _, _, nth, srv)) = best else { break };
@@ -500,6 +408,7 @@
         let out = |p: &Part| p.state == State::Out;
         let hope =
             scan.weight(|p| p.state == State::In || out(p) || self.may_repeat(scan, p, now) && ready(p));
+        let hope = hope + Self::HAIR;
         if hope < scan.need && !(hope >= scan.floor && scan.parts.iter().any(out)) {
             self.end(at, post);
         }
@@ -628,7 +537,7 @@
         let quick = |(tier, _, srv): (u8, f64, usize)| tier > 0 || self.seats[srv].tile.lat <= most;
         let in_time = scan.weight(|p| self.replica(scan, p, now).is_some_and(quick));
         let parts = scan.parts.len() as f64 * scan.need;
-        in_time >= scan.need && self.door.admits(scan.customer, self.flights.len(), parts)
+        in_time + Self::HAIR >= scan.need && self.door.admits(scan.customer, self.flights.len(), parts)
     }
 
     fn complete(&mut self, at: usize, whole: bool, post: &mut Post) {
@@ -651,8 +560,8 @@
     /// reply where trying again is harmless, else an abandonment.
     fn end(&mut self, at: usize, post: &mut Post) {
         let Some(scan) = self.scans.get(&at) else { return };
-        let (id, have) = (scan.id, scan.have());
-        if have > 2.0 * HAIR && have >= scan.floor {
+        let (id, have) = (scan.id, scan.have() + Self::HAIR);
+        if have > 2.0 * Self::HAIR && have >= scan.floor {
             return self.complete(at, have >= scan.need, post);
         }
         let unrun = scan.parts.iter().all(Part::proved_unrun);
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,174 @@
+//! What the actors of the decision module hold and hand to each other. Nothing is decided here.
+
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use crate::interface::{Action, Ending, Event, Life};
+
+/// A part and the number of its dispatch.
+pub(crate) type Leg = (u64, u8);
+
+/// What is normal now: milliseconds and own work of each table type, and the share that marks a searcher.
+pub(crate) struct Norms {
+    pub normal: Vec<f64>,
+    pub work: Vec<f64>,
+    pub limit: f64,
+}
+
+/// What a searcher lets the desk know of itself.
+#[derive(Clone, Copy)]
+pub(crate) struct Tile {
+    /// Smoothed latency, in normals.
+    pub lat: f64,
+    pub marked: bool,
+    pub trial: bool,
+}
+
+pub(crate) enum Note {
+    // To a searcher.
+    Renewed,
+    Sent(Leg, usize),
+    /// A part's share of the normal latency, and whether it went well.
+    Filed(Leg, f64, bool),
+    Pong(bool, f64),
+    // To the gauge: of a table type, of a searcher.
+    Heard(usize, f64),
+    Slice(usize, f64),
+    // To the desk.
+    Tile(usize, Tile),
+    Told(Event),
+    Settle,
+    // To several.
+    Norms(Rc<Norms>),
+    Tick,
+}
+
+/// The time of the turn, all inboxes, and the actions that leave at its end.
+pub(crate) struct Post {
+    pub now: f64,
+    pub boxes: Vec<VecDeque<Note>>,
+    pub out: Vec<Action>,
+}
+
+pub(crate) const DESK: usize = 0;
+pub(crate) const GAUGE: usize = 1;
+/// The first searcher's inbox.
+pub(crate) const SRVS: usize = 2;
+
+impl Post {
+    pub fn put(&mut self, to: usize, note: Note) {
+        self.boxes[to].push_back(note);
+    }
+}
+
+/// One timeslice of a searcher.
+pub(crate) struct Slice {
+    pub from: f64,
+    pub sent: u32,
+    /// Shares of the parts that ended.
+    pub sum: f64,
+    /// Parts still out: table type and start.
+    pub out: Vec<(Leg, usize, f64)>,
+}
+
+/// A searcher as the desk sees it.
+pub(crate) struct Seat {
+    pub addr: SocketAddrV4,
+    pub cell: u32,
+    pub since: f64,
+    pub life: Life,
+    pub tile: Tile,
+    pub calls: u32,
+    /// Work sent to it lately.
+    pub spent: VecDeque<(f64, f64)>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum State {
+    Unsent,
+    Out,
+    In,
+    Broken,
+}
+
+pub(crate) struct Part {
+    pub id: u64,
+    pub shard: u32,
+    pub weight: f64,
+    pub state: State,
+    pub caught: bool,
+    /// Searcher and ending of every dispatch.
+    pub sent: Vec<(usize, Option<Ending>)>,
+    pub first_at: f64,
+}
+
+impl Part {
+    pub fn proved_unrun(&self) -> bool {
+        self.sent.iter().all(|s| s.1.is_some_and(Ending::never_ran))
+    }
+
+    /// Numbers of the dispatches still out.
+    pub fn out(&self) -> impl Iterator<Item = u8> {
+        self.sent.iter().enumerate().filter(|s| s.1.1.is_none()).map(|s| s.0 as u8)
+    }
+}
+
+pub(crate) struct Scan {
+    pub id: u64,
+    pub number: u32,
+    pub kind: usize,
+    pub customer: usize,
+    pub target_at: f64,
+    pub gone_at: f64,
+    pub parts: Vec<Part>,
+    pub need: f64,
+    pub floor: f64,
+    /// Whether the first step's answer was whole.
+    pub whole: bool,
+    pub second: bool,
+}
+
+impl Scan {
+    pub fn weight(&self, of: impl Fn(&Part) -> bool) -> f64 {
+        self.parts.iter().filter(|p| of(p)).map(|p| p.weight).sum()
+    }
+
+    pub fn have(&self) -> f64 {
+        self.weight(|p| p.state == State::In)
+    }
+
+    /// What is in or on its way and not caught.
+    pub fn coming(&self) -> f64 {
+        self.weight(|p| p.state == State::In || p.state == State::Out && !p.caught)
+    }
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Due {
+    Late(Leg),
+    Target(usize),
+    Gone(usize),
+}
+
+/// A dispatch that is out.
+pub(crate) struct Flight {
+    pub srv: usize,
+    pub kind: usize,
+    pub call: usize,
+    pub allotted: f64,
+}
+
+/// Drops what stands too old at the front of a queue.
+pub(crate) fn trim<T>(queue: &mut VecDeque<T>, old: impl Fn(&T) -> bool) {
+    while queue.front().is_some_and(&old) {
+        queue.pop_front();
+    }
+}
+
+/// The middle value, of enough of them.
+pub(crate) fn median(values: impl Iterator<Item = f64>, enough: usize) -> Option<f64> {
+    let mut sorted: Vec<f64> = values.collect();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get(sorted.len() / 2).copied().filter(|_| sorted.len() >= enough)
+}
