--- /dev/null
+++ b/crates/simhost/tests/codec.rs
@@ -0,0 +1,131 @@
+//! The wire page's byte examples, read and written, and frames that must be turned away.
+
+use insta::assert_snapshot;
+use pewterwharf::interface::Action;
+use pewterwharf_simhost::codec::{Reply, read_batch};
+use pewterwharf_simhost::host::Host;
+use pewterwharf_simhost::terms;
+
+const AT: &str = "0c03000000";
+const KNOCK: &str = "03c4913a5d37a204000000000000640ad2557c3bf0910000000020e6c0400000000000002840\
+                     00005643000000000000003e01";
+const TIMED_OUT: &str = "06192b6f0e55220e00";
+const WAKEUP: &str = "074d00000000000000";
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
+    let pair = |p: &[u8]| u8::from_str_radix(std::str::from_utf8(p).unwrap_or(""), 16).unwrap_or(0);
+    digits.chunks(2).map(pair).collect()
+}
+
+fn frame(records: &[&str]) -> Vec<u8> {
+    let body = bytes(&records.concat());
+    let mut frame = bytes("0c000000");
+    frame.extend((body.len() as u32).to_le_bytes());
+    frame.extend((records.len() as u32).to_le_bytes());
+    frame.extend(bytes("00000000206ec040"));
+    frame.extend(body);
+    frame
+}
+
+fn read(frame: &[u8]) -> String {
+    match read_batch(&mut &frame[..]) {
+        Ok(Some(batch)) => format!("{} at {}: {:#?}", batch.number, batch.now, batch.records),
+        Ok(None) => "end of input".to_owned(),
+        Err(error) => format!("error: {error:#}"),
+    }
+}
+
+#[test]
+fn the_page_s_batches_are_read() {
+    let two = frame(&[AT, KNOCK, WAKEUP, "0c05000000", TIMED_OUT]);
+    assert_eq!(two[..20], bytes("0c0000004f0000000500000000000000206ec040"));
+    let table = "0b0000000002000000\
+        000000000000000000000000000000803f0a124a078b1301\
+        00000000000000d4b740000001000000c03f0a9011f2b41301";
+    let settled = "05c4913a5d37a20400000a124a078b130100000000000080324001 00";
+    let list = frame(&[AT, table, "0202290000000000 0000", settled]);
+    assert_snapshot!(format!("{}\n{}\n{}", read(&two), read(&list), read(&[])));
+}
+
+#[test]
+fn malformed_frames_are_turned_away() {
+    let whole = frame(&[AT, KNOCK]);
+    let mut longer = whole.clone();
+    longer[8] = 1;
+    let cases = [
+        read(&whole[..7]),
+        read(&whole[..whole.len() - 1]),
+        read(&frame(&[AT, "63"])),
+        read(&frame(&[AT, "0207290000000000 0000"])),
+        read(&frame(&[AT, &KNOCK[..40]])),
+        read(&frame(&[AT, "080a124a078b1300000000008032400900 00"])),
+        read(&longer),
+    ];
+    assert_snapshot!(cases.join("\n"));
+}
+
+#[test]
+fn the_page_s_replies_are_written() {
+    let mut reply = Reply::to(12);
+    let searcher = "10.18.74.7:5003".parse().expect("an address");
+    reply.actions(
+        3,
+        &[
+            Action::Dispatch { part: 0x4a2375d3a91c4, searcher, patience_ms: 80.0 },
+            Action::WakeAt { at: 8912.25 },
+            Action::Complete { scan: 0xe22550e6f2b19, whole: true },
+        ],
+    );
+    reply.actions(5, &[Action::Log { line: "two servers known".to_owned() }]);
+    reply.actions(6, &[]);
+    let hex: Vec<String> = reply.finish().iter().map(|b| format!("{b:02x}")).collect();
+    assert_snapshot!(hex.concat());
+}
+
+const SETTINGS: &str = "services.count=1\nservices.0.slo_ms=800.0\nservices.0.hard_limit_ms=1500.0\n\
+    services.0.points=1.0\nservices.0.idempotency=pure\nfamily_info.positions=3\nfamily_info.in_a_row=1\n\
+    permissions.cancel=true\npermissions.probing=true\npermissions.parallel_tries=true\n\
+    permissions.max_attempts=4\npermissions.retry_after=false\npeers_total=3\nzone=0\n\
+    rules.cold_from=0.16\nrules.warm_after_ms=17000.0\nrules.tip_multiple=4.0\nrules.fall_ms=1000.0\n\
+    something.new=1,2\n";
+
+#[test]
+fn settings_are_read_or_turned_away() {
+    let open = |text: &str| match terms::open(text, 1) {
+        Ok(_) => "opened".to_owned(),
+        Err(error) => format!("{error:#}"),
+    };
+    let cases = [
+        open(SETTINGS),
+        open(&SETTINGS.replace("slo_ms=800.0", "slo_ms=soon")),
+        open(&SETTINGS.replace("=pure", "=perhaps")),
+        open(&SETTINGS.replace("zone=0", "zone=")),
+        open(&SETTINGS.replace("rules.fall_ms=1000.0\n", "")),
+        open("no pair"),
+    ];
+    assert_snapshot!(cases.join("\n"));
+}
+
+#[test]
+fn a_mixer_killed_and_begun_anew_in_one_batch_answers_for_the_new_one_alone() {
+    let length = format!("{:08x}", (SETTINGS.len() as u32).swap_bytes());
+    let text: String = SETTINGS.bytes().map(|b| format!("{b:02x}")).collect();
+    let create = format!("010700000000000000{length}{text}");
+    let mut host = Host::default();
+    let mut play = |records: &[&str]| {
+        let batch = read_batch(&mut &frame(records)[..]).expect("well formed").expect("a batch");
+        match host.batch(batch) {
+            Ok(reply) => format!("{} bytes", reply.finish().len()),
+            Err(error) => format!("error: {error:#}"),
+        }
+    };
+    let cases = [
+        play(&[AT, &create]),
+        play(&[AT, KNOCK, "0a", &create]),
+        play(&[AT, TIMED_OUT, "0a"]),
+        play(&[AT, WAKEUP]),
+        play(&[WAKEUP]),
+    ];
+    assert_snapshot!(cases.join("\n"));
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,131 @@
+//! A mixer on a small made-up deployment, and a printed trace of what it is told and decides.
+
+use std::fmt::Write;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use pewterwharf::interface::*;
+use pewterwharf::logic::Mixer;
+
+pub fn table_type(repeat: Repeat, need: f64) -> TableType {
+    TableType {
+        target_ms: 1000.0,
+        query_timeout_ms: 2000.0,
+        benefit: 1.0,
+        late_share: 0.5,
+        target_stretch: 0.0,
+        repeat,
+        need,
+        floor: need,
+        partial_share: 0.9,
+        second_step: false,
+    }
+}
+
+pub struct Rig {
+    mixer: Mixer,
+    now: f64,
+    wake: f64,
+    scans: u32,
+    trace: String,
+}
+
+/// Searchers are numbered by the last byte of their address; every one holds every shard.
+pub fn searcher(n: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, n), 5000)
+}
+
+pub fn line(n: u8, since: f64, life: Life) -> Listed {
+    Listed { searcher: searcher(n), cell: 0, zone: 0, since, life }
+}
+
+impl Rig {
+    pub fn new(types: Vec<TableType>, budget: Option<Budget>) -> Self {
+        let layout = Layout { cells: 1, reach: 1, parts_per_call: 1, call_work_ms: 0.0 };
+        let (cold_from, warm_ms, tip_multiple, fall_ms) = (0.2, 10_000.0, 2.0, 1000.0);
+        let guards = Guards { cold_from, warm_ms, tip_multiple, fall_ms, budget };
+        let permits = Permits {
+            cancel: true,
+            probe: true,
+            second_copies: true,
+            dispatches: 4,
+            back_in_ms: Some(500.0),
+            subscribe: false,
+        };
+        let berth = Berth { mixers: 1, zone: 0 };
+        let mixer = Mixer::open(7, types, Vec::new(), layout, guards, permits, berth);
+        Self { mixer, now: 100_000.0, wake: 0.0, scans: 0, trace: String::new() }
+    }
+
+    /// Lists `n` warm searchers.
+    pub fn warm(&mut self, n: u8) {
+        let lines = (1..=n).map(|n| line(n, 0.0, Life::Ready)).collect();
+        self.tell(vec![Event::List { kind: ListKind::Full, lines }]);
+    }
+
+    pub fn tell(&mut self, events: Vec<Event>) {
+        for action in self.mixer.turn(self.now, events) {
+            let at = self.now - 100_000.0;
+            let line = match action {
+                Action::WakeAt { at } => {
+                    self.wake = at;
+                    continue;
+                }
+                Action::Dispatch { part, searcher, .. } => {
+                    format!("part {part} -> s{}", searcher.ip().octets()[3])
+                }
+                Action::Cancel { part, dispatch } => format!("cancel {part}/{dispatch}"),
+                Action::Complete { scan, whole } => format!("complete {scan} whole={whole}"),
+                Action::Throttle { scan, back_in_ms } => format!("throttle {scan} back in {back_in_ms:?}"),
+                Action::Abandon { scan } => format!("abandon {scan}"),
+                Action::Probe { searcher } => format!("probe s{}", searcher.ip().octets()[3]),
+                Action::Subscribe => "subscribe".to_owned(),
+                Action::Log { line } => line,
+            };
+            writeln!(self.trace, "{at:>6} {line}").expect("a string takes all");
+        }
+    }
+
+    /// Lets time pass, tick by tick.
+    pub fn pass(&mut self, ms: f64) {
+        let end = self.now + ms;
+        while self.wake <= end {
+            self.now = self.wake;
+            self.tell(vec![Event::Wake]);
+        }
+        self.now = end;
+    }
+
+    /// A scan of so many parts of equal weight: scan 100, parts 101 and on; the next is 200.
+    pub fn scan(&mut self, table_type: usize, parts: u32) {
+        self.scans += 1;
+        let (id, number) = (u64::from(self.scans) * 100, self.scans);
+        let client_gone_at = self.now + 2000.0;
+        let mut events = vec![Event::Scan {
+            id,
+            number,
+            table_type,
+            customer: 0,
+            client_gone_at,
+            work_ms: None,
+            retry: false,
+        }];
+        let weight = 1.0 / f64::from(parts);
+        events.extend((0..parts).map(|shard| Event::Part {
+            id: id + 1 + u64::from(shard),
+            number,
+            shard,
+            weight,
+        }));
+        self.tell(events);
+    }
+
+    pub fn ends(&mut self, part: u64, dispatch: u8, from: u8, ending: Ending, took_ms: f64) {
+        let _ = writeln!(self.trace, "{:>6}   {part}/{dispatch} ends {ending:?}", self.now - 100_000.0);
+        self.tell(vec![Event::Ended { part, dispatch, searcher: searcher(from), ending, took_ms }]);
+    }
+
+    /// What was decided since the last call.
+    pub fn trace(&mut self) -> String {
+        std::mem::take(&mut self.trace)
+    }
+}
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,201 @@
+//! Traces of decisions: the mechanism, the six rules, and what was once found broken.
+
+mod common;
+
+use common::{Rig, line, searcher, table_type};
+use insta::assert_snapshot;
+use pewterwharf::interface::{Budget, Ending, Event, Life, ListKind, Repeat};
+
+fn any_two_of_three() -> Rig {
+    Rig::new(vec![table_type(Repeat::Replayable, 2.0 / 3.0)], None)
+}
+
+fn all_of(repeat: Repeat) -> Rig {
+    Rig::new(vec![table_type(repeat, 1.0)], None)
+}
+
+/// Serves `n` one-part scans on searchers that answer in 100 ms, one after the other.
+fn settle_in(rig: &mut Rig, n: u64) {
+    for i in 1..=n {
+        rig.scan(0, 1);
+        rig.pass(100.0);
+        let part = i * 100 + 1;
+        let at = rig.trace().split("-> s").nth(1).and_then(|s| s.trim().parse().ok()).unwrap_or(0);
+        rig.ends(part, 0, at, Ending::Ok, 100.0);
+    }
+    rig.trace();
+}
+
+#[test]
+fn n_parts_go_out_and_a_caught_one_is_replaced_on_an_unsent_shard() {
+    let mut rig = any_two_of_three();
+    rig.warm(3);
+    rig.scan(0, 3);
+    rig.pass(800.0);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn a_slow_searcher_is_marked_probed_tried_and_readmitted() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(2);
+    settle_in(&mut rig, 12);
+    for _ in 0..6 {
+        rig.scan(0, 1);
+    }
+    rig.pass(700.0);
+    rig.tell(vec![Event::Probed { searcher: searcher(1), ending: Ending::Ok, took_ms: 2.0 }]);
+    rig.scan(0, 1);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn failing_fast_never_looks_fast() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(2);
+    settle_in(&mut rig, 6);
+    rig.scan(0, 2);
+    let first = if rig.trace().contains("701 -> s1") { 1 } else { 2 };
+    rig.ends(701, 0, first, Ending::Error, 1.0);
+    rig.scan(0, 1);
+    rig.scan(0, 1);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn rule_1_a_scan_ends_before_its_time_and_nothing_follows() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(2);
+    rig.scan(0, 1);
+    rig.pass(2100.0);
+    rig.ends(101, 0, 1, Ending::Cancelled, 1980.0);
+    rig.pass(100.0);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn rule_2_a_non_replayable_part_goes_again_only_if_it_never_ran() {
+    let mut rig = all_of(Repeat::NonReplayable);
+    rig.warm(3);
+    rig.scan(0, 1);
+    rig.ends(101, 0, 1, Ending::ConnectFailed, 5.0);
+    rig.pass(900.0); // late, and yet no second copy
+    rig.ends(101, 1, 2, Ending::Error, 900.0);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn rule_2_a_keyed_part_goes_again_only_within_its_window() {
+    let mut rig = all_of(Repeat::Keyed { window_ms: 400.0 });
+    rig.warm(3);
+    rig.scan(0, 1);
+    rig.pass(100.0);
+    rig.ends(101, 0, 1, Ending::Reset, 100.0);
+    rig.pass(350.0);
+    rig.ends(101, 1, 2, Ending::Reset, 350.0);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn rule_3_a_draining_searcher_gets_nothing() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(2);
+    let lines = vec![line(1, 0.0, Life::Draining)];
+    rig.tell(vec![Event::List { kind: ListKind::Changes, lines }]);
+    rig.scan(0, 3);
+    rig.tell(vec![Event::List { kind: ListKind::Full, lines: vec![line(1, 0.0, Life::Draining)] }]);
+    rig.scan(0, 1);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn rule_4_a_cold_searcher_gets_its_allowance_in_a_window() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.tell(vec![Event::List { kind: ListKind::Full, lines: vec![line(1, 99_999.0, Life::Ready)] }]);
+    (0..4).for_each(|_| rig.scan(0, 1));
+    rig.pass(1010.0);
+    rig.scan(0, 1);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn rule_5_less_than_the_whole_is_never_called_whole_and_a_part_counts_once() {
+    let mut short = table_type(Repeat::Replayable, 1.0);
+    short.floor = 0.5;
+    let mut rig = Rig::new(vec![short], None);
+    rig.warm(3);
+    rig.scan(0, 3);
+    rig.ends(101, 0, 1, Ending::Ok, 50.0);
+    rig.ends(101, 0, 1, Ending::Ok, 50.0);
+    rig.pass(100.0);
+    rig.ends(102, 0, 2, Ending::Ok, 150.0);
+    rig.pass(900.0);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn rule_6_further_dispatches_stay_within_the_stated_budget() {
+    let budget = Budget { free: 1.0, share: 0.2, window_ms: 1000.0 };
+    let mut rig = Rig::new(vec![table_type(Repeat::Replayable, 1.0)], Some(budget));
+    rig.warm(4);
+    rig.scan(0, 4); // five taken: two further dispatches fit
+    let sent = rig.trace();
+    for part in 101..=104 {
+        let to = sent.lines().find(|l| l.contains(&format!("part {part} ")));
+        let to = to.and_then(|l| l.rsplit('s').next()).and_then(|n| n.parse().ok()).unwrap_or(0);
+        rig.ends(part, 0, to, Ending::Error, 5.0);
+    }
+    rig.pass(1020.0);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn a_part_that_is_in_is_not_sent_again_though_it_was_caught() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(3);
+    rig.scan(0, 2);
+    rig.pass(600.0); // both are caught and copied
+    rig.ends(101, 0, 1, Ending::Ok, 600.0);
+    rig.pass(1500.0);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn a_scan_that_cannot_be_met_is_throttled_at_once() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.scan(0, 1); // nobody listed
+    rig.warm(1);
+    let lines = vec![line(1, 0.0, Life::Gone)];
+    rig.tell(vec![Event::List { kind: ListKind::Changes, lines }]);
+    rig.scan(0, 1);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn a_new_start_voids_the_history() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(1);
+    settle_in(&mut rig, 4);
+    rig.scan(0, 3);
+    rig.pass(900.0); // marked
+    let lines = vec![line(1, 1000.0, Life::Ready)];
+    rig.tell(vec![Event::List { kind: ListKind::Changes, lines }]);
+    rig.pass(2000.0); // no probe any more
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn the_second_step_needs_all_and_ends_the_scan() {
+    let mut two = table_type(Repeat::Replayable, 0.5);
+    two.second_step = true;
+    let mut rig = Rig::new(vec![two], None);
+    rig.warm(2);
+    rig.scan(0, 2);
+    let first = if rig.trace().contains("101") { 101 } else { 102 };
+    rig.ends(first, 0, 1, Ending::Ok, 50.0);
+    let parts = (0..2).map(|i| Event::Part { id: 150 + i, number: 1, shard: i as u32, weight: 0.5 });
+    rig.tell(parts.collect());
+    rig.ends(150, 0, 1, Ending::Ok, 50.0);
+    rig.ends(151, 0, 2, Ending::Ok, 50.0);
+    assert_snapshot!(rig.trace());
+}
