--- a/crates/simhost/tests/codec.rs
+++ b/crates/simhost/tests/codec.rs
@@ -40,9 +40,9 @@
 fn the_page_s_batches_are_read() {
     let two = frame(&[AT, KNOCK, WAKEUP, "0c05000000", TIMED_OUT]);
     assert_eq!(two[..20], bytes("0c0000004f0000000500000000000000206ec040"));
-    let table = "0b0000000002000000\
-        000000000000000000000000000000803f0a124a078b1301\
-        00000000000000d4b740000001000000c03f0a9011f2b41301";
+    let table = "0b 00000000 02000000
+        0000 0000000000000000 0000 0000 0000803f 0a124a07 8b13 01
+        0000 0000000000d4b740 0000 0100 0000c03f 0a9011f2 b413 01";
     let settled = "05c4913a5d37a20400000a124a078b130100000000000080324001 00";
     let list = frame(&[AT, table, "0202290000000000 0000", settled]);
     assert_snapshot!(format!("{}\n{}\n{}", read(&two), read(&list), read(&[])));
