Work estimate: quick at first, then slow to forget a calm

A jam made all parts look heavy and newcomers unusable. Could harm where parts grow heavier for good: the cold allowance then lags some seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -138,8 +138,9 @@
     const MULTIPLE: f64 = 3.0;
     /// Weight of the newest part in a table type's normal latency: a few hundred parts, some seconds.
     const SMOOTH: f64 = 0.01;
-    /// Step of the work estimate: it halves within some fifty parts, and strays by a few in a hundred.
-    const STEP: f64 = 0.01;
+    /// Least and first step of the work estimate: it is found within some tens of parts, and a jam, which
+    /// makes all parts look heavy, takes several hundred to change it.
+    const STEPS: (f64, f64) = (0.002, 0.05);
     /// A median of fewer searchers says little; until then one normal stands for it.
     const FEW: usize = 3;
 
@@ -153,7 +154,8 @@
                 *normal += (1.0 / *heard).max(Self::SMOOTH) * (clipped - *normal);
                 // A part's own work shows where little waits: a step up and three down settle at the
                 // quarter of the parts that were quickest.
-                *work *= if ms > *work { 1.0 + Self::STEP } else { 1.0 - 3.0 * Self::STEP };
+                let step = (1.0 / *heard).clamp(Self::STEPS.0, Self::STEPS.1);
+                *work *= if ms > *work { 1.0 + step } else { 1.0 - 3.0 * step };
             }
             Note::Slice(srv, mean) => drop(self.means.insert(srv, mean)),
             Note::Tick => {
