The door turns nothing away for a searcher with no call of ours out

A smoothed latency of a searcher that gets nothing is stale, and kept its set closed. Harms at most one call a searcher.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -536,7 +536,9 @@
     /// latency outlasts its cause.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
         let most = Self::SLOW * self.types[scan.kind].target_ms / self.norms.normal[scan.kind];
-        let quick = |(tier, _, srv): (u8, f64, usize)| tier > 0 || self.seats[srv].tile.lat <= most;
+        let quick = |(tier, _, srv): (u8, f64, usize)| {
+            tier > 0 || self.seats[srv].calls == 0 || self.seats[srv].tile.lat <= most
+        };
         let in_time = scan.weight(|p| self.replica(scan, p, now).is_some_and(quick));
         let parts = scan.parts.len() as f64 * scan.need;
         in_time + Self::HAIR >= scan.need && self.door.admits(scan.customer, self.flights.len(), parts)
