--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 #[rustfmt::skip]
 struct Searcher {
     me: usize, addr: SocketAddrV4, norms: Rc<Norms>, tile: Tile,
-    slices: Vec<Slice>, offset: f64, strikes: u32, probe_at: f64,
+    slices: Vec<Slice>, offset: f64, strikes: u32, probe_at: f64, busy: Busy,
 }
 
 impl Searcher {
@@ -36,15 +36,19 @@
     /// First probe of a marked searcher, one slice after the mark; doubled by every relapse, to 8 s.
     const PROBE_MS: f64 = 500.0;
 
+    /// Parts of ours out at once from which on a stretch of work shows what a searcher can bear.
+    const CROWD: u32 = 4;
+
     fn note(&mut self, note: Note, post: &mut Post, probing: bool) {
         let now = post.now;
         match note {
             // A new process has nothing of the old one's past.
             Note::Renewed => {
-                (self.tile, self.strikes) = (NEW, 0);
+                (self.tile, self.strikes, self.busy.ok) = (NEW, 0, false);
                 self.slices.clear();
             }
             Note::Sent(leg, kind) => {
+                self.busy.sent(now, self.norms.work[kind]);
                 let open = |s: &Slice| now - s.from < Self::SLICE_MS + self.offset || s.sent < Self::FEW;
                 if !self.slices.last().is_some_and(open) {
                     self.slices.push(Slice { from: now, sent: 0, sum: 0.0, out: Vec::new() });
@@ -55,14 +59,21 @@
                     slice.out.push((leg, kind, now));
                 }
             }
-            Note::Filed(leg, share, ok) => {
+            Note::Filed(leg, share, ending) => {
+                // What was called off or failed did not do its work, and says nothing of what can be borne.
+                if self.busy.ended(ending == Ending::Ok) && self.busy.most >= Self::CROWD {
+                    post.put(GAUGE, Note::Bore(self.busy.work / (now - self.busy.from).max(1.0)));
+                }
                 self.tile.lat += Self::SMOOTH * (share - self.tile.lat);
                 let held = |s: &&mut Slice| s.out.iter().any(|l| l.0 == leg);
                 if let Some(slice) = self.slices.iter_mut().find(held) {
                     slice.out.retain(|l| l.0 != leg);
                     slice.sum += share;
-                    if std::mem::take(&mut self.tile.trial) && (share > self.norms.limit || !ok) {
-                        self.mark(share, post);
+                    if self.tile.trial && (share > self.norms.limit || ending != Ending::Cancelled) {
+                        self.tile.trial = false;
+                        if share > self.norms.limit || ending != Ending::Ok {
+                            self.mark(share, post);
+                        }
                     }
                 }
             }
@@ -130,6 +141,7 @@
 /// What is normal: for each table type (milliseconds, parts heard, own work), and over all slices.
 struct Gauge {
     normal: Vec<(f64, f64, f64)>,
+    cores: f64,
     means: BTreeMap<usize, f64>,
 }
 
@@ -157,12 +169,19 @@
                 let step = (1.0 / *heard).clamp(Self::STEPS.0, Self::STEPS.1);
                 *work *= if ms > *work { 1.0 + step } else { 1.0 - 3.0 * step };
             }
+            // What warm searchers bore, in cores, at least one: a step down and four up settle where a
+            // fifth of the stretches went better, as our peers' work slows the others.
+            Note::Bore(rate) => {
+                let step = if rate > self.cores { 4.0 * Self::STEPS.1 } else { -Self::STEPS.1 } / 5.0;
+                self.cores = (self.cores * (1.0 + step)).max(1.0);
+            }
             Note::Slice(srv, mean) => drop(self.means.insert(srv, mean)),
             Note::Tick => {
                 // All slow: the median moves, and nobody is marked.
                 let median = median(self.means.values().copied(), Self::FEW).unwrap_or(1.0);
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
-                let norms = Rc::new(Norms { normal, work, limit: Self::MULTIPLE * median });
+                let norms =
+                    Rc::new(Norms { normal, work, cores: self.cores, limit: Self::MULTIPLE * median });
                 let readers = (0..post.boxes.len()).filter(|to| *to != GAUGE);
                 readers.for_each(|to| post.put(to, Note::Norms(norms.clone())));
             }
@@ -313,16 +332,16 @@
         // Failing must never look fast (errors, a dead zone's resets): it is filed at no less than the
         // time it was allowed. Called off, a part counts with its age, and as normal at least.
         let normal = self.norms.normal[flight.kind];
-        let (ms, ok) = match ending {
-            Ending::Ok => (took, true),
-            Ending::Cancelled | Ending::Moot => (took.max(normal), true),
-            _ => (took.max(flight.allotted), false),
+        let ms = match ending {
+            Ending::Ok => took,
+            Ending::Cancelled | Ending::Moot => took.max(normal),
+            _ => took.max(flight.allotted),
         };
         if ending == Ending::Ok {
             post.put(GAUGE, Note::Heard(flight.kind, ms));
         }
         if ending != Ending::Moot {
-            post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ok));
+            post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ending));
         }
         let Some(&(at, nth)) = self.owners.get(&leg.0) else { return };
         let Some(part) = self.scans.get_mut(&at).map(|s| &mut s.parts[nth]) else { return };
@@ -464,7 +483,7 @@
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
-        let cap = Self::COLD_USED * g.tip_multiple * able * g.fall_ms / self.mixers;
+        let cap = Self::COLD_USED * g.tip_multiple * able * self.norms.cores * g.fall_ms / self.mixers;
         let spent: f64 = seat.spent.iter().filter(|s| s.0 >= now - g.fall_ms).map(|s| s.1).sum();
         seat.since <= 0.0 || age >= g.warm_ms || spent + work <= cap
     }
@@ -618,8 +637,8 @@
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
-        let gauge = Gauge { normal, means: BTreeMap::new() };
-        let norms = Rc::new(Norms { normal: start.clone(), work: start, limit: Gauge::MULTIPLE });
+        let gauge = Gauge { normal, cores: 1.0, means: BTreeMap::new() };
+        let norms = Rc::new(Norms { normal: start.clone(), work: start, cores: 1.0, limit: Gauge::MULTIPLE });
         let purse = Purse { stated: guards.budget, taken: VecDeque::new(), extras: VecDeque::new() };
         let door = Door { customers, seen: VecDeque::new(), limit: f64::INFINITY, cut_at: 0.0 };
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
@@ -658,8 +677,8 @@
             self.post.boxes.push(VecDeque::new());
             // Mixers must not all judge, and so all shift their load, at the same moment.
             let offset = self.seed.rand_float() * Searcher::SLICE_MS;
-            let (tile, slices, strikes, probe_at) = (NEW, Vec::new(), 0, 0.0);
-            self.srvs.push(Searcher { me, addr, norms, tile, slices, offset, strikes, probe_at });
+            let (tile, slices, strikes, probe_at, busy) = (NEW, Vec::new(), 0, 0.0, Busy::default());
+            self.srvs.push(Searcher { me, addr, norms, tile, slices, offset, strikes, probe_at, busy });
             let (calls, spent) = (0, VecDeque::new());
             self.desk.seats.push(Seat { addr, cell, since, life, tile, calls, spent });
         }
