The door also sees the age of the oldest part out

Cause: a smoothed latency moves only when parts end, seconds late in a jam. Guards against hangs and jams alike; harms while one heavy part alone is out for long.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,7 +15,7 @@
 use crate::state::*;
 
 /// A searcher that is not yet heard from counts as average.
-const NEW: Tile = Tile { lat: 1.0, marked: false, trial: false };
+const NEW: Tile = Tile { lat: 1.0, age: 0.0, marked: false, trial: false };
 
 /// One searcher, watched by slices.
 #[rustfmt::skip]
@@ -109,6 +109,8 @@
     /// with the last time-out; it harms a searcher whose few parts are all heavy, until its next probe.
     fn judge(&mut self, post: &mut Post) {
         let (now, limit, mut worst) = (post.now, self.norms.limit, 0.0);
+        let ages = self.slices.iter().flat_map(|s| &s.out).map(|l| now - l.2);
+        self.tile.age = ages.fold(0.0, f64::max);
         self.slices.retain(|slice| {
             let aged: f64 = slice.out.iter().map(|l| (now - l.2) / self.norms.normal[l.1]).sum();
             let mean = (slice.sum + aged) / f64::from(slice.sent);
@@ -554,9 +556,10 @@
     /// spots that the limit, which follows the middle of the fleet, can't see; harms while a smoothed
     /// latency outlasts its cause.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
-        let most = Self::SLOW * self.types[scan.kind].target_ms / self.norms.normal[scan.kind];
+        let most = Self::SLOW * self.types[scan.kind].target_ms;
         let quick = |(tier, _, srv): (u8, f64, usize)| {
-            tier > 0 || self.seats[srv].calls == 0 || self.seats[srv].tile.lat <= most
+            let Seat { tile, calls, .. } = &self.seats[srv];
+            tier > 0 || *calls == 0 || (tile.lat * self.norms.normal[scan.kind]).max(tile.age) <= most
         };
         let in_time = scan.weight(|p| self.replica(scan, p, now).is_some_and(quick));
         let parts = scan.parts.len() as f64 * scan.need;
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,6 +23,8 @@
 pub(crate) struct Tile {
     /// Smoothed latency, in normals.
     pub lat: f64,
+    /// Of its oldest part of ours.
+    pub age: f64,
     pub marked: bool,
     pub trial: bool,
 }
