--- a/src/logic.rs
+++ b/src/logic.rs
@@ -69,12 +69,11 @@
                 if let Some(slice) = self.slices.iter_mut().find(held) {
                     slice.out.retain(|l| l.0 != leg);
                     slice.sum += share;
-                    if self.tile.trial && (share > self.norms.limit || ending != Ending::Cancelled) {
-                        self.tile.trial = false;
-                        if share > self.norms.limit || ending != Ending::Ok {
-                            self.mark(share, post);
-                        }
+                    let good = share <= self.norms.limit && ending == Ending::Ok;
+                    if self.tile.trial && !good && ending != Ending::Cancelled {
+                        self.mark(share, post);
                     }
+                    self.tile.trial &= !good && !self.tile.marked;
                 }
             }
             // A probe does almost no work, so a pass only admits to a trial: one part at a time until one
@@ -221,6 +220,7 @@
     seen: VecDeque<(f64, usize)>,
     limit: f64,
     cut_at: f64,
+    shut_at: f64,
 }
 
 impl Door {
@@ -300,8 +300,8 @@
                 self.purse.taken.push_back(now);
                 let Some((at, scan)) = self.scans.iter_mut().rfind(|s| s.1.number == number) else { return };
                 self.owners.insert(id, (*at, scan.parts.len()));
-                let (state, caught, sent, first_at) = (State::Unsent, false, Vec::new(), now);
-                scan.parts.push(Part { id, shard, weight, state, caught, sent, first_at });
+                let (state, caught, sent, taken_at) = (State::Unsent, false, Vec::new(), now);
+                scan.parts.push(Part { id, shard, weight, state, caught, sent, taken_at });
             }
             Note::Told(Event::Ended { part, dispatch, ending, took_ms, .. }) => {
                 self.ended((part, dispatch), ending, took_ms, post);
@@ -389,7 +389,9 @@
                     let terms = &self.types[scan.kind];
                     let partial =
                         if scan.have() + Self::HAIR >= scan.floor { scan.have() / scan.need } else { 0.0 };
-                    if terms.late_share <= partial * terms.partial_share {
+                    // While the door turns scans away, late ones make room for those that can still be met.
+                    let shut = post.now - self.door.shut_at < terms.target_ms;
+                    if shut || terms.late_share <= partial * terms.partial_share {
                         self.end(at, post);
                     }
                 }
@@ -411,6 +413,7 @@
         }
         let fresh = !scan.second && scan.parts.iter().all(|p| p.sent.is_empty());
         if fresh && !self.admits(scan, now) {
+            self.door.shut_at = now;
             return self.end(at, post);
         }
         while let Some(scan) = self.scans.get(&at).filter(|s| s.coming() + Self::HAIR < s.need) {
@@ -429,9 +432,8 @@
         let Some(scan) = self.scans.get(&at) else { return };
         let ready = |p: &Part| self.holders(p.shard).any(|s| self.seats[s].life == Life::Ready);
         let out = |p: &Part| p.state == State::Out;
-        let hope =
-            scan.weight(|p| p.state == State::In || out(p) || self.may_repeat(scan, p, now) && ready(p));
-        let hope = hope + Self::HAIR;
+        let can = |p: &Part| p.state == State::In || out(p) || self.may_repeat(scan, p, now) && ready(p);
+        let hope = scan.weight(can) + Self::HAIR;
         if hope < scan.need && !(hope >= scan.floor && scan.parts.iter().any(out)) {
             self.end(at, post);
         }
@@ -441,7 +443,7 @@
     fn may_repeat(&self, scan: &Scan, part: &Part, now: f64) -> bool {
         let may = match self.types[scan.kind].repeat {
             Repeat::Replayable => true,
-            Repeat::Keyed { window_ms } => part.proved_unrun() || now < part.first_at + window_ms,
+            Repeat::Keyed { window_ms } => part.proved_unrun() || now < part.taken_at + window_ms,
             Repeat::NonReplayable => part.proved_unrun(),
         };
         may && part.sent.len() < self.permits.dispatches as usize
@@ -503,9 +505,7 @@
         *parts += 1;
         let part = &mut scan.parts[nth];
         let leg = (part.id, part.sent.len() as u8);
-        if part.sent.is_empty() {
-            part.first_at = now;
-        } else {
+        if !part.sent.is_empty() {
             self.purse.extras.push_back((now, false));
         }
         part.sent.push((srv, None));
@@ -515,9 +515,7 @@
         let patience_ms = (end - now).max(1.0) + Self::AHEAD_MS / 2.0;
         self.flights.insert(leg, Flight { srv, kind, call: *call, allotted: patience_ms });
         let late = (self.norms.limit * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
-        if late > 0.0 {
-            self.push_due(now + late, Due::Late(leg));
-        }
+        self.push_due(now + late.max(Self::AHEAD_MS), Due::Late(leg));
         let seat = &mut self.seats[srv];
         trim(&mut seat.spent, |s| s.0 < now - self.guards.fall_ms);
         seat.spent.push_back((now, work));
@@ -643,7 +641,7 @@
         let gauge = Gauge { normal, cores: 1.0, means: BTreeMap::new() };
         let norms = Rc::new(Norms { normal: start.clone(), work: start, cores: 1.0, limit: Gauge::MULTIPLE });
         let purse = Purse { stated: guards.budget, taken: VecDeque::new(), extras: VecDeque::new() };
-        let door = Door { customers, seen: VecDeque::new(), limit: f64::INFINITY, cut_at: 0.0 };
+        let door = Door { customers, seen: VecDeque::new(), limit: f64::INFINITY, cut_at: 0.0, shut_at: 0.0 };
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
         let mixers = f64::from(berth.mixers.max(1));
         #[rustfmt::skip]
--- a/src/state.rs
+++ b/src/state.rs
@@ -133,7 +133,7 @@
     pub caught: bool,
     /// Searcher and ending of every dispatch.
     pub sent: Vec<(usize, Option<Ending>)>,
-    pub first_at: f64,
+    pub taken_at: f64,
 }
 
 impl Part {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -113,7 +113,9 @@
     let mut rig = all_of(Repeat::Replayable);
     rig.tell(vec![Event::List { kind: ListKind::Full, lines: vec![line(1, 99_999.0, Life::Ready)] }]);
     (0..4).for_each(|_| rig.scan(0, 1));
-    rig.pass(1010.0);
+    rig.pass(400.0);
+    rig.ends(101, 0, 1, Ending::Ok, 400.0);
+    rig.pass(610.0);
     rig.scan(0, 1);
     assert_snapshot!(rig.trace());
 }
@@ -199,3 +201,20 @@
     rig.ends(151, 0, 2, Ending::Ok, 50.0);
     assert_snapshot!(rig.trace());
 }
+
+#[test]
+fn rule_4_the_allowance_follows_what_warm_searchers_bore() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(1);
+    settle_in(&mut rig, 30); // a part's work is about 100 ms
+    for round in 0..20 {
+        (0..4).for_each(|_| rig.scan(0, 1));
+        rig.pass(150.0); // four parts in 150 ms: more than two cores' worth
+        (31 + 4 * round..35 + 4 * round).for_each(|i| rig.ends(i * 100 + 1, 0, 1, Ending::Ok, 150.0));
+    }
+    let now = 100_000.0 + 3000.0 + 20.0 * 150.0;
+    rig.tell(vec![Event::List { kind: ListKind::Full, lines: vec![line(2, now, Life::Ready)] }]);
+    rig.trace();
+    (0..6).for_each(|_| rig.scan(0, 1));
+    assert_snapshot!(rig.trace());
+}
