--- a/src/logic.rs
+++ b/src/logic.rs
@@ -478,16 +478,14 @@
         choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal))
     }
 
-    /// Of the cold allowance, the share that is used: the rest is for chance among mixers.
-    const COLD_USED: f64 = 0.8;
-
-    /// What a mixer may send a cold searcher in a fall window: its part of the multiple of what one core
-    /// can do at that age, if it warms up as slowly as it may. Guards against newcomers, restarts and
+    /// What a mixer may send a cold searcher in a fall window: its part of the multiple of what warm ones
+    /// bore, at that age, if it warms up as slowly as it may; no share is held back, as work is estimated
+    /// with some waiting in it (hunts saw a third of the limit). Guards against newcomers, restarts and
     /// returns alike; harms when most of the fleet is cold, as the rest must then carry it.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
-        let cap = Self::COLD_USED * g.tip_multiple * able * self.norms.cores * g.fall_ms / self.mixers;
+        let cap = g.tip_multiple * able * self.norms.cores * g.fall_ms / self.mixers;
         let spent: f64 = seat.spent.iter().filter(|s| s.0 >= now - g.fall_ms).map(|s| s.1).sum();
         seat.since <= 0.0 || age >= g.warm_ms || spent + work <= cap
     }
