The door asks marked replicas too

Now a marked replica is worth one call at a time. Guards against any marked set; harms sets marked by mistake, until their probes pass.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -553,9 +553,9 @@
     /// latency outlasts its cause.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
         let most = Self::SLOW * self.types[scan.kind].target_ms;
-        let quick = |(tier, _, srv): (u8, f64, usize)| {
+        let quick = |(_, _, srv): (u8, f64, usize)| {
             let Seat { tile, calls, .. } = &self.seats[srv];
-            tier > 0 || *calls == 0 || (tile.lat * self.norms.normal[scan.kind]).max(tile.age) <= most
+            *calls == 0 || (tile.lat * self.norms.normal[scan.kind]).max(tile.age) <= most
         };
         let in_time = scan.weight(|p| self.replica(scan, p, now).is_some_and(quick));
         let parts = scan.parts.len() as f64 * scan.need;
