--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! inboxes that [`Mixer::run`] empties.
 
 use std::cmp::Ordering::Equal;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -248,7 +248,7 @@
 struct Desk {
     types: Vec<TableType>, layout: Layout, guards: Guards, permits: Permits, mixers: f64,
     norms: Rc<Norms>, seats: Vec<Seat>, purse: Purse, door: Door, next: usize,
-    scans: BTreeMap<usize, Scan>, flights: BTreeMap<Leg, Flight>, due: BTreeSet<(u64, Due)>,
+    scans: BTreeMap<usize, Scan>, flights: BTreeMap<Leg, Flight>, due: Agenda,
     owners: HashMap<u64, (usize, usize)>, // of a scan or part: the scan's index, and the part's in it
     this_turn: BTreeMap<usize, (usize, u32)>, // the call to each searcher, and its parts
 }
@@ -293,8 +293,8 @@
                 let at = self.next();
                 self.scans.insert(at, scan);
                 self.owners.insert(id, (at, usize::MAX));
-                self.push_due(target_at, Due::Target(at));
-                self.push_due(gone_at, Due::Gone(at));
+                self.due.add(target_at, Due::Target(at));
+                self.due.add(gone_at, Due::Gone(at));
             }
             Note::Told(Event::Part { id, number, shard, weight }) => {
                 self.purse.taken.push_back(now);
@@ -322,10 +322,6 @@
         self.next
     }
 
-    fn push_due(&mut self, at: f64, due: Due) {
-        self.due.insert((at.max(0.0).to_bits(), due));
-    }
-
     fn ended(&mut self, leg: Leg, ending: Ending, took: f64, post: &mut Post) {
         let Some(flight) = self.flights.remove(&leg) else { return };
         if !self.flights.values().any(|f| f.call == flight.call) {
@@ -374,17 +370,15 @@
 
     /// What the turn leaves to do: due times first, then every scan that lacks parts on the way.
     fn settle(&mut self, post: &mut Post) {
-        while self.due.first().is_some_and(|d| f64::from_bits(d.0) <= post.now) {
-            match self.due.pop_first().map(|d| d.1) {
+        while let Some(due) = self.due.take(post.now) {
+            match due {
                 // Late on its own, before its searcher is marked; within our own budget, as under overload
                 // everything is late and replacing it all would be the worse load.
-                Some(Due::Late(leg))
-                    if self.flights.contains_key(&leg) && self.purse.fits(true, post.now) =>
-                {
+                Due::Late(leg) if self.flights.contains_key(&leg) && self.purse.fits(true, post.now) => {
                     self.purse.extras.push_back((post.now, true));
                     self.catch(leg.0);
                 }
-                Some(Due::Target(at)) => {
+                Due::Target(at) => {
                     let Some(scan) = self.scans.get(&at) else { continue };
                     let terms = &self.types[scan.kind];
                     let partial =
@@ -395,8 +389,8 @@
                         self.end(at, post);
                     }
                 }
-                Some(Due::Gone(at)) => self.end(at, post),
-                _ => {}
+                Due::Gone(at) => self.end(at, post),
+                Due::Late(_) => {}
             }
         }
         let open: Vec<usize> = self.scans.keys().copied().collect();
@@ -513,7 +507,7 @@
         let patience_ms = (end - now).max(1.0) + Self::AHEAD_MS / 2.0;
         self.flights.insert(leg, Flight { srv, kind, call: *call, allotted: patience_ms });
         let late = (self.norms.limit * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
-        self.push_due(now + late.max(Self::AHEAD_MS), Due::Late(leg));
+        self.due.add(now + late.max(Self::AHEAD_MS), Due::Late(leg));
         let seat = &mut self.seats[srv];
         trim(&mut seat.spent, |s| s.0 < now - self.guards.fall_ms);
         seat.spent.push_back((now, work));
@@ -644,7 +638,7 @@
         let mixers = f64::from(berth.mixers.max(1));
         #[rustfmt::skip]
         let desk = Desk { types, layout, guards, permits, mixers, norms, seats: Vec::new(), purse, door,
-            next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: BTreeSet::new(),
+            next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: Agenda::default(),
             owners: HashMap::new(), this_turn: BTreeMap::new() };
         let post = Post { now: 0.0, boxes: vec![VecDeque::new(), VecDeque::new()], out: Vec::new() };
         let (seed, ids, srvs) = (Rand64::new(u128::from(seed)), HashMap::new(), Vec::new());
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the actors of the decision module hold and hand to each other. Nothing is decided here.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -184,6 +184,22 @@
     Gone(usize),
 }
 
+/// All due times but the periodic timer's, in order.
+#[derive(Default)]
+pub(crate) struct Agenda(BTreeSet<(u64, Due)>);
+
+impl Agenda {
+    pub fn add(&mut self, at: f64, due: Due) {
+        self.0.insert((at.max(0.0).to_bits(), due));
+    }
+
+    /// The next that is due.
+    pub fn take(&mut self, now: f64) -> Option<Due> {
+        let due = self.0.first().is_some_and(|d| f64::from_bits(d.0) <= now);
+        due.then(|| self.0.pop_first()).flatten().map(|d| d.1)
+    }
+}
+
 /// A dispatch that is out.
 pub(crate) struct Flight {
     pub srv: usize,
