A marked retry is given half a target time

Cause: in a jam most scans are retries, whose clients have waited since their first try; work for those whose target has passed fed the jam. Harms a quick first retry, whose scan is then ended too early.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -256,6 +256,8 @@
 impl Desk {
     /// Sums of weights may fall this short of what is needed (the weights come rounded).
     const HAIR: f64 = 1e-5;
+    /// Of a target time, what a marked retry is taken to have left: the middle of none and all.
+    const RETRY_LEFT: f64 = 0.5;
     /// Final answers leave so long before the time is up: a periodic timer and some slack.
     const AHEAD_MS: f64 = 30.0;
 
@@ -276,13 +278,16 @@
                 customer,
                 client_gone_at,
                 work_ms,
+                retry,
                 ..
             }) => {
                 self.purse.taken.push_back(now);
                 self.door.seen.push_back((now, customer));
                 let Some(terms) = self.types.get(kind) else { return };
                 let target = terms.target_ms + terms.target_stretch * work_ms.unwrap_or(0.0);
-                let target_at = now + target.min(terms.query_timeout_ms) - Self::AHEAD_MS;
+                // A client that comes back has waited since its first try, up to its whole target time.
+                let left = if retry { Self::RETRY_LEFT * target } else { target };
+                let target_at = now + left.min(terms.query_timeout_ms) - Self::AHEAD_MS;
                 let gone_at = client_gone_at - Self::AHEAD_MS;
                 let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
                 let (whole, second) = (true, false);
@@ -546,7 +551,7 @@
     /// spots that the limit, which follows the middle of the fleet, can't see; harms while a smoothed
     /// latency outlasts its cause.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
-        let most = Self::SLOW * self.types[scan.kind].target_ms;
+        let most = Self::SLOW * (scan.target_at - now);
         let quick = |(_, _, srv): (u8, f64, usize)| {
             let Seat { tile, calls, .. } = &self.seats[srv];
             *calls == 0 || (tile.lat * self.norms.normal[scan.kind]).max(tile.age) <= most
