A marked searcher without connection is not fallen back on

Cause: of a marked set the one that is dead fails at once, has no call out, and so looked least bad. Guards against fallen halls and dead processes before the list knows; harms a searcher whose connections were full for a moment while marked, until a probe passes.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,7 +15,7 @@
 use crate::state::*;
 
 /// A searcher that is not yet heard from counts as average.
-const NEW: Tile = Tile { lat: 1.0, age: 0.0, marked: false, trial: false };
+const NEW: Tile = Tile { lat: 1.0, age: 0.0, marked: false, trial: false, down: false };
 
 /// One searcher, watched by slices.
 #[rustfmt::skip]
@@ -65,6 +65,7 @@
                     post.put(GAUGE, Note::Bore(self.busy.work / (now - self.busy.from).max(1.0)));
                 }
                 self.tile.lat += Self::SMOOTH * (share - self.tile.lat);
+                self.tile.down = matches!(ending, Ending::ConnectFailed | Ending::Reset);
                 let held = |s: &&mut Slice| s.out.iter().any(|l| l.0 == leg);
                 if let Some(slice) = self.slices.iter_mut().find(held) {
                     slice.out.retain(|l| l.0 != leg);
@@ -429,7 +430,7 @@
             self.dispatch(at, nth, srv, post);
         }
         let Some(scan) = self.scans.get(&at) else { return };
-        let ready = |p: &Part| self.holders(p.shard).any(|s| self.seats[s].life == Life::Ready);
+        let ready = |p: &Part| self.holders(p.shard).any(|s| self.seats[s].up());
         let out = |p: &Part| p.state == State::Out;
         let can = |p: &Part| p.state == State::In || out(p) || self.may_repeat(scan, p, now) && ready(p);
         let hope = scan.weight(can) + Self::HAIR;
@@ -469,7 +470,7 @@
         let choices = self.holders(part.shard).filter_map(|srv| {
             let seat = &self.seats[srv];
             let tried = part.sent.iter().any(|s| s.0 == srv);
-            let able = seat.life == Life::Ready && self.room(seat, self.work(scan.kind, srv), now);
+            let able = seat.up() && self.room(seat, self.work(scan.kind, srv), now);
             let calls = seat.calls - u32::from(self.shared(srv));
             let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried);
             able.then_some((tier, seat.tile.lat * f64::from(1 + calls), srv))
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,6 +27,8 @@
     pub age: f64,
     pub marked: bool,
     pub trial: bool,
+    /// No connection, or a lost one, at its last part.
+    pub down: bool,
 }
 
 pub(crate) enum Note {
@@ -117,6 +119,13 @@
     pub spent: VecDeque<(f64, f64)>,
 }
 
+impl Seat {
+    /// Listed as ready, and not both marked and without connection.
+    pub fn up(&self) -> bool {
+        self.life == Life::Ready && !(self.tile.marked && self.tile.down)
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum State {
     Unsent,
