Errors, resets and lost connections count twice the multiple at least

Averages reach the gauge clipped at the multiple. Harms a searcher with two stray errors in a slice of three.

--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -85,7 +85,7 @@
         number,
         table_type: usize::from(knock.table_type),
         customer: knock.customer as usize,
-        client_gone_at: knock.gone_at,
+        gone_at: knock.gone_at,
         work_ms: (knock.flags & 1 != 0).then_some(knock.work_ms),
         retry: knock.flags & 2 != 0,
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -154,7 +154,8 @@
         number: u32,
         table_type: usize,
         customer: usize,
-        client_gone_at: f64,
+        /// When its client gives up.
+        gone_at: f64,
         work_ms: Option<f64>,
         retry: bool,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -118,7 +118,7 @@
             let ripe = slice.sent >= Self::FEW && (over || mean > limit);
             if ripe {
                 worst = mean.max(worst);
-                post.put(GAUGE, Note::Slice(self.me, mean));
+                post.put(GAUGE, Note::Slice(self.me, mean.min(limit)));
             }
             !ripe
         });
@@ -259,6 +259,8 @@
     const HAIR: f64 = 1e-5;
     /// Of a target time, what a marked retry is taken to have left: the middle of none and all.
     const RETRY_LEFT: f64 = 0.5;
+    /// What a failed part is filed at, in multiples: a slice of which half failed marks.
+    const FAILED: f64 = 2.0;
     /// Final answers leave so long before the time is up: a periodic timer and some slack.
     const AHEAD_MS: f64 = 30.0;
 
@@ -272,16 +274,7 @@
                 legs.map(|(leg, _)| leg.0).collect::<Vec<_>>().into_iter().for_each(|id| self.catch(id));
             }
             Note::Norms(norms) => self.norms = norms,
-            Note::Told(Event::Scan {
-                id,
-                number,
-                table_type: kind,
-                customer,
-                client_gone_at,
-                work_ms,
-                retry,
-                ..
-            }) => {
+            Note::Told(Event::Scan { id, number, table_type: kind, customer, gone_at, work_ms, retry }) => {
                 self.purse.taken.push_back(now);
                 self.door.seen.push_back((now, customer));
                 let Some(terms) = self.types.get(kind) else { return };
@@ -289,7 +282,7 @@
                 // A client that comes back has waited since its first try, up to its whole target time.
                 let left = if retry { Self::RETRY_LEFT * target } else { target };
                 let target_at = now + left.min(terms.query_timeout_ms) - Self::AHEAD_MS;
-                let gone_at = client_gone_at - Self::AHEAD_MS;
+                let gone_at = gone_at - Self::AHEAD_MS;
                 let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
                 let (whole, second) = (true, false);
                 #[rustfmt::skip]
@@ -334,12 +327,14 @@
             self.seats[flight.srv].calls -= 1;
         }
         // Failing must never look fast (errors, a dead zone's resets): it is filed at no less than the
-        // time it was allowed. Called off, a part counts with its age, and as normal at least.
+        // time it was allowed, and over the multiple, as a jam lifts the median above any time allowed.
+        // Called off, a part counts with its age, and as normal at least.
         let normal = self.norms.normal[flight.kind];
         let ms = match ending {
             Ending::Ok => took,
             Ending::Cancelled | Ending::Moot => took.max(normal),
-            _ => took.max(flight.allotted),
+            Ending::Full | Ending::TimedOut => took.max(flight.allotted),
+            _ => flight.allotted.max(Self::FAILED * self.norms.limit * normal),
         };
         if ending == Ending::Ok {
             post.put(GAUGE, Note::Heard(flight.kind, ms));
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -99,16 +99,9 @@
     pub fn scan(&mut self, table_type: usize, parts: u32) {
         self.scans += 1;
         let (id, number) = (u64::from(self.scans) * 100, self.scans);
-        let client_gone_at = self.now + 2000.0;
-        let mut events = vec![Event::Scan {
-            id,
-            number,
-            table_type,
-            customer: 0,
-            client_gone_at,
-            work_ms: None,
-            retry: false,
-        }];
+        let gone_at = self.now + 2000.0;
+        let mut events =
+            vec![Event::Scan { id, number, table_type, customer: 0, gone_at, work_ms: None, retry: false }];
         let weight = 1.0 / f64::from(parts);
         events.extend((0..parts).map(|shard| Event::Part {
             id: id + 1 + u64::from(shard),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -218,3 +218,24 @@
     (0..6).for_each(|_| rig.scan(0, 1));
     assert_snapshot!(rig.trace());
 }
+
+#[test]
+fn a_searcher_without_connection_is_marked_and_not_fallen_back_on() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(3);
+    settle_in(&mut rig, 12);
+    rig.scan(0, 9);
+    let sent = rig.trace();
+    let at_1 = sent.lines().filter(|l| l.ends_with("-> s1")).filter_map(|l| l.split(' ').rev().nth(2));
+    for part in at_1.filter_map(|p| p.parse().ok()) {
+        rig.ends(part, 0, 1, Ending::ConnectFailed, 1.0);
+    }
+    rig.pass(20.0);
+    rig.scan(0, 1);
+    rig.tell(vec![Event::List {
+        kind: ListKind::Changes,
+        lines: vec![line(2, 0.0, Life::Gone), line(3, 0.0, Life::Gone)],
+    }]);
+    rig.scan(0, 1);
+    assert_snapshot!(rig.trace());
+}
