--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,7 +51,7 @@
                 self.busy.sent(now, self.norms.work[kind]);
                 let open = |s: &Slice| now - s.from < Self::SLICE_MS + self.offset || s.sent < Self::FEW;
                 if !self.slices.last().is_some_and(open) {
-                    self.slices.push(Slice { from: now, sent: 0, sum: 0.0, out: Vec::new() });
+                    self.slices.push(Slice { from: now, sent: 0, sum: 0.0, sound: true, out: Vec::new() });
                     self.offset = 0.0;
                 }
                 if let Some(slice) = self.slices.last_mut() {
@@ -70,6 +70,8 @@
                 if let Some(slice) = self.slices.iter_mut().find(held) {
                     slice.out.retain(|l| l.0 != leg);
                     slice.sum += share;
+                    // Failing is not being slow: it must not lift the median that all are held against.
+                    slice.sound &= !matches!(ending, Ending::Error | Ending::ConnectFailed | Ending::Reset);
                     let good = share <= self.norms.limit && ending == Ending::Ok;
                     if self.tile.trial && !good && ending != Ending::Cancelled {
                         self.mark(share, post);
@@ -118,7 +120,9 @@
             let ripe = slice.sent >= Self::FEW && (over || mean > limit);
             if ripe {
                 worst = mean.max(worst);
-                post.put(GAUGE, Note::Slice(self.me, mean.min(limit)));
+                if slice.sound {
+                    post.put(GAUGE, Note::Slice(self.me, mean));
+                }
             }
             !ripe
         });
--- a/src/state.rs
+++ b/src/state.rs
@@ -75,6 +75,8 @@
     pub sent: u32,
     /// Shares of the parts that ended.
     pub sum: f64,
+    /// None of its parts failed.
+    pub sound: bool,
     /// Parts still out: table type and start.
     pub out: Vec<(Leg, usize, f64)>,
 }
