--- a/src/logic.rs
+++ b/src/logic.rs
@@ -223,8 +223,6 @@
 struct Door {
     customers: Vec<Customer>,
     seen: VecDeque<(f64, usize)>,
-    limit: f64,
-    cut_at: f64,
     shut_at: f64,
 }
 
@@ -238,13 +236,12 @@
 
     /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
     /// shares, as one mixer can't tell how much its peers see.
-    fn admits(&self, customer: usize, flights: usize, parts: f64) -> bool {
+    fn over(&self, customer: usize) -> bool {
         let shares: f64 = self.customers.iter().map(|c| c.scans_per_s).sum();
-        let over = self.customers.get(customer).is_some_and(|c| {
+        self.customers.get(customer).is_some_and(|c| {
             let own = self.seen.iter().filter(|s| s.1 == customer).count() as f64;
             own * shares > c.scans_per_s * self.seen.len() as f64 * 1.1
-        });
-        flights == 0 || flights as f64 + parts <= self.limit * if over { Self::OVER } else { 1.0 }
+        })
     }
 }
 
@@ -343,6 +340,15 @@
         if ending == Ending::Ok {
             post.put(GAUGE, Note::Heard(flight.kind, ms));
         }
+        let seat = &mut self.seats[flight.srv];
+        if ms > Self::PRESSED * self.types[flight.kind].target_ms {
+            if post.now - seat.cut_at > normal {
+                seat.limit = (seat.limit.min(f64::from(seat.calls + 1)) * Door::CUT).max(1.0);
+                seat.cut_at = post.now;
+            }
+        } else {
+            seat.limit += 1.0 / seat.limit;
+        }
         if ending != Ending::Moot {
             post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ending));
         }
@@ -536,12 +542,6 @@
         trim(&mut self.purse.taken, |t| *t < keep);
         trim(&mut self.purse.extras, |e| e.0 < keep);
         trim(&mut self.door.seen, |s| s.0 < now - Door::SEEN_MS);
-        let slow = |kind: &usize| self.typical(*kind) > Self::PRESSED * self.types[*kind].target_ms;
-        if (0..self.types.len()).filter(slow).any(|k| now - self.door.cut_at > self.typical(k)) {
-            let ready = self.seats.iter().filter(|s| s.life == Life::Ready).count() as f64;
-            self.door.limit = (self.door.limit.min(self.flights.len() as f64) * Door::CUT).max(ready);
-            self.door.cut_at = now;
-        }
     }
 
     /// Share of a target time that a part's best replica may take lately.
@@ -552,20 +552,20 @@
     /// latency outlasts its cause.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
         let most = Self::SLOW * (scan.target_at - now);
+        let over = self.door.over(scan.customer);
         let quick = |(_, _, srv): (u8, f64, usize)| {
-            let Seat { tile, calls, .. } = &self.seats[srv];
-            *calls == 0 || (tile.lat * self.norms.normal[scan.kind]).max(tile.age) <= most
+            let Seat { tile, calls, limit, .. } = &self.seats[srv];
+            let limit = if over { Door::OVER * limit } else { *limit };
+            *calls == 0 || tile.age <= most && f64::from(calls + 1) <= limit
         };
         let in_time = scan.weight(|p| self.replica(scan, p, now).is_some_and(quick));
-        let parts = scan.parts.len() as f64 * scan.need;
-        in_time + Self::HAIR >= scan.need && self.door.admits(scan.customer, self.flights.len(), parts)
+        in_time + Self::HAIR >= scan.need
     }
 
     fn complete(&mut self, at: usize, whole: bool, post: &mut Post) {
         let Some(scan) = self.scans.get_mut(&at) else { return };
         let whole = whole && scan.whole;
         post.out.push(Action::Complete { scan: scan.id, whole });
-        self.door.limit += 1.0;
         if scan.second || !self.types[scan.kind].second_step {
             return self.close(at, post);
         }
@@ -638,7 +638,7 @@
         let gauge = Gauge { normal, cores: 1.0, means: BTreeMap::new() };
         let norms = Rc::new(Norms { normal: start.clone(), work: start, cores: 1.0, limit: Gauge::MULTIPLE });
         let purse = Purse { stated: guards.budget, taken: VecDeque::new(), extras: VecDeque::new() };
-        let door = Door { customers, seen: VecDeque::new(), limit: f64::INFINITY, cut_at: 0.0, shut_at: 0.0 };
+        let door = Door { customers, seen: VecDeque::new(), shut_at: 0.0 };
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
         let mixers = f64::from(berth.mixers.max(1));
         #[rustfmt::skip]
@@ -677,8 +677,8 @@
             let offset = self.seed.rand_float() * Searcher::SLICE_MS;
             let (tile, slices, strikes, probe_at, busy) = (NEW, Vec::new(), 0, 0.0, Busy::default());
             self.srvs.push(Searcher { me, addr, norms, tile, slices, offset, strikes, probe_at, busy });
-            let (calls, spent) = (0, VecDeque::new());
-            self.desk.seats.push(Seat { addr, cell, since, life, tile, calls, spent });
+            let (calls, limit, cut_at, spent) = (0, f64::INFINITY, 0.0, VecDeque::new());
+            self.desk.seats.push(Seat { addr, cell, since, life, tile, calls, limit, cut_at, spent });
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -117,6 +117,9 @@
     pub life: Life,
     pub tile: Tile,
     pub calls: u32,
+    /// Of own calls out.
+    pub limit: f64,
+    pub cut_at: f64,
     /// Work sent to it lately.
     pub spent: VecDeque<(f64, f64)>,
 }
