--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 #[rustfmt::skip]
 struct Searcher {
     me: usize, addr: SocketAddrV4, norms: Rc<Norms>, tile: Tile,
-    slices: Vec<Slice>, offset: f64, strikes: u32, probe_at: f64, busy: Busy,
+    slices: Vec<Slice>, strikes: u32, probe_at: f64, busy: Busy,
 }
 
 impl Searcher {
@@ -49,10 +49,9 @@
             }
             Note::Sent(leg, kind) => {
                 self.busy.sent(now, self.norms.work[kind]);
-                let open = |s: &Slice| now - s.from < Self::SLICE_MS + self.offset || s.sent < Self::FEW;
+                let open = |s: &Slice| now - s.from < Self::SLICE_MS || s.sent < Self::FEW;
                 if !self.slices.last().is_some_and(open) {
                     self.slices.push(Slice { from: now, sent: 0, sum: 0.0, sound: true, out: Vec::new() });
-                    self.offset = 0.0;
                 }
                 if let Some(slice) = self.slices.last_mut() {
                     slice.sent += 1;
@@ -219,7 +218,7 @@
     }
 }
 
-/// The door: how many parts may be in flight, and whose go first.
+/// The door: whose scans go first, and when one was last turned away.
 struct Door {
     customers: Vec<Customer>,
     seen: VecDeque<(f64, usize)>,
@@ -227,9 +226,7 @@
 }
 
 impl Door {
-    /// What a cut leaves of the limit.
-    const CUT: f64 = 0.8;
-    /// Of the limit, what a customer over its share may fill.
+    /// Of a searcher's limit, what a customer over its share may fill.
     const OVER: f64 = 0.8;
     /// Span in which customers' shares of the scans are compared: some tens of scans.
     const SEEN_MS: f64 = 5000.0;
@@ -260,8 +257,6 @@
     const HAIR: f64 = 1e-5;
     /// Of a target time, what a marked retry is taken to have left: the middle of none and all.
     const RETRY_LEFT: f64 = 0.5;
-    /// What a failed part is filed at, in multiples: a slice of which half failed marks.
-    const FAILED: f64 = 2.0;
     /// Final answers leave so long before the time is up: a periodic timer and some slack.
     const AHEAD_MS: f64 = 30.0;
 
@@ -285,12 +280,11 @@
                 let target_at = now + left.min(terms.query_timeout_ms) - Self::AHEAD_MS;
                 let gone_at = gone_at - Self::AHEAD_MS;
                 let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
-                let (whole, second) = (true, false);
                 #[rustfmt::skip]
-                let scan = Scan {
-                    id, number, kind, customer, target_at, gone_at, parts, need, floor, whole, second,
-                };
-                let at = self.next();
+                let scan = Scan { id, number, kind, customer, target_at, gone_at, parts, need, floor,
+                    whole: true, second: false };
+                self.next += 1;
+                let at = self.next;
                 self.scans.insert(at, scan);
                 self.owners.insert(id, (at, usize::MAX));
                 self.due.add(target_at, Due::Target(at));
@@ -311,44 +305,34 @@
                     self.close(at, post);
                 }
             }
-            Note::Tick => self.press(now),
+            Note::Tick => {
+                let window_ms = self.purse.stated.map_or(0.0, |b| b.window_ms).max(Purse::OWN.window_ms);
+                trim(&mut self.purse.taken, |t| *t < now - window_ms - 10.0);
+                trim(&mut self.purse.extras, |e| e.0 < now - window_ms - 10.0);
+                trim(&mut self.door.seen, |s| s.0 < now - Door::SEEN_MS);
+            }
             Note::Settle => self.settle(post),
             _ => {}
         }
     }
 
-    fn next(&mut self) -> usize {
-        self.next += 1;
-        self.next
-    }
-
     fn ended(&mut self, leg: Leg, ending: Ending, took: f64, post: &mut Post) {
         let Some(flight) = self.flights.remove(&leg) else { return };
         if !self.flights.values().any(|f| f.call == flight.call) {
             self.seats[flight.srv].calls -= 1;
         }
         // Failing must never look fast (errors, a dead zone's resets): it is filed at no less than the
-        // time it was allowed, and over the multiple, as a jam lifts the median above any time allowed.
-        // Called off, a part counts with its age, and as normal at least.
+        // time it was allowed. Called off, a part counts with its age, and as normal at least.
         let normal = self.norms.normal[flight.kind];
         let ms = match ending {
             Ending::Ok => took,
             Ending::Cancelled | Ending::Moot => took.max(normal),
-            Ending::Full | Ending::TimedOut => took.max(flight.allotted),
-            _ => flight.allotted.max(Self::FAILED * self.norms.limit * normal),
+            _ => took.max(flight.allotted),
         };
         if ending == Ending::Ok {
             post.put(GAUGE, Note::Heard(flight.kind, ms));
         }
-        let seat = &mut self.seats[flight.srv];
-        if ms > Self::PRESSED * self.types[flight.kind].target_ms {
-            if post.now - seat.cut_at > normal {
-                seat.limit = (seat.limit.min(f64::from(seat.calls + 1)) * Door::CUT).max(1.0);
-                seat.cut_at = post.now;
-            }
-        } else {
-            seat.limit += 1.0 / seat.limit;
-        }
+        self.adapt(&flight, ms, post.now);
         if ending != Ending::Moot {
             post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ending));
         }
@@ -472,6 +456,7 @@
     /// The replica rule: least smoothed latency times one plus own calls out. Marked ones come last: when
     /// all are marked, the least bad serves.
     fn replica(&self, scan: &Scan, part: &Part, now: f64) -> Option<(u8, f64, usize)> {
+        let lot = |c: &(u8, f64, usize)| (c.0, c.1, self.seats[c.2].lot);
         let choices = self.holders(part.shard).filter_map(|srv| {
             let seat = &self.seats[srv];
             let tried = part.sent.iter().any(|s| s.0 == srv);
@@ -480,7 +465,7 @@
             let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried);
             able.then_some((tier, seat.tile.lat * f64::from(1 + calls), srv))
         });
-        choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal))
+        choices.min_by(|a, b| lot(a).partial_cmp(&lot(b)).unwrap_or(Equal))
     }
 
     /// What a mixer may send a cold searcher in a fall window: its part of the multiple of what warm ones
@@ -500,8 +485,8 @@
         let (now, work) = (post.now, self.work(kind, srv));
         if !self.shared(srv) {
             self.seats[srv].calls += 1;
-            let call = self.next();
-            self.this_turn.insert(srv, (call, 0));
+            self.next += 1;
+            self.this_turn.insert(srv, (self.next, 0));
         }
         let Some(scan) = self.scans.get_mut(&at) else { return };
         let Some((call, parts)) = self.this_turn.get_mut(&srv) else { return };
@@ -526,30 +511,31 @@
         post.put(SRVS + srv, Note::Sent(leg, kind));
     }
 
-    /// How long a part takes now, at the middle of the searchers.
-    fn typical(&self, kind: usize) -> f64 {
-        let usable = self.seats.iter().filter(|s| s.life == Life::Ready && !s.tile.marked);
-        median(usable.map(|s| s.tile.lat), 1).unwrap_or(1.0) * self.norms.normal[kind]
-    }
-
-    /// Share of a target time that a typical part may take: its scan waits for the slowest of several.
-    const PRESSED: f64 = 0.35;
+    /// Share of a target time that a part may take: its scan waits for the slowest of several. Tried at
+    /// 0.35 too, which refuses more on days without jams.
+    const PRESSED: f64 = 0.5;
+    /// What a cut leaves of a limit.
+    const CUT: f64 = 0.8;
 
-    /// The limit on parts in flight grows by one with every completion and is cut by a share, once a
-    /// latency, while the middle searcher is too slow for a target time; a part a searcher always fits.
-    fn press(&mut self, now: f64) {
-        let keep = now - self.purse.stated.map_or(0.0, |b| b.window_ms).max(Purse::OWN.window_ms) - 10.0;
-        trim(&mut self.purse.taken, |t| *t < keep);
-        trim(&mut self.purse.extras, |e| e.0 < keep);
-        trim(&mut self.door.seen, |s| s.0 < now - Door::SEEN_MS);
+    /// The limit on own calls out at a searcher grows by one in a latency of parts that came in time, and
+    /// is cut by a share, once a latency, when one took too long. Guards against hot spots and jams of any
+    /// cause; harms a searcher that met one heavy scan, for some latencies.
+    fn adapt(&mut self, flight: &Flight, ms: f64, now: f64) {
+        let seat = &mut self.seats[flight.srv];
+        if ms <= Self::PRESSED * self.types[flight.kind].target_ms {
+            seat.limit += 1.0 / seat.limit;
+        } else if now - seat.cut_at > self.norms.normal[flight.kind] {
+            seat.limit = (seat.limit.min(f64::from(seat.calls + 1)) * Self::CUT).max(1.0);
+            seat.cut_at = now;
+        }
     }
 
-    /// Share of a target time that a part's best replica may take lately.
+    /// Share of what is left to the target that our oldest part at a replica may have waited.
     const SLOW: f64 = 0.6;
 
-    /// What cannot come in time is refused at the door, by the replicas that it needs. Guards against hot
-    /// spots that the limit, which follows the middle of the fleet, can't see; harms while a smoothed
-    /// latency outlasts its cause.
+    /// What cannot come in time is refused at the door: when too few of the replicas that it needs have
+    /// room under their limits and no old part of ours. One call always fits, as without it nothing would
+    /// be learnt; so marked replicas get one at a time.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
         let most = Self::SLOW * (scan.target_at - now);
         let over = self.door.over(scan.customer);
@@ -587,8 +573,8 @@
         }
         let unrun = scan.parts.iter().all(Part::proved_unrun);
         if !scan.second && (unrun || self.types[scan.kind].repeat != Repeat::NonReplayable) {
-            let back_in_ms = self.permits.back_in_ms.map(|most| (2.0 * self.typical(scan.kind)).min(most));
-            post.out.push(Action::Throttle { scan: id, back_in_ms });
+            // The longest that clients respect: shorter ones were measured to change nothing in a jam.
+            post.out.push(Action::Throttle { scan: id, back_in_ms: self.permits.back_in_ms });
         } else {
             post.out.push(Action::Abandon { scan: id });
         }
@@ -612,7 +598,7 @@
 /// One mixer: the actors, their loop, and the index of searchers at the door.
 #[rustfmt::skip]
 pub struct Mixer {
-    seed: Rand64, ids: HashMap<SocketAddrV4, usize>, subscribe_at: f64, next_tick: f64,
+    seed: Rand64, zone: u16, ids: HashMap<SocketAddrV4, usize>, subscribe_at: f64, next_tick: f64,
     srvs: Vec<Searcher>, gauge: Gauge, desk: Desk, post: Post,
 }
 
@@ -647,7 +633,17 @@
             owners: HashMap::new(), this_turn: BTreeMap::new() };
         let post = Post { now: 0.0, boxes: vec![VecDeque::new(), VecDeque::new()], out: Vec::new() };
         let (seed, ids, srvs) = (Rand64::new(u128::from(seed)), HashMap::new(), Vec::new());
-        Self { seed, ids, subscribe_at, next_tick: f64::NEG_INFINITY, srvs, gauge, desk, post }
+        Self {
+            seed,
+            zone: berth.zone,
+            ids,
+            subscribe_at,
+            next_tick: f64::NEG_INFINITY,
+            srvs,
+            gauge,
+            desk,
+            post,
+        }
     }
 
     /// The list: a searcher is known by its address; a new start voids its past.
@@ -660,11 +656,11 @@
             let missing = |s: &&mut Seat| !lines.iter().any(|l| l.searcher == s.addr);
             self.desk.seats.iter_mut().filter(missing).for_each(|s| s.life = Life::Gone);
         }
-        for Listed { searcher: addr, cell, since, life, .. } in lines {
+        for Listed { searcher: addr, cell, zone, since, life } in lines {
             if let Some(&srv) = self.ids.get(&addr) {
                 let seat = &mut self.desk.seats[srv];
                 if seat.since != since && life == Life::Ready {
-                    seat.since = since;
+                    (seat.since, seat.limit) = (since, f64::INFINITY);
                     self.post.put(SRVS + srv, Note::Renewed);
                 }
                 (seat.cell, seat.life) = (cell, life);
@@ -673,12 +669,13 @@
             let (me, norms) = (self.srvs.len(), self.desk.norms.clone());
             self.ids.insert(addr, me);
             self.post.boxes.push(VecDeque::new());
-            // Mixers must not all judge, and so all shift their load, at the same moment.
-            let offset = self.seed.rand_float() * Searcher::SLICE_MS;
             let (tile, slices, strikes, probe_at, busy) = (NEW, Vec::new(), 0, 0.0, Busy::default());
-            self.srvs.push(Searcher { me, addr, norms, tile, slices, offset, strikes, probe_at, busy });
+            self.srvs.push(Searcher { me, addr, norms, tile, slices, strikes, probe_at, busy });
+            // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
+            // must not prefer the same.
+            let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
             let (calls, limit, cut_at, spent) = (0, f64::INFINITY, 0.0, VecDeque::new());
-            self.desk.seats.push(Seat { addr, cell, since, life, tile, calls, limit, cut_at, spent });
+            self.desk.seats.push(Seat { addr, cell, since, life, tile, lot, calls, limit, cut_at, spent });
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,6 +116,8 @@
     pub since: f64,
     pub life: Life,
     pub tile: Tile,
+    /// Decides between equals.
+    pub lot: f64,
     pub calls: u32,
     /// Of own calls out.
     pub limit: f64,
