--- a/src/logic.rs
+++ b/src/logic.rs
@@ -573,7 +573,6 @@
         }
         let unrun = scan.parts.iter().all(Part::proved_unrun);
         if !scan.second && (unrun || self.types[scan.kind].repeat != Repeat::NonReplayable) {
-            // The longest that clients respect: shorter ones were measured to change nothing in a jam.
             post.out.push(Action::Throttle { scan: id, back_in_ms: self.permits.back_in_ms });
         } else {
             post.out.push(Action::Abandon { scan: id });
@@ -710,6 +709,9 @@
                 told => self.post.put(DESK, Note::Told(told)),
             }
         }
+        // All that happened is known before ages are judged: a mixer that stood still itself would take its
+        // own pause for that of every searcher.
+        self.run();
         if now >= self.next_tick {
             self.next_tick = now + Self::TICK_MS;
             self.post.out.push(Action::WakeAt { at: self.next_tick });
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -95,6 +95,11 @@
         self.now = end;
     }
 
+    /// The mixer stands still: no tick comes.
+    pub fn stall(&mut self, ms: f64) {
+        self.now += ms;
+    }
+
     /// A scan of so many parts of equal weight: scan 100, parts 101 and on; the next is 200.
     pub fn scan(&mut self, table_type: usize, parts: u32) {
         self.scans += 1;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -239,3 +239,16 @@
     rig.scan(0, 1);
     assert_snapshot!(rig.trace());
 }
+
+#[test]
+fn a_mixer_that_stood_still_marks_nobody_for_it() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(1);
+    settle_in(&mut rig, 12);
+    rig.scan(0, 4);
+    rig.stall(900.0);
+    let ended =
+        |part| Event::Ended { part, dispatch: 0, searcher: searcher(1), ending: Ending::Ok, took_ms: 100.0 };
+    rig.tell((1301..=1304).map(ended).collect());
+    assert_snapshot!(rig.trace());
+}
