--- a/src/logic.rs
+++ b/src/logic.rs
@@ -218,11 +218,10 @@
     }
 }
 
-/// The door: whose scans go first, and when one was last turned away.
+/// The door: whose scans go first.
 struct Door {
     customers: Vec<Customer>,
     seen: VecDeque<(f64, usize)>,
-    shut_at: f64,
 }
 
 impl Door {
@@ -378,9 +377,7 @@
                     let terms = &self.types[scan.kind];
                     let partial =
                         if scan.have() + Self::HAIR >= scan.floor { scan.have() / scan.need } else { 0.0 };
-                    // While the door turns scans away, late ones make room for those that can still be met.
-                    let shut = post.now - self.door.shut_at < terms.target_ms;
-                    if shut || terms.late_share <= partial * terms.partial_share {
+                    if terms.late_share <= partial * terms.partial_share {
                         self.end(at, post);
                     }
                 }
@@ -402,7 +399,6 @@
         }
         let fresh = !scan.second && scan.parts.iter().all(|p| p.sent.is_empty());
         if fresh && !self.admits(scan, now) {
-            self.door.shut_at = now;
             return self.end(at, post);
         }
         while let Some(scan) = self.scans.get(&at).filter(|s| s.coming() + Self::HAIR < s.need) {
@@ -623,7 +619,7 @@
         let gauge = Gauge { normal, cores: 1.0, means: BTreeMap::new() };
         let norms = Rc::new(Norms { normal: start.clone(), work: start, cores: 1.0, limit: Gauge::MULTIPLE });
         let purse = Purse { stated: guards.budget, taken: VecDeque::new(), extras: VecDeque::new() };
-        let door = Door { customers, seen: VecDeque::new(), shut_at: 0.0 };
+        let door = Door { customers, seen: VecDeque::new() };
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
         let mixers = f64::from(berth.mixers.max(1));
         #[rustfmt::skip]
