--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 #[rustfmt::skip]
 struct Searcher {
     me: usize, addr: SocketAddrV4, norms: Rc<Norms>, tile: Tile,
-    slices: Vec<Slice>, strikes: u32, probe_at: f64, busy: Busy,
+    slices: Vec<Slice>, probe_at: f64, busy: Busy,
 }
 
 impl Searcher {
@@ -33,7 +33,7 @@
     const SMOOTH: f64 = 0.2;
     /// A latency that nothing confirms fades to the average in about this time, some slices long.
     const FADE_MS: f64 = 5000.0;
-    /// First probe of a marked searcher, one slice after the mark; doubled by every relapse, to 8 s.
+    /// A marked searcher is probed as often as a slice is long; longer waits after relapses gained nothing.
     const PROBE_MS: f64 = 500.0;
 
     /// Parts of ours out at once from which on a stretch of work shows what a searcher can bear.
@@ -44,7 +44,7 @@
         match note {
             // A new process has nothing of the old one's past.
             Note::Renewed => {
-                (self.tile, self.strikes, self.busy.ok) = (NEW, 0, false);
+                (self.tile, self.busy.ok) = (NEW, false);
                 self.slices.clear();
             }
             Note::Sent(leg, kind) => {
@@ -93,7 +93,7 @@
                 self.tile.lat += (1.0 - self.tile.lat) * Mixer::TICK_MS / Self::FADE_MS;
                 self.judge(post);
                 if self.tile.marked && now >= self.probe_at && probing {
-                    self.probe_at = now + self.rest();
+                    self.probe_at = now + Self::PROBE_MS;
                     post.out.push(Action::Probe { searcher: self.addr });
                 }
             }
@@ -127,18 +127,11 @@
         });
         if worst > limit {
             self.mark(worst, post);
-        } else if worst > 0.0 {
-            self.strikes = 0;
         }
     }
 
-    fn rest(&self) -> f64 {
-        Self::PROBE_MS * f64::from(1u32 << self.strikes.min(4))
-    }
-
     fn mark(&mut self, mean: f64, post: &mut Post) {
-        (self.tile.marked, self.probe_at) = (true, post.now + self.rest());
-        self.strikes += 1;
+        (self.tile.marked, self.probe_at) = (true, post.now + Self::PROBE_MS);
         post.out.push(Action::Log { line: format!("{} marked at {mean:.1} normals", self.addr) });
     }
 }
@@ -664,8 +657,8 @@
             let (me, norms) = (self.srvs.len(), self.desk.norms.clone());
             self.ids.insert(addr, me);
             self.post.boxes.push(VecDeque::new());
-            let (tile, slices, strikes, probe_at, busy) = (NEW, Vec::new(), 0, 0.0, Busy::default());
-            self.srvs.push(Searcher { me, addr, norms, tile, slices, strikes, probe_at, busy });
+            let (tile, slices, probe_at, busy) = (NEW, Vec::new(), 0.0, Busy::default());
+            self.srvs.push(Searcher { me, addr, norms, tile, slices, probe_at, busy });
             // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
             // must not prefer the same.
             let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
