--- a/src/logic.rs
+++ b/src/logic.rs
@@ -557,7 +557,9 @@
     fn end(&mut self, at: usize, post: &mut Post) {
         let Some(scan) = self.scans.get(&at) else { return };
         let (id, have) = (scan.id, scan.have() + Self::HAIR);
-        if have > 2.0 * Self::HAIR && have >= scan.floor {
+        // A first answer at the last moment would open a second step that nothing can end in time.
+        let opens = !scan.second && self.types[scan.kind].second_step && post.now >= scan.gone_at;
+        if have > 2.0 * Self::HAIR && have >= scan.floor && !opens {
             return self.complete(at, have >= scan.need, post);
         }
         let unrun = scan.parts.iter().all(Part::proved_unrun);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -252,3 +252,16 @@
     rig.tell((1301..=1304).map(ended).collect());
     assert_snapshot!(rig.trace());
 }
+
+#[test]
+fn no_second_step_is_opened_when_the_time_is_up() {
+    let mut two = table_type(Repeat::Replayable, 1.0);
+    (two.second_step, two.floor) = (true, 0.5);
+    let mut rig = Rig::new(vec![two], None);
+    rig.warm(2);
+    rig.scan(0, 2);
+    rig.pass(1500.0); // past the target time, with nothing in
+    rig.ends(101, 0, 1, Ending::Ok, 1500.0);
+    rig.pass(600.0);
+    assert_snapshot!(rig.trace());
+}
