--- a/src/logic.rs
+++ b/src/logic.rs
@@ -458,9 +458,9 @@
     }
 
     /// What a mixer may send a cold searcher in a fall window: its part of the multiple of what warm ones
-    /// bore, at that age, if it warms up as slowly as it may; no share is held back, as work is estimated
-    /// with some waiting in it (hunts saw a third of the limit). Guards against newcomers, restarts and
-    /// returns alike; harms when most of the fleet is cold, as the rest must then carry it.
+    /// bore, at that age, if it warms up as slowly as it may. No share is held back, as the work estimate
+    /// has some waiting in it. Guards against newcomers, restarts and returns alike; harms when most of the
+    /// fleet is cold, as the rest must then carry it.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
