Work in a turn follows what happened in it, not the size of the fleet

Cause: every tick went to every searcher, each note looked along all inboxes, holders were found by a walk over all searchers, every open scan was looked at each turn, budgets and shares counted whole windows. Now: a set of full inboxes, ticks only for who has a slice open or is marked, holders by cell, scans that were touched or wait for room, running counts, places of searchers that are gone used again. Decisions meant to be the same; the smoothed latency fades when read. Could harm: a list that renames cells often.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! inboxes that [`Mixer::run`] empties.
 
 use std::cmp::Ordering::Equal;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -15,7 +15,7 @@
 use crate::state::*;
 
 /// A searcher that is not yet heard from counts as average.
-const NEW: Tile = Tile { lat: 1.0, age: 0.0, marked: false, trial: false, down: false };
+const NEW: Tile = Tile { lat: 1.0, lat_at: 0.0, age: 0.0, marked: false, trial: false, down: false };
 
 /// One searcher, watched by slices.
 #[rustfmt::skip]
@@ -47,7 +47,8 @@
                 (self.tile, self.busy.ok) = (NEW, false);
                 self.slices.clear();
             }
-            Note::Sent(leg, kind) => {
+            Note::Sent(leg, kind, norms) => {
+                self.norms = norms;
                 self.busy.sent(now, self.norms.work[kind]);
                 let open = |s: &Slice| now - s.from < Self::SLICE_MS || s.sent < Self::FEW;
                 if !self.slices.last().is_some_and(open) {
@@ -63,7 +64,8 @@
                 if self.busy.ended(ending == Ending::Ok) && self.busy.most >= Self::CROWD {
                     post.put(GAUGE, Note::Bore(self.busy.work / (now - self.busy.from).max(1.0)));
                 }
-                self.tile.lat += Self::SMOOTH * (share - self.tile.lat);
+                let lat = Self::faded(&self.tile, now);
+                (self.tile.lat, self.tile.lat_at) = (lat + Self::SMOOTH * (share - lat), now);
                 self.tile.down = matches!(ending, Ending::ConnectFailed | Ending::Reset);
                 let held = |s: &&mut Slice| s.out.iter().any(|l| l.0 == leg);
                 if let Some(slice) = self.slices.iter_mut().find(held) {
@@ -90,7 +92,6 @@
             }
             Note::Norms(norms) => self.norms = norms,
             Note::Tick => {
-                self.tile.lat += (1.0 - self.tile.lat) * Mixer::TICK_MS / Self::FADE_MS;
                 self.judge(post);
                 if self.tile.marked && now >= self.probe_at && probing {
                     self.probe_at = now + Self::PROBE_MS;
@@ -102,9 +103,19 @@
         if self.tile.marked {
             self.slices.clear();
         }
+        // Work follows what happens: only who is marked or has a slice open is told of the periodic timer.
+        if self.tile.marked || !self.slices.is_empty() {
+            post.awake.insert(SRVS + self.me);
+        } else {
+            post.awake.remove(&(SRVS + self.me));
+        }
         post.put(DESK, Note::Tile(self.me, self.tile));
     }
 
+    fn faded(tile: &Tile, now: f64) -> f64 {
+        1.0 + (tile.lat - 1.0) * ((tile.lat_at - now) / Self::FADE_MS).exp()
+    }
+
     /// A slice is judged when it is over and its parts have ended, or as soon as the ages of those still
     /// out lift its average over the multiple. The latter guards against a hang, which would show only
     /// with the last time-out; it harms a searcher whose few parts are all heavy, until its next probe.
@@ -141,6 +152,8 @@
     normal: Vec<(f64, f64, f64)>,
     cores: f64,
     means: BTreeMap<usize, f64>,
+    median: f64,
+    news: (bool, bool), // of anything, of slices
 }
 
 impl Gauge {
@@ -155,6 +168,7 @@
     const FEW: usize = 3;
 
     fn note(&mut self, note: Note, post: &mut Post) {
+        self.news.0 |= !matches!(note, Note::Tick);
         match note {
             Note::Heard(kind, ms) => {
                 let (normal, heard, work) = &mut self.normal[kind];
@@ -173,47 +187,57 @@
                 let step = if rate > self.cores { 4.0 * Self::STEPS.1 } else { -Self::STEPS.1 } / 5.0;
                 self.cores = (self.cores * (1.0 + step)).max(1.0);
             }
-            Note::Slice(srv, mean) => drop(self.means.insert(srv, mean)),
-            Note::Tick => {
+            Note::Slice(srv, mean) => {
+                self.means.insert(srv, mean);
+                self.news.1 = true;
+            }
+            Note::Tick if self.news.0 => {
                 // All slow: the median moves, and nobody is marked.
-                let median = median(self.means.values().copied(), Self::FEW).unwrap_or(1.0);
+                if self.news.1 {
+                    self.median = median(self.means.values().copied(), Self::FEW).unwrap_or(1.0);
+                }
+                self.news = (false, false);
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
-                let norms =
-                    Rc::new(Norms { normal, work, cores: self.cores, limit: Self::MULTIPLE * median });
-                let readers = (0..post.boxes.len()).filter(|to| *to != GAUGE);
-                readers.for_each(|to| post.put(to, Note::Norms(norms.clone())));
+                let limit = Self::MULTIPLE * self.median;
+                let norms = Rc::new(Norms { normal, work, cores: self.cores, limit });
+                for to in post.awake.clone() {
+                    post.put(to, Note::Norms(norms.clone()));
+                }
+                post.put(DESK, Note::Norms(norms));
             }
             _ => {}
         }
     }
 }
 
-/// The budget of further dispatches, stated or our own. An extra is a further dispatch, or a part caught
-/// for its own lateness; the latter counts against ours alone.
+/// A budget: of further dispatches, stated or our own, and of parts caught for their own lateness.
 struct Purse {
-    stated: Option<Budget>,
+    budget: Budget,
     taken: VecDeque<f64>,
-    extras: VecDeque<(f64, bool)>,
+    extras: VecDeque<f64>,
 }
 
 impl Purse {
     /// Our own: a tenth of the parts, and a few; more was measured to feed overload.
     const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
 
+    fn of(budget: Budget) -> Self {
+        Self { budget, taken: VecDeque::new(), extras: VecDeque::new() }
+    }
+
     /// One more fits. A millisecond is added to the window of what was sent and taken off that of what was
     /// taken, so that its edges can't matter.
-    fn fits(&self, late: bool, now: f64) -> bool {
-        let b = self.stated.filter(|_| !late).unwrap_or(Self::OWN);
-        let from = now - b.window_ms;
-        let sent = self.extras.iter().filter(|e| e.1 == late && e.0 >= from - 1.0).count() as f64;
-        let taken = self.taken.iter().filter(|t| **t >= from + 1.0).count() as f64;
-        sent + 1.0 <= b.free + b.share * taken
+    fn fits(&mut self, now: f64) -> bool {
+        let from = now - self.budget.window_ms;
+        trim(&mut self.extras, |e| *e < from - 1.0);
+        trim(&mut self.taken, |t| *t < from + 1.0);
+        self.extras.len() as f64 + 1.0 <= self.budget.free + self.budget.share * self.taken.len() as f64
     }
 }
 
 /// The door: whose scans go first.
 struct Door {
-    customers: Vec<Customer>,
+    customers: Vec<(Customer, usize)>, // and the scans seen
     seen: VecDeque<(f64, usize)>,
 }
 
@@ -223,14 +247,22 @@
     /// Span in which customers' shares of the scans are compared: some tens of scans.
     const SEEN_MS: f64 = 5000.0;
 
+    fn see(&mut self, customer: usize, now: f64) {
+        if let Some(c) = self.customers.get_mut(customer) {
+            c.1 += 1;
+            self.seen.push_back((now, customer));
+        }
+        while let Some((_, old)) = self.seen.pop_front_if(|s| s.0 < now - Self::SEEN_MS) {
+            self.customers[old].1 -= 1;
+        }
+    }
+
     /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
     /// shares, as one mixer can't tell how much its peers see.
     fn over(&self, customer: usize) -> bool {
-        let shares: f64 = self.customers.iter().map(|c| c.scans_per_s).sum();
-        self.customers.get(customer).is_some_and(|c| {
-            let own = self.seen.iter().filter(|s| s.1 == customer).count() as f64;
-            own * shares > c.scans_per_s * self.seen.len() as f64 * 1.1
-        })
+        let shares: f64 = self.customers.iter().map(|c| c.0.scans_per_s).sum();
+        let own = self.customers.get(customer);
+        own.is_some_and(|c| c.1 as f64 * shares > c.0.scans_per_s * self.seen.len() as f64 * 1.1)
     }
 }
 
@@ -238,10 +270,13 @@
 #[rustfmt::skip]
 struct Desk {
     types: Vec<TableType>, layout: Layout, guards: Guards, permits: Permits, mixers: f64,
-    norms: Rc<Norms>, seats: Vec<Seat>, purse: Purse, door: Door, next: usize,
+    norms: Rc<Norms>, seats: Vec<Seat>, cells: Vec<Vec<usize>>, door: Door, next: usize,
+    further: Purse, late: Purse,
     scans: BTreeMap<usize, Scan>, flights: BTreeMap<Leg, Flight>, due: Agenda,
     owners: HashMap<u64, (usize, usize)>, // of a scan or part: the scan's index, and the part's in it
-    this_turn: BTreeMap<usize, (usize, u32)>, // the call to each searcher, and its parts
+    this_turn: BTreeMap<usize, (Rc<()>, u32)>, // the call to each searcher, and its parts
+    touched: BTreeSet<usize>, // scans to look at in this turn
+    short: BTreeSet<usize>, // scans that lack parts and wait for room
 }
 
 impl Desk {
@@ -258,13 +293,15 @@
             Note::Tile(srv, tile) => {
                 let caught = tile.marked && !self.seats[srv].tile.marked;
                 self.seats[srv].tile = tile;
-                let legs = self.flights.iter().filter(|(_, f)| caught && f.srv == srv);
-                legs.map(|(leg, _)| leg.0).collect::<Vec<_>>().into_iter().for_each(|id| self.catch(id));
+                if caught {
+                    let legs = self.flights.iter().filter(|(_, f)| f.srv == srv).map(|(leg, _)| leg.0);
+                    legs.collect::<Vec<_>>().into_iter().for_each(|id| self.catch(id));
+                }
             }
             Note::Norms(norms) => self.norms = norms,
             Note::Told(Event::Scan { id, number, table_type: kind, customer, gone_at, work_ms, retry }) => {
-                self.purse.taken.push_back(now);
-                self.door.seen.push_back((now, customer));
+                self.taken(now);
+                self.door.see(customer, now);
                 let Some(terms) = self.types.get(kind) else { return };
                 let target = terms.target_ms + terms.target_stretch * work_ms.unwrap_or(0.0);
                 // A client that comes back has waited since its first try, up to its whole target time.
@@ -283,10 +320,11 @@
                 self.due.add(gone_at, Due::Gone(at));
             }
             Note::Told(Event::Part { id, number, shard, weight }) => {
-                self.purse.taken.push_back(now);
+                self.taken(now);
                 let Some((at, scan)) = self.scans.iter_mut().rfind(|s| s.1.number == number) else { return };
                 self.owners.insert(id, (*at, scan.parts.len()));
                 let (state, caught, sent, taken_at) = (State::Unsent, false, Vec::new(), now);
+                self.touched.insert(*at);
                 scan.parts.push(Part { id, shard, weight, state, caught, sent, taken_at });
             }
             Note::Told(Event::Ended { part, dispatch, ending, took_ms, .. }) => {
@@ -297,20 +335,20 @@
                     self.close(at, post);
                 }
             }
-            Note::Tick => {
-                let window_ms = self.purse.stated.map_or(0.0, |b| b.window_ms).max(Purse::OWN.window_ms);
-                trim(&mut self.purse.taken, |t| *t < now - window_ms - 10.0);
-                trim(&mut self.purse.extras, |e| e.0 < now - window_ms - 10.0);
-                trim(&mut self.door.seen, |s| s.0 < now - Door::SEEN_MS);
-            }
+            Note::Tick => self.touched.append(&mut self.short),
             Note::Settle => self.settle(post),
             _ => {}
         }
     }
 
+    fn taken(&mut self, now: f64) {
+        self.further.taken.push_back(now);
+        self.late.taken.push_back(now);
+    }
+
     fn ended(&mut self, leg: Leg, ending: Ending, took: f64, post: &mut Post) {
         let Some(flight) = self.flights.remove(&leg) else { return };
-        if !self.flights.values().any(|f| f.call == flight.call) {
+        if Rc::strong_count(&flight.call) == 1 {
             self.seats[flight.srv].calls -= 1;
         }
         // Failing must never look fast (errors, a dead zone's resets): it is filed at no less than the
@@ -353,6 +391,7 @@
         let Some(&(at, nth)) = self.owners.get(&id) else { return };
         let Some(part) = self.scans.get_mut(&at).map(|s| &mut s.parts[nth]) else { return };
         part.caught = part.state == State::Out && part.sent.len() == 1;
+        self.touched.insert(at);
     }
 
     /// What the turn leaves to do: due times first, then every scan that lacks parts on the way.
@@ -361,8 +400,8 @@
             match due {
                 // Late on its own, before its searcher is marked; within our own budget, as under overload
                 // everything is late and replacing it all would be the worse load.
-                Due::Late(leg) if self.flights.contains_key(&leg) && self.purse.fits(true, post.now) => {
-                    self.purse.extras.push_back((post.now, true));
+                Due::Late(leg) if self.flights.contains_key(&leg) && self.late.fits(post.now) => {
+                    self.late.extras.push_back(post.now);
                     self.catch(leg.0);
                 }
                 Due::Target(at) => {
@@ -378,8 +417,9 @@
                 Due::Late(_) => {}
             }
         }
-        let open: Vec<usize> = self.scans.keys().copied().collect();
-        open.into_iter().for_each(|at| self.advance(at, post));
+        while let Some(at) = self.touched.pop_first() {
+            self.advance(at, post);
+        }
         self.this_turn.clear();
     }
 
@@ -394,12 +434,14 @@
         if fresh && !self.admits(scan, now) {
             return self.end(at, post);
         }
-        while let Some(scan) = self.scans.get(&at).filter(|s| s.coming() + Self::HAIR < s.need) {
+        while self.scans.get(&at).is_some_and(|s| s.coming() + Self::HAIR < s.need) {
+            let affords = self.further.fits(now);
+            let Some(scan) = self.scans.get(&at) else { return };
             let choices = scan.parts.iter().enumerate().filter_map(|(nth, part)| {
                 let (first, copy) = (part.state == State::Unsent, part.state == State::Out);
                 let again = part.state == State::Broken
                     || part.caught && self.permits.second_copies && part.sent.len() == 1;
-                let again = again && self.may_repeat(scan, part, now) && self.purse.fits(false, now);
+                let again = again && self.may_repeat(scan, part, now) && affords;
                 let (tier, cost, srv) = self.replica(scan, part, now).filter(|_| first || again)?;
                 (!copy || tier == 0).then_some((tier, !first, cost / part.weight.max(Self::HAIR), nth, srv))
             });
@@ -407,7 +449,8 @@
             let Some((_, _, _, nth, srv)) = best else { break };
             self.dispatch(at, nth, srv, post);
         }
-        let Some(scan) = self.scans.get(&at) else { return };
+        let Some(scan) = self.scans.get(&at).filter(|s| s.coming() + Self::HAIR < s.need) else { return };
+        self.short.insert(at);
         let ready = |p: &Part| self.holders(p.shard).any(|s| self.seats[s].up());
         let out = |p: &Part| p.state == State::Out;
         let can = |p: &Part| p.state == State::In || out(p) || self.may_repeat(scan, p, now) && ready(p);
@@ -427,10 +470,22 @@
         may && part.sent.len() < self.permits.dispatches as usize
     }
 
+    fn enter(&mut self, srv: usize, cell: u32) {
+        self.seats[srv].cell = cell;
+        if let Some(cell) = self.cells.get_mut(cell as usize) {
+            cell.push(srv);
+        }
+    }
+
+    fn leave(&mut self, srv: usize) {
+        if let Some(cell) = self.cells.get_mut(self.seats[srv].cell as usize) {
+            cell.retain(|s| *s != srv);
+        }
+    }
+
     fn holders(&self, shard: u32) -> impl Iterator<Item = usize> {
-        let (cells, reach) = (self.layout.cells, self.layout.reach);
-        let holds = move |cell: u32| (cell + cells - shard % cells) % cells < reach;
-        (0..self.seats.len()).filter(move |s| holds(self.seats[*s].cell))
+        let (cells, reach) = (self.cells.len(), self.layout.reach as usize);
+        (0..reach.min(cells)).flat_map(move |j| &self.cells[(shard as usize + j) % cells]).copied()
     }
 
     /// A call that leaves for this searcher in this turn and has room for one more part.
@@ -452,7 +507,7 @@
             let able = seat.up() && self.room(seat, self.work(scan.kind, srv), now);
             let calls = seat.calls - u32::from(self.shared(srv));
             let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried);
-            able.then_some((tier, seat.tile.lat * f64::from(1 + calls), srv))
+            able.then_some((tier, Searcher::faded(&seat.tile, now) * f64::from(1 + calls), srv))
         });
         choices.min_by(|a, b| lot(a).partial_cmp(&lot(b)).unwrap_or(Equal))
     }
@@ -474,8 +529,7 @@
         let (now, work) = (post.now, self.work(kind, srv));
         if !self.shared(srv) {
             self.seats[srv].calls += 1;
-            self.next += 1;
-            self.this_turn.insert(srv, (self.next, 0));
+            self.this_turn.insert(srv, (Rc::new(()), 0));
         }
         let Some(scan) = self.scans.get_mut(&at) else { return };
         let Some((call, parts)) = self.this_turn.get_mut(&srv) else { return };
@@ -483,21 +537,21 @@
         let part = &mut scan.parts[nth];
         let leg = (part.id, part.sent.len() as u8);
         if !part.sent.is_empty() {
-            self.purse.extras.push_back((now, false));
+            self.further.extras.push_back(now);
         }
         part.sent.push((srv, None));
         (part.state, part.caught) = (State::Out, false);
         let late_counts = self.types[kind].late_share > 0.0;
         let end = if late_counts { scan.gone_at } else { scan.gone_at.min(scan.target_at) };
         let patience_ms = (end - now).max(1.0) + Self::AHEAD_MS / 2.0;
-        self.flights.insert(leg, Flight { srv, kind, call: *call, allotted: patience_ms });
+        self.flights.insert(leg, Flight { srv, kind, call: call.clone(), allotted: patience_ms });
         let late = (self.norms.limit * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
         self.due.add(now + late.max(Self::AHEAD_MS), Due::Late(leg));
         let seat = &mut self.seats[srv];
         trim(&mut seat.spent, |s| s.0 < now - self.guards.fall_ms);
         seat.spent.push_back((now, work));
         post.out.push(Action::Dispatch { part: leg.0, searcher: seat.addr, patience_ms });
-        post.put(SRVS + srv, Note::Sent(leg, kind));
+        post.put(SRVS + srv, Note::Sent(leg, kind, self.norms.clone()));
     }
 
     /// Share of a target time that a part may take: its scan waits for the slowest of several. Tried at
@@ -573,6 +627,7 @@
 
     fn close(&mut self, at: usize, post: &mut Post) {
         let Some(scan) = self.scans.remove(&at) else { return };
+        self.short.remove(&at);
         self.owners.remove(&scan.id);
         self.drop_parts(scan.parts, post);
     }
@@ -589,6 +644,7 @@
 #[rustfmt::skip]
 pub struct Mixer {
     seed: Rand64, zone: u16, ids: HashMap<SocketAddrV4, usize>, subscribe_at: f64, next_tick: f64,
+    spare: Vec<usize>, // places of searchers that are gone
     srvs: Vec<Searcher>, gauge: Gauge, desk: Desk, post: Post,
 }
 
@@ -611,17 +667,21 @@
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
-        let gauge = Gauge { normal, cores: 1.0, means: BTreeMap::new() };
+        let (means, news) = (BTreeMap::new(), (true, true));
+        let gauge = Gauge { normal, cores: 1.0, means, median: 1.0, news };
         let norms = Rc::new(Norms { normal: start.clone(), work: start, cores: 1.0, limit: Gauge::MULTIPLE });
-        let purse = Purse { stated: guards.budget, taken: VecDeque::new(), extras: VecDeque::new() };
+        let (further, late) = (Purse::of(guards.budget.unwrap_or(Purse::OWN)), Purse::of(Purse::OWN));
+        let customers = customers.into_iter().map(|c| (c, 0)).collect();
         let door = Door { customers, seen: VecDeque::new() };
+        let cells = vec![Vec::new(); layout.cells as usize];
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
         let mixers = f64::from(berth.mixers.max(1));
         #[rustfmt::skip]
-        let desk = Desk { types, layout, guards, permits, mixers, norms, seats: Vec::new(), purse, door,
-            next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: Agenda::default(),
+        let desk = Desk { types, layout, guards, permits, mixers, norms, seats: Vec::new(), cells, door,
+            further, late, touched: BTreeSet::new(), short: BTreeSet::new(), next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: Agenda::default(),
             owners: HashMap::new(), this_turn: BTreeMap::new() };
-        let post = Post { now: 0.0, boxes: vec![VecDeque::new(), VecDeque::new()], out: Vec::new() };
+        let mut post = Post::default();
+        post.awake.extend([DESK, GAUGE]);
         let (seed, ids, srvs) = (Rand64::new(u128::from(seed)), HashMap::new(), Vec::new());
         Self {
             seed,
@@ -629,6 +689,7 @@
             ids,
             subscribe_at,
             next_tick: f64::NEG_INFINITY,
+            spare: Vec::new(),
             srvs,
             gauge,
             desk,
@@ -643,8 +704,7 @@
             return;
         }
         if kind != ListKind::Changes {
-            let missing = |s: &&mut Seat| !lines.iter().any(|l| l.searcher == s.addr);
-            self.desk.seats.iter_mut().filter(missing).for_each(|s| s.life = Life::Gone);
+            self.desk.seats.iter_mut().for_each(|s| s.life = Life::Gone); // but for those that it names
         }
         for Listed { searcher: addr, cell, zone, since, life } in lines {
             if let Some(&srv) = self.ids.get(&addr) {
@@ -653,26 +713,50 @@
                     (seat.since, seat.limit) = (since, f64::INFINITY);
                     self.post.put(SRVS + srv, Note::Renewed);
                 }
-                (seat.cell, seat.life) = (cell, life);
+                seat.life = life;
+                if seat.cell != cell {
+                    self.desk.leave(srv);
+                    self.desk.enter(srv, cell);
+                }
+                continue;
+            }
+            if life == Life::Gone {
                 continue;
             }
-            let (me, norms) = (self.srvs.len(), self.desk.norms.clone());
+            let (me, norms) = (self.spare.pop().unwrap_or(self.srvs.len()), self.desk.norms.clone());
             self.ids.insert(addr, me);
-            self.post.boxes.push(VecDeque::new());
             let (tile, slices, probe_at, busy) = (NEW, Vec::new(), 0.0, Busy::default());
-            self.srvs.push(Searcher { me, addr, norms, tile, slices, probe_at, busy });
+            let srv = Searcher { me, addr, norms, tile, slices, probe_at, busy };
             // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
             // must not prefer the same.
             let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
             let (calls, limit, cut_at, spent) = (0, f64::INFINITY, 0.0, VecDeque::new());
-            self.desk.seats.push(Seat { addr, cell, since, life, tile, lot, calls, limit, cut_at, spent });
+            let seat = Seat { addr, cell, since, life, tile, lot, calls, limit, cut_at, spent };
+            if me < self.srvs.len() {
+                (self.srvs[me], self.desk.seats[me]) = (srv, seat);
+            } else {
+                self.srvs.push(srv);
+                self.desk.seats.push(seat);
+            }
+            self.desk.enter(me, cell);
         }
+        // Who is gone and has no call of ours out leaves its place to another, as releases bring new ones.
+        let (desk, spare, awake) = (&mut self.desk, &mut self.spare, &mut self.post.awake);
+        self.ids.retain(|_, srv| {
+            let stays = desk.seats[*srv].life != Life::Gone || desk.seats[*srv].calls > 0;
+            if !stays {
+                desk.leave(*srv);
+                spare.push(*srv);
+                awake.remove(&(SRVS + *srv));
+            }
+            stays
+        });
+        self.spare.sort_unstable();
     }
 
     /// Empties all inboxes, the searchers' before the gauge's and the desk's.
     fn run(&mut self) {
-        while let Some(to) = self.post.boxes.iter().rposition(|b| !b.is_empty()) {
-            let Some(note) = self.post.boxes[to].pop_front() else { return };
+        while let Some((to, note)) = self.post.take() {
             match to {
                 DESK => self.desk.note(note, &mut self.post),
                 GAUGE => self.gauge.note(note, &mut self.post),
@@ -706,7 +790,9 @@
         if now >= self.next_tick {
             self.next_tick = now + Self::TICK_MS;
             self.post.out.push(Action::WakeAt { at: self.next_tick });
-            self.post.boxes.iter_mut().for_each(|b| b.push_back(Note::Tick));
+            for to in self.post.awake.clone() {
+                self.post.put(to, Note::Tick);
+            }
             if now >= self.subscribe_at {
                 self.subscribe_at = f64::INFINITY;
                 self.post.out.push(Action::Subscribe);
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,8 +21,9 @@
 /// What a searcher lets the desk know of itself.
 #[derive(Clone, Copy)]
 pub(crate) struct Tile {
-    /// Smoothed latency, in normals.
+    /// Smoothed latency, in normals, and when it was last confirmed.
     pub lat: f64,
+    pub lat_at: f64,
     /// Of its oldest part of ours.
     pub age: f64,
     pub marked: bool,
@@ -34,7 +35,7 @@
 pub(crate) enum Note {
     // To a searcher.
     Renewed,
-    Sent(Leg, usize),
+    Sent(Leg, usize, Rc<Norms>),
     /// A part's share of the normal latency, and how it ended.
     Filed(Leg, f64, Ending),
     Pong(bool, f64),
@@ -52,9 +53,13 @@
 }
 
 /// The time of the turn, all inboxes, and the actions that leave at its end.
+#[derive(Default)]
 pub(crate) struct Post {
     pub now: f64,
-    pub boxes: Vec<VecDeque<Note>>,
+    boxes: Vec<VecDeque<Note>>,
+    full: BTreeSet<usize>,
+    /// Inboxes that want the periodic note.
+    pub awake: BTreeSet<usize>,
     pub out: Vec<Action>,
 }
 
@@ -65,7 +70,21 @@
 
 impl Post {
     pub fn put(&mut self, to: usize, note: Note) {
+        if self.boxes.len() <= to {
+            self.boxes.resize_with(to + 1, VecDeque::new);
+        }
         self.boxes[to].push_back(note);
+        self.full.insert(to);
+    }
+
+    /// The next note of the last inbox that holds one.
+    pub fn take(&mut self) -> Option<(usize, Note)> {
+        let to = *self.full.last()?;
+        let note = self.boxes[to].pop_front()?;
+        if self.boxes[to].is_empty() {
+            self.full.remove(&to);
+        }
+        Some((to, note))
     }
 }
 
@@ -220,7 +239,8 @@
 pub(crate) struct Flight {
     pub srv: usize,
     pub kind: usize,
-    pub call: usize,
+    /// Shared by the parts of one call.
+    pub call: Rc<()>,
     pub allotted: f64,
 }
 
