A cold searcher's allowance under one part is one part in a stretched window

Cause: with 44 to 67 mixers the equal part of the allowance is less than one part, so a cold searcher got nothing until warm. Now one part in a window stretched by mixers over the mean that keeps all senders together under the allowance by chance, the first by lot. Also guards mixers of uneven traffic: who sends little is hardly held back.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -512,16 +512,29 @@
         choices.min_by(|a, b| lot(a).partial_cmp(&lot(b)).unwrap_or(Equal))
     }
 
-    /// What a mixer may send a cold searcher in a fall window: its part of the multiple of what warm ones
-    /// bore, at that age, if it warms up as slowly as it may. No share is held back, as the work estimate
-    /// has some waiting in it. Guards against newcomers, restarts and returns alike; harms when most of the
-    /// fleet is cold, as the rest must then carry it.
+    /// Parts within a window that all mixers are held to on average, so that by chance (five times the
+    /// spread of independent senders) they don't pass what a window allows.
+    const CHANCE: f64 = 5.0;
+
+    /// What a mixer may send a cold searcher: its equal part of what all may send in a fall window, the
+    /// multiple of what warm ones bore, at that age, if it warms up as slowly as it may. Where that is less
+    /// than one part, one part in a window stretched so that all together stay below by chance, the first
+    /// at a time drawn by lot. Guards against newcomers, restarts and returns alike, which must neither
+    /// starve nor be pushed over; harms when most of the fleet is cold, as the rest must then carry it.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
+        if seat.since <= 0.0 || age >= g.warm_ms {
+            return true;
+        }
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
-        let cap = g.tip_multiple * able * self.norms.cores * g.fall_ms / self.mixers;
-        let spent: f64 = seat.spent.iter().filter(|s| s.0 >= now - g.fall_ms).map(|s| s.1).sum();
-        seat.since <= 0.0 || age >= g.warm_ms || spent + work <= cap
+        let all = g.tip_multiple * able * self.norms.cores * g.fall_ms;
+        if all >= work * self.mixers {
+            let spent = seat.spent.iter().filter(|s| s.0 >= now - g.fall_ms).map(|s| s.1).sum::<f64>();
+            return spent + work <= all / self.mixers;
+        }
+        let mean = (((Self::CHANCE.powi(2) + 4.0 * all / work).sqrt() - Self::CHANCE) / 2.0).powi(2);
+        let span = g.fall_ms * self.mixers / mean;
+        age >= seat.lot.fract() * span && seat.spent.back().is_none_or(|s| now - s.0 >= span)
     }
 
     fn dispatch(&mut self, at: usize, nth: usize, srv: usize, post: &mut Post) {
@@ -548,8 +561,10 @@
         let late = (self.norms.limit * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
         self.due.add(now + late.max(Self::AHEAD_MS), Due::Late(leg));
         let seat = &mut self.seats[srv];
-        trim(&mut seat.spent, |s| s.0 < now - self.guards.fall_ms);
-        seat.spent.push_back((now, work));
+        if seat.since > 0.0 {
+            trim(&mut seat.spent, |s| s.0 < now - self.guards.warm_ms);
+            seat.spent.push_back((now, work));
+        }
         post.out.push(Action::Dispatch { part: leg.0, searcher: seat.addr, patience_ms });
         post.put(SRVS + srv, Note::Sent(leg, kind, self.norms.clone()));
     }
