--- a/src/logic.rs
+++ b/src/logic.rs
@@ -67,6 +67,13 @@
                 let lat = Self::faded(&self.tile, now);
                 (self.tile.lat, self.tile.lat_at) = (lat + Self::SMOOTH * (share - lat), now);
                 self.tile.down = matches!(ending, Ending::ConnectFailed | Ending::Reset);
+                // A lost connection is no matter of averages: it marks at once and is probed at once. Guards
+                // against the dead where a slice would take many seconds to fill; harms a sound searcher
+                // that dropped an idle connection, until its probe is back.
+                if self.tile.down && !self.tile.marked {
+                    self.mark(share, post);
+                    self.probe_at = now;
+                }
                 let held = |s: &&mut Slice| s.out.iter().any(|l| l.0 == leg);
                 if let Some(slice) = self.slices.iter_mut().find(held) {
                     slice.out.retain(|l| l.0 != leg);
@@ -512,9 +519,9 @@
         choices.min_by(|a, b| lot(a).partial_cmp(&lot(b)).unwrap_or(Equal))
     }
 
-    /// Parts within a window that all mixers are held to on average, so that by chance (five times the
-    /// spread of independent senders) they don't pass what a window allows.
-    const CHANCE: f64 = 5.0;
+    /// All mixers are held, on average, to what stays under a window's allowance by this many times the
+    /// spread of independent senders. One, as cores that a mixer can't see borne are not counted.
+    const CHANCE: f64 = 1.0;
 
     /// What a mixer may send a cold searcher: its equal part of what all may send in a fall window, the
     /// multiple of what warm ones bore, at that age, if it warms up as slowly as it may. Where that is less
