A searcher that refused connections and answers again is cold, whatever the list says

The evidence that the list's word was not so: connections refused, then a probe that passes. Such a searcher gets a cold one's allowance from then on. Also guards crashes behind a stale list. Harms a searcher whose connection table was full: it gets little for a warm-up time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 #[rustfmt::skip]
 struct Searcher {
     me: usize, addr: SocketAddrV4, norms: Rc<Norms>, tile: Tile,
-    slices: Vec<Slice>, probe_at: f64, busy: Busy,
+    slices: Vec<Slice>, probe_at: f64, busy: Busy, dead: bool,
 }
 
 impl Searcher {
@@ -44,7 +44,7 @@
         match note {
             // A new process has nothing of the old one's past.
             Note::Renewed => {
-                (self.tile, self.busy.ok) = (NEW, false);
+                (self.tile, self.busy.ok, self.dead) = (NEW, false, false);
                 self.slices.clear();
             }
             Note::Sent(leg, kind, norms) => {
@@ -70,6 +70,7 @@
                 // A lost connection is no matter of averages: it marks at once and is probed at once. Guards
                 // against the dead where a slice would take many seconds to fill; harms a sound searcher
                 // that dropped an idle connection, until its probe is back.
+                self.dead |= ending == Ending::ConnectFailed;
                 if self.tile.down && !self.tile.marked {
                     self.mark(share, post);
                     self.probe_at = now;
@@ -90,11 +91,16 @@
             // A probe does almost no work, so a pass only admits to a trial: one part at a time until one
             // comes back in time. Guards against searchers that answer probes and nothing else; harms a
             // sound one by a few parts.
-            Note::Pong(ok, took) if self.tile.marked => {
+            Note::Pong(ending, took) if self.tile.marked => {
+                self.dead |= ending == Ending::ConnectFailed;
                 let quick = self.norms.normal.iter().copied().fold(f64::INFINITY, f64::min);
-                if ok && took < self.norms.limit * quick {
+                if ending == Ending::Ok && took < self.norms.limit * quick {
                     self.tile = Tile { trial: true, ..NEW };
                     post.out.push(Action::Log { line: format!("{} readmitted on trial", self.addr) });
+                    // No process stood there, now one does: it is cold, whatever the list says by now.
+                    if std::mem::take(&mut self.dead) {
+                        post.put(DESK, Note::Back(self.me));
+                    }
                 }
             }
             Note::Norms(norms) => self.norms = norms,
@@ -306,6 +312,7 @@
                 }
             }
             Note::Norms(norms) => self.norms = norms,
+            Note::Back(srv) => self.seats[srv].since = now,
             Note::Told(Event::Scan { id, number, table_type: kind, customer, gone_at, work_ms, retry }) => {
                 self.taken(now);
                 self.door.see(customer, now);
@@ -731,8 +738,8 @@
         for Listed { searcher: addr, cell, zone, since, life } in lines {
             if let Some(&srv) = self.ids.get(&addr) {
                 let seat = &mut self.desk.seats[srv];
-                if seat.since != since && life == Life::Ready {
-                    (seat.since, seat.limit) = (since, f64::INFINITY);
+                if seat.listed != since && life == Life::Ready {
+                    (seat.listed, seat.since, seat.limit) = (since, since, f64::INFINITY);
                     self.post.put(SRVS + srv, Note::Renewed);
                 }
                 seat.life = life;
@@ -748,12 +755,13 @@
             let (me, norms) = (self.spare.pop().unwrap_or(self.srvs.len()), self.desk.norms.clone());
             self.ids.insert(addr, me);
             let (tile, slices, probe_at, busy) = (NEW, Vec::new(), 0.0, Busy::default());
-            let srv = Searcher { me, addr, norms, tile, slices, probe_at, busy };
+            let srv = Searcher { me, addr, norms, tile, slices, probe_at, busy, dead: false };
             // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
             // must not prefer the same.
             let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
             let (calls, limit, cut_at, spent) = (0, f64::INFINITY, 0.0, VecDeque::new());
-            let seat = Seat { addr, cell, since, life, tile, lot, calls, limit, cut_at, spent };
+            let seat =
+                Seat { addr, cell, listed: since, since, life, tile, lot, calls, limit, cut_at, spent };
             if me < self.srvs.len() {
                 (self.srvs[me], self.desk.seats[me]) = (srv, seat);
             } else {
@@ -800,7 +808,7 @@
                 Event::List { kind, lines } => self.list(kind, lines),
                 Event::Probed { searcher, ending, took_ms } => {
                     if let Some(&srv) = self.ids.get(&searcher) {
-                        self.post.put(SRVS + srv, Note::Pong(ending == Ending::Ok, took_ms));
+                        self.post.put(SRVS + srv, Note::Pong(ending, took_ms));
                     }
                 }
                 told => self.post.put(DESK, Note::Told(told)),
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,13 +38,15 @@
     Sent(Leg, usize, Rc<Norms>),
     /// A part's share of the normal latency, and how it ended.
     Filed(Leg, f64, Ending),
-    Pong(bool, f64),
+    Pong(Ending, f64),
     // To the gauge: of a table type, of a searcher.
     Heard(usize, f64),
     Bore(f64),
     Slice(usize, f64),
     // To the desk.
     Tile(usize, Tile),
+    /// A searcher that was dead answers again.
+    Back(usize),
     Told(Event),
     Settle,
     // To several.
@@ -132,6 +134,8 @@
 pub(crate) struct Seat {
     pub addr: SocketAddrV4,
     pub cell: u32,
+    /// When its process started, as the list says and as it was found.
+    pub listed: f64,
     pub since: f64,
     pub life: Life,
     pub tile: Tile,
