A scan at whose parts searchers die is not sent on, its customer's scans are tasted

Evidence that the searchers were innocent: their connections were lost only under scans of which no part ever came back, while parts of other scans came back from them before. Two lost connections with none in end a scan; one holds its further parts to one at a time; for ten seconds its customer's scans send one part first. Also guards against any scan that kills, whatever marks it. Harms scans in a mass crash.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -250,7 +250,7 @@
 
 /// The door: whose scans go first.
 struct Door {
-    customers: Vec<(Customer, usize)>, // and the scans seen
+    customers: Vec<(Customer, usize, f64)>, // the scans seen, and until when it is not trusted
     seen: VecDeque<(f64, usize)>,
 }
 
@@ -260,6 +260,19 @@
     /// Span in which customers' shares of the scans are compared: some tens of scans.
     const SEEN_MS: f64 = 5000.0;
 
+    /// Time in which a customer's scans are tasted after a deadly one: some of its clients' retries.
+    const DISTRUST_MS: f64 = 10_000.0;
+
+    fn distrust(&mut self, customer: usize, now: f64) {
+        if let Some(c) = self.customers.get_mut(customer) {
+            c.2 = now + Self::DISTRUST_MS;
+        }
+    }
+
+    fn distrusts(&self, customer: usize, now: f64) -> bool {
+        self.customers.get(customer).is_some_and(|c| now < c.2)
+    }
+
     fn see(&mut self, customer: usize, now: f64) {
         if let Some(c) = self.customers.get_mut(customer) {
             c.1 += 1;
@@ -325,7 +338,7 @@
                 let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
                 #[rustfmt::skip]
                 let scan = Scan { id, number, kind, customer, target_at, gone_at, parts, need, floor,
-                    whole: true, second: false };
+                    whole: true, second: false, deaths: 0 };
                 self.next += 1;
                 let at = self.next;
                 self.scans.insert(at, scan);
@@ -381,7 +394,9 @@
             post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ending));
         }
         let Some(&(at, nth)) = self.owners.get(&leg.0) else { return };
-        let Some(part) = self.scans.get_mut(&at).map(|s| &mut s.parts[nth]) else { return };
+        let Some(scan) = self.scans.get_mut(&at) else { return };
+        scan.deaths += u32::from(ending == Ending::Reset);
+        let part = &mut scan.parts[nth];
         part.sent[usize::from(leg.1)].1 = Some(ending);
         if part.state == State::In {
             return;
@@ -437,6 +452,12 @@
         self.this_turn.clear();
     }
 
+    /// Lost connections at a scan's parts, with none in, that end it. Guards against scans that bring down
+    /// each searcher they reach: they are not sent on, and for a while its customer's scans go out one part
+    /// first. Harms a scan that met two searchers as they died of something else, and its customer's by the
+    /// latency of a part.
+    const DEADLY: u32 = 2;
+
     /// Sends what the scan lacks, and ends it as soon as it is whole or can't become so.
     fn advance(&mut self, at: usize, post: &mut Post) {
         let now = post.now;
@@ -444,6 +465,13 @@
         if scan.have() + Self::HAIR >= scan.need {
             return self.complete(at, true, post);
         }
+        // Searchers die at its parts and none came back: it is the likely cause, wherever it shows.
+        let proved = scan.second || scan.parts.iter().any(|p| p.state == State::In);
+        if !proved && scan.deaths >= Self::DEADLY {
+            self.door.distrust(scan.customer, now);
+            return self.end(at, post);
+        }
+        let doubted = !proved && (scan.deaths > 0 || self.door.distrusts(scan.customer, now));
         let fresh = !scan.second && scan.parts.iter().all(|p| p.sent.is_empty());
         if fresh && !self.admits(scan, now) {
             return self.end(at, post);
@@ -451,6 +479,9 @@
         while self.scans.get(&at).is_some_and(|s| s.coming() + Self::HAIR < s.need) {
             let affords = self.further.fits(now);
             let Some(scan) = self.scans.get(&at) else { return };
+            if doubted && scan.parts.iter().any(|p| p.state == State::Out && !p.caught) {
+                break;
+            }
             let choices = scan.parts.iter().enumerate().filter_map(|(nth, part)| {
                 let (first, copy) = (part.state == State::Unsent, part.state == State::Out);
                 let again = part.state == State::Broken
@@ -700,7 +731,7 @@
         let gauge = Gauge { normal, cores: 1.0, means, median: 1.0, news };
         let norms = Rc::new(Norms { normal: start.clone(), work: start, cores: 1.0, limit: Gauge::MULTIPLE });
         let (further, late) = (Purse::of(guards.budget.unwrap_or(Purse::OWN)), Purse::of(Purse::OWN));
-        let customers = customers.into_iter().map(|c| (c, 0)).collect();
+        let customers = customers.into_iter().map(|c| (c, 0, 0.0)).collect();
         let door = Door { customers, seen: VecDeque::new() };
         let cells = vec![Vec::new(); layout.cells as usize];
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
--- a/src/state.rs
+++ b/src/state.rs
@@ -199,6 +199,8 @@
     /// Whether the first step's answer was whole.
     pub whole: bool,
     pub second: bool,
+    /// Parts whose connection was lost while they were out.
+    pub deaths: u32,
 }
 
 impl Scan {
