Cores borne are also judged by own traffic, so uneven mixers share a cold allowance

Cause: equal shares of a cold searcher's allowance go unused at mixers with little traffic and bind those with much. Own work sent for each ready searcher, times mixers, stands in for the cores that a sparse mixer never sees borne; summed over all mixers that is what an average searcher gets.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -298,6 +298,7 @@
     types: Vec<TableType>, layout: Layout, guards: Guards, permits: Permits, mixers: f64,
     norms: Rc<Norms>, seats: Vec<Seat>, cells: Vec<Vec<usize>>, door: Door, next: usize,
     further: Purse, late: Purse,
+    flow: f64, ready: f64, // own work sent in a millisecond, and the searchers that are ready
     scans: BTreeMap<usize, Scan>, flights: BTreeMap<Leg, Flight>, due: Agenda,
     owners: HashMap<u64, (usize, usize)>, // of a scan or part: the scan's index, and the part's in it
     this_turn: BTreeMap<usize, (Rc<()>, u32)>, // the call to each searcher, and its parts
@@ -362,7 +363,10 @@
                     self.close(at, post);
                 }
             }
-            Note::Tick => self.touched.append(&mut self.short),
+            Note::Tick => {
+                self.touched.append(&mut self.short);
+                self.flow *= 1.0 - Mixer::TICK_MS / Self::FLOW_MS;
+            }
             Note::Settle => self.settle(post),
             _ => {}
         }
@@ -560,19 +564,26 @@
     /// All mixers are held, on average, to what stays under a window's allowance by this many times the
     /// spread of independent senders. One, as cores that a mixer can't see borne are not counted.
     const CHANCE: f64 = 1.0;
+    /// Span of own traffic: some fall windows.
+    const FLOW_MS: f64 = 5000.0;
 
     /// What a mixer may send a cold searcher: its equal part of what all may send in a fall window, the
     /// multiple of what warm ones bore, at that age, if it warms up as slowly as it may. Where that is less
     /// than one part, one part in a window stretched so that all together stay below by chance, the first
     /// at a time drawn by lot. Guards against newcomers, restarts and returns alike, which must neither
     /// starve nor be pushed over; harms when most of the fleet is cold, as the rest must then carry it.
+    ///
+    /// Cores borne are also judged by own traffic, as if all mixers sent as much: who sends more than its
+    /// peers takes more of the allowance, and all together what an average searcher gets, times multiple
+    /// and age.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
         if seat.since <= 0.0 || age >= g.warm_ms {
             return true;
         }
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
-        let all = g.tip_multiple * able * self.norms.cores * g.fall_ms;
+        let cores = self.norms.cores.max(self.flow * self.mixers / self.ready.max(1.0));
+        let all = g.tip_multiple * able * cores * g.fall_ms;
         if all >= work * self.mixers {
             let spent = seat.spent.iter().filter(|s| s.0 >= now - g.fall_ms).map(|s| s.1).sum::<f64>();
             return spent + work <= all / self.mixers;
@@ -606,6 +617,7 @@
         let late = (self.norms.limit * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
         self.due.add(now + late.max(Self::AHEAD_MS), Due::Late(leg));
         let seat = &mut self.seats[srv];
+        self.flow += work / Self::FLOW_MS;
         if seat.since > 0.0 {
             trim(&mut seat.spent, |s| s.0 < now - self.guards.warm_ms);
             seat.spent.push_back((now, work));
@@ -738,7 +750,7 @@
         let mixers = f64::from(berth.mixers.max(1));
         #[rustfmt::skip]
         let desk = Desk { types, layout, guards, permits, mixers, norms, seats: Vec::new(), cells, door,
-            further, late, touched: BTreeSet::new(), short: BTreeSet::new(), next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: Agenda::default(),
+            further, late, touched: BTreeSet::new(), short: BTreeSet::new(), flow: 0.0, ready: 0.0, next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: Agenda::default(),
             owners: HashMap::new(), this_turn: BTreeMap::new() };
         let mut post = Post::default();
         post.awake.extend([DESK, GAUGE]);
@@ -813,6 +825,8 @@
             stays
         });
         self.spare.sort_unstable();
+        let ready = |srv: &&usize| self.desk.seats[**srv].life == Life::Ready;
+        self.desk.ready = self.ids.values().filter(ready).count() as f64;
     }
 
     /// Empties all inboxes, the searchers' before the gauge's and the desk's.
