Searchers not heard from count as their zone's average as seen from here

Evidence that the searchers were innocent: all of one zone slow from here, while marks by other mixers name the other zone's. The smoothed latency now fades to the zone's average, which fades to one. Also guards a dead zone. Harms a zone's good searchers until heard from.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
 /// One searcher, watched by slices.
 #[rustfmt::skip]
 struct Searcher {
-    me: usize, addr: SocketAddrV4, norms: Rc<Norms>, tile: Tile,
+    me: usize, zone: usize, addr: SocketAddrV4, norms: Rc<Norms>, tile: Tile,
     slices: Vec<Slice>, probe_at: f64, busy: Busy, dead: bool,
 }
 
@@ -64,7 +64,8 @@
                 if self.busy.ended(ending == Ending::Ok) && self.busy.most >= Self::CROWD {
                     post.put(GAUGE, Note::Bore(self.busy.work / (now - self.busy.from).max(1.0)));
                 }
-                let lat = Self::faded(&self.tile, now);
+                post.put(GAUGE, Note::Zone(self.zone, share));
+                let lat = Self::faded(&self.tile, &self.norms, self.zone, now);
                 (self.tile.lat, self.tile.lat_at) = (lat + Self::SMOOTH * (share - lat), now);
                 self.tile.down = matches!(ending, Ending::ConnectFailed | Ending::Reset);
                 // A lost connection is no matter of averages: it marks at once and is probed at once. Guards
@@ -125,8 +126,12 @@
         post.put(DESK, Note::Tile(self.me, self.tile));
     }
 
-    fn faded(tile: &Tile, now: f64) -> f64 {
-        1.0 + (tile.lat - 1.0) * ((tile.lat_at - now) / Self::FADE_MS).exp()
+    /// The smoothed latency, on its way back to the average of its zone as seen from here. Guards against a
+    /// zone that is dead, or slow over the way there, where each searcher is heard of too seldom to show
+    /// it; harms a zone's good ones until they are heard from.
+    fn faded(tile: &Tile, norms: &Norms, zone: usize, now: f64) -> f64 {
+        let average = norms.zones.get(zone).copied().unwrap_or(1.0);
+        average + (tile.lat - average) * ((tile.lat_at - now) / Self::FADE_MS).exp()
     }
 
     /// A slice is judged when it is over and its parts have ended, or as soon as the ages of those still
@@ -166,6 +171,7 @@
     cores: f64,
     means: BTreeMap<usize, f64>,
     median: f64,
+    zones: Vec<f64>,
     news: (bool, bool), // of anything, of slices
 }
 
@@ -177,6 +183,8 @@
     /// Least and first step of the work estimate: it is found within some tens of parts, and a jam, which
     /// makes all parts look heavy, takes several hundred to change it.
     const STEPS: (f64, f64) = (0.002, 0.05);
+    /// Weight of the newest part in a zone's average: about the last ten count.
+    const ZONE: f64 = 0.1;
     /// A median of fewer searchers says little; until then one normal stands for it.
     const FEW: usize = 3;
 
@@ -204,7 +212,17 @@
                 self.means.insert(srv, mean);
                 self.news.1 = true;
             }
-            Note::Tick if self.news.0 => {
+            Note::Zone(zone, share) => {
+                if self.zones.len() <= zone {
+                    self.zones.resize(zone + 1, 1.0);
+                }
+                self.zones[zone] += Self::ZONE * (share - self.zones[zone]);
+            }
+            Note::Tick => {
+                self.zones.iter_mut().for_each(|z| *z += (1.0 - *z) * Mixer::TICK_MS / Searcher::FADE_MS);
+                if !self.news.0 && self.zones.iter().all(|z| (z - 1.0).abs() < 0.01) {
+                    return;
+                }
                 // All slow: the median moves, and nobody is marked.
                 if self.news.1 {
                     self.median = median(self.means.values().copied(), Self::FEW).unwrap_or(1.0);
@@ -212,7 +230,8 @@
                 self.news = (false, false);
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
                 let limit = Self::MULTIPLE * self.median;
-                let norms = Rc::new(Norms { normal, work, cores: self.cores, limit });
+                let zones = self.zones.clone();
+                let norms = Rc::new(Norms { normal, work, cores: self.cores, limit, zones });
                 for to in post.awake.clone() {
                     post.put(to, Note::Norms(norms.clone()));
                 }
@@ -556,7 +575,11 @@
             let able = seat.up() && self.room(seat, self.work(scan.kind, srv), now);
             let calls = seat.calls - u32::from(self.shared(srv));
             let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried);
-            able.then_some((tier, Searcher::faded(&seat.tile, now) * f64::from(1 + calls), srv))
+            able.then_some((
+                tier,
+                Searcher::faded(&seat.tile, &self.norms, seat.zone, now) * f64::from(1 + calls),
+                srv,
+            ))
         });
         choices.min_by(|a, b| lot(a).partial_cmp(&lot(b)).unwrap_or(Equal))
     }
@@ -740,8 +763,14 @@
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
         let (means, news) = (BTreeMap::new(), (true, true));
-        let gauge = Gauge { normal, cores: 1.0, means, median: 1.0, news };
-        let norms = Rc::new(Norms { normal: start.clone(), work: start, cores: 1.0, limit: Gauge::MULTIPLE });
+        let gauge = Gauge { normal, cores: 1.0, means, median: 1.0, zones: Vec::new(), news };
+        let norms = Rc::new(Norms {
+            normal: start.clone(),
+            work: start,
+            cores: 1.0,
+            limit: Gauge::MULTIPLE,
+            zones: Vec::new(),
+        });
         let (further, late) = (Purse::of(guards.budget.unwrap_or(Purse::OWN)), Purse::of(Purse::OWN));
         let customers = customers.into_iter().map(|c| (c, 0, 0.0)).collect();
         let door = Door { customers, seen: VecDeque::new() };
@@ -798,13 +827,35 @@
             let (me, norms) = (self.spare.pop().unwrap_or(self.srvs.len()), self.desk.norms.clone());
             self.ids.insert(addr, me);
             let (tile, slices, probe_at, busy) = (NEW, Vec::new(), 0.0, Busy::default());
-            let srv = Searcher { me, addr, norms, tile, slices, probe_at, busy, dead: false };
+            let srv = Searcher {
+                me,
+                zone: usize::from(zone),
+                addr,
+                norms,
+                tile,
+                slices,
+                probe_at,
+                busy,
+                dead: false,
+            };
             // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
             // must not prefer the same.
             let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
             let (calls, limit, cut_at, spent) = (0, f64::INFINITY, 0.0, VecDeque::new());
-            let seat =
-                Seat { addr, cell, listed: since, since, life, tile, lot, calls, limit, cut_at, spent };
+            let seat = Seat {
+                addr,
+                cell,
+                zone: usize::from(zone),
+                listed: since,
+                since,
+                life,
+                tile,
+                lot,
+                calls,
+                limit,
+                cut_at,
+                spent,
+            };
             if me < self.srvs.len() {
                 (self.srvs[me], self.desk.seats[me]) = (srv, seat);
             } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,8 @@
     /// What a warm searcher can bear.
     pub cores: f64,
     pub limit: f64,
+    /// The average share of each zone's parts.
+    pub zones: Vec<f64>,
 }
 
 /// What a searcher lets the desk know of itself.
@@ -43,6 +45,7 @@
     Heard(usize, f64),
     Bore(f64),
     Slice(usize, f64),
+    Zone(usize, f64),
     // To the desk.
     Tile(usize, Tile),
     /// A searcher that was dead answers again.
@@ -134,6 +137,7 @@
 pub(crate) struct Seat {
     pub addr: SocketAddrV4,
     pub cell: u32,
+    pub zone: usize,
     /// When its process started, as the list says and as it was found.
     pub listed: f64,
     pub since: f64,
