A searcher that holds a late part of ours comes after the others

Cause: with too few parts for a slice, a part out for longer than the multiple is the only word of a hang; the searcher stayed first choice by its old latency. It now comes after the others while that part is out, unmarked: one heavy part marks nobody. Harms a searcher with one heavy part.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -574,7 +574,8 @@
             let tried = part.sent.iter().any(|s| s.0 == srv);
             let able = seat.up() && self.room(seat, self.work(scan.kind, srv), now);
             let calls = seat.calls - u32::from(self.shared(srv));
-            let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried);
+            let late = seat.tile.age > self.norms.limit * self.norms.normal[scan.kind];
+            let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried || late);
             able.then_some((
                 tier,
                 Searcher::faded(&seat.tile, &self.norms, seat.zone, now) * f64::from(1 + calls),
