Idle connections are closed before use once losses keep to them

Evidence that the searchers were innocent: unanswered parts spread evenly over searchers, zones and table types, latency of the rest normal, probes pass; losses keep to parts sent where nothing had come back for half a second. Over a quarter of those lost, and twice the share of others: idle connections are hung up before use for ten seconds. Also guards resets on idle connections. Harms by handshakes where searchers hang instead.

--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -254,6 +254,7 @@
             Action::Cancel { part, dispatch } => self.record(68, &[&part.to_le_bytes(), &[*dispatch]]),
             Action::WakeAt { at } => self.record(69, &[&at.to_le_bytes(), &0u64.to_le_bytes()]),
             Action::Probe { searcher } => self.record(70, &[&packed(searcher)]),
+            Action::Hangup { searcher } => self.record(71, &[&packed(searcher)]),
             Action::Log { line } => {
                 let text = &line.as_bytes()[..line.len().min(usize::from(u16::MAX))];
                 self.record(73, &[&(text.len() as u16).to_le_bytes(), text]);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -212,6 +212,10 @@
     Probe {
         searcher: SocketAddrV4,
     },
+    /// Closes idle connections to it.
+    Hangup {
+        searcher: SocketAddrV4,
+    },
     WakeAt {
         at: f64,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -311,12 +311,39 @@
     }
 }
 
+/// What becomes of parts sent on connections long idle (the second) and of all others.
+struct Lines {
+    lost: [f64; 2],
+    doubt_until: f64,
+}
+
+impl Lines {
+    /// Idle for so long, a connection may have been dropped unseen: a few latencies.
+    const IDLE_MS: f64 = 500.0;
+    /// Weight of the newest part: about the last ten count.
+    const SMOOTH: f64 = 0.1;
+    /// Lost on idle connections from which on they are closed before use: more than searchers that fail.
+    const LOST: f64 = 0.25;
+    /// Then for so long: new connections say nothing of idle ones, so it is tried again after some of them.
+    const DOUBT_MS: f64 = 10_000.0;
+
+    /// Guards against connections dropped while idle, where the searcher is sound: losses that keep to idle
+    /// connections, wherever they lead. Harms by new connections where searchers hang instead.
+    fn judge(&mut self, idle: Option<bool>, lost: bool, now: f64) {
+        let Some(idle) = idle.map(usize::from) else { return };
+        self.lost[idle] += Self::SMOOTH * (f64::from(u8::from(lost)) - self.lost[idle]);
+        if self.lost[1] > Self::LOST && self.lost[1] > 2.0 * self.lost[0] {
+            (self.lost[1], self.doubt_until) = (0.0, now + Self::DOUBT_MS);
+        }
+    }
+}
+
 /// The scans, and what goes where.
 #[rustfmt::skip]
 struct Desk {
     types: Vec<TableType>, layout: Layout, guards: Guards, permits: Permits, mixers: f64,
     norms: Rc<Norms>, seats: Vec<Seat>, cells: Vec<Vec<usize>>, door: Door, next: usize,
-    further: Purse, late: Purse,
+    further: Purse, late: Purse, lines: Lines,
     flow: f64, ready: f64, // own work sent in a millisecond, and the searchers that are ready
     scans: BTreeMap<usize, Scan>, flights: BTreeMap<Leg, Flight>, due: Agenda,
     owners: HashMap<u64, (usize, usize)>, // of a scan or part: the scan's index, and the part's in it
@@ -409,7 +436,11 @@
             Ending::Cancelled | Ending::Moot => took.max(normal),
             _ => took.max(flight.allotted),
         };
+        if ending != Ending::Cancelled {
+            self.lines.judge(flight.idle, ending != Ending::Ok, post.now);
+        }
         if ending == Ending::Ok {
+            self.seats[flight.srv].heard_at = post.now;
             post.put(GAUGE, Note::Heard(flight.kind, ms));
         }
         self.adapt(&flight, ms, post.now);
@@ -452,9 +483,13 @@
             match due {
                 // Late on its own, before its searcher is marked; within our own budget, as under overload
                 // everything is late and replacing it all would be the worse load.
-                Due::Late(leg) if self.flights.contains_key(&leg) && self.late.fits(post.now) => {
-                    self.late.extras.push_back(post.now);
-                    self.catch(leg.0);
+                Due::Late(leg) => {
+                    let Some(flight) = self.flights.get_mut(&leg) else { continue };
+                    self.lines.judge(flight.idle.take(), true, post.now);
+                    if self.late.fits(post.now) {
+                        self.late.extras.push_back(post.now);
+                        self.catch(leg.0);
+                    }
                 }
                 Due::Target(at) => {
                     let Some(scan) = self.scans.get(&at) else { continue };
@@ -466,7 +501,6 @@
                     }
                 }
                 Due::Gone(at) => self.end(at, post),
-                Due::Late(_) => {}
             }
         }
         while let Some(at) = self.touched.pop_first() {
@@ -620,7 +654,12 @@
     fn dispatch(&mut self, at: usize, nth: usize, srv: usize, post: &mut Post) {
         let Some(kind) = self.scans.get(&at).map(|s| s.kind) else { return };
         let (now, work) = (post.now, self.work(kind, srv));
+        let mut idle = Some(now - self.seats[srv].heard_at > Lines::IDLE_MS);
         if !self.shared(srv) {
+            if idle == Some(true) && self.seats[srv].calls == 0 && now < self.lines.doubt_until {
+                idle = None;
+                post.out.push(Action::Hangup { searcher: self.seats[srv].addr });
+            }
             self.seats[srv].calls += 1;
             self.this_turn.insert(srv, (Rc::new(()), 0));
         }
@@ -637,7 +676,7 @@
         let late_counts = self.types[kind].late_share > 0.0;
         let end = if late_counts { scan.gone_at } else { scan.gone_at.min(scan.target_at) };
         let patience_ms = (end - now).max(1.0) + Self::AHEAD_MS / 2.0;
-        self.flights.insert(leg, Flight { srv, kind, call: call.clone(), allotted: patience_ms });
+        self.flights.insert(leg, Flight { srv, kind, call: call.clone(), allotted: patience_ms, idle });
         let late = (self.norms.limit * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
         self.due.add(now + late.max(Self::AHEAD_MS), Due::Late(leg));
         let seat = &mut self.seats[srv];
@@ -780,7 +819,7 @@
         let mixers = f64::from(berth.mixers.max(1));
         #[rustfmt::skip]
         let desk = Desk { types, layout, guards, permits, mixers, norms, seats: Vec::new(), cells, door,
-            further, late, touched: BTreeSet::new(), short: BTreeSet::new(), flow: 0.0, ready: 0.0, next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: Agenda::default(),
+            further, late, lines: Lines { lost: [0.0; 2], doubt_until: 0.0 }, touched: BTreeSet::new(), short: BTreeSet::new(), flow: 0.0, ready: 0.0, next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: Agenda::default(),
             owners: HashMap::new(), this_turn: BTreeMap::new() };
         let mut post = Post::default();
         post.awake.extend([DESK, GAUGE]);
@@ -853,6 +892,7 @@
                 tile,
                 lot,
                 calls,
+                heard_at: f64::INFINITY,
                 limit,
                 cut_at,
                 spent,
--- a/src/state.rs
+++ b/src/state.rs
@@ -146,6 +146,8 @@
     /// Decides between equals.
     pub lot: f64,
     pub calls: u32,
+    /// When a part of ours last came back.
+    pub heard_at: f64,
     /// Of own calls out.
     pub limit: f64,
     pub cut_at: f64,
@@ -252,6 +254,8 @@
     /// Shared by the parts of one call.
     pub call: Rc<()>,
     pub allotted: f64,
+    /// Sent on a connection that had long been idle; none once that was judged.
+    pub idle: Option<bool>,
 }
 
 /// Drops what stands too old at the front of a queue.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -78,6 +78,7 @@
                 Action::Throttle { scan, back_in_ms } => format!("throttle {scan} back in {back_in_ms:?}"),
                 Action::Abandon { scan } => format!("abandon {scan}"),
                 Action::Probe { searcher } => format!("probe s{}", searcher.ip().octets()[3]),
+                Action::Hangup { searcher } => format!("hang up on s{}", searcher.ip().octets()[3]),
                 Action::Subscribe => "subscribe".to_owned(),
                 Action::Log { line } => line,
             };
