One estimate of what warm searchers bear, own traffic, in place of two

What stretches of work showed of borne cores is never seen at full size, where four parts of one mixer are not out at one searcher together. Could harm: a mixer in a jam takes what it sends for what is borne.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 #[rustfmt::skip]
 struct Searcher {
     me: usize, zone: usize, addr: SocketAddrV4, norms: Rc<Norms>, tile: Tile,
-    slices: Vec<Slice>, probe_at: f64, busy: Busy, dead: bool,
+    slices: Vec<Slice>, probe_at: f64, dead: bool,
 }
 
 impl Searcher {
@@ -36,20 +36,16 @@
     /// A marked searcher is probed as often as a slice is long; longer waits after relapses gained nothing.
     const PROBE_MS: f64 = 500.0;
 
-    /// Parts of ours out at once from which on a stretch of work shows what a searcher can bear.
-    const CROWD: u32 = 4;
-
     fn note(&mut self, note: Note, post: &mut Post, probing: bool) {
         let now = post.now;
         match note {
             // A new process has nothing of the old one's past.
             Note::Renewed => {
-                (self.tile, self.busy.ok, self.dead) = (NEW, false, false);
+                (self.tile, self.dead) = (NEW, false);
                 self.slices.clear();
             }
             Note::Sent(leg, kind, norms) => {
                 self.norms = norms;
-                self.busy.sent(now, self.norms.work[kind]);
                 let open = |s: &Slice| now - s.from < Self::SLICE_MS || s.sent < Self::FEW;
                 if !self.slices.last().is_some_and(open) {
                     self.slices.push(Slice { from: now, sent: 0, sum: 0.0, sound: true, out: Vec::new() });
@@ -60,10 +56,6 @@
                 }
             }
             Note::Filed(leg, share, ending) => {
-                // What was called off or failed did not do its work, and says nothing of what can be borne.
-                if self.busy.ended(ending == Ending::Ok) && self.busy.most >= Self::CROWD {
-                    post.put(GAUGE, Note::Bore(self.busy.work / (now - self.busy.from).max(1.0)));
-                }
                 post.put(GAUGE, Note::Zone(self.zone, share));
                 let lat = Self::faded(&self.tile, &self.norms, self.zone, now);
                 (self.tile.lat, self.tile.lat_at) = (lat + Self::SMOOTH * (share - lat), now);
@@ -168,7 +160,6 @@
 /// What is normal: for each table type (milliseconds, parts heard, own work), and over all slices.
 struct Gauge {
     normal: Vec<(f64, f64, f64)>,
-    cores: f64,
     means: BTreeMap<usize, f64>,
     median: f64,
     zones: Vec<f64>,
@@ -202,12 +193,6 @@
                 let step = (1.0 / *heard).clamp(Self::STEPS.0, Self::STEPS.1);
                 *work *= if ms > *work { 1.0 + step } else { 1.0 - 3.0 * step };
             }
-            // What warm searchers bore, in cores, at least one: a step down and four up settle where a
-            // fifth of the stretches went better, as our peers' work slows the others.
-            Note::Bore(rate) => {
-                let step = if rate > self.cores { 4.0 * Self::STEPS.1 } else { -Self::STEPS.1 } / 5.0;
-                self.cores = (self.cores * (1.0 + step)).max(1.0);
-            }
             Note::Slice(srv, mean) => {
                 self.means.insert(srv, mean);
                 self.news.1 = true;
@@ -231,7 +216,7 @@
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
                 let limit = Self::MULTIPLE * self.median;
                 let zones = self.zones.clone();
-                let norms = Rc::new(Norms { normal, work, cores: self.cores, limit, zones });
+                let norms = Rc::new(Norms { normal, work, limit, zones });
                 for to in post.awake.clone() {
                     post.put(to, Note::Norms(norms.clone()));
                 }
@@ -631,16 +616,16 @@
     /// at a time drawn by lot. Guards against newcomers, restarts and returns alike, which must neither
     /// starve nor be pushed over; harms when most of the fleet is cold, as the rest must then carry it.
     ///
-    /// Cores borne are also judged by own traffic, as if all mixers sent as much: who sends more than its
-    /// peers takes more of the allowance, and all together what an average searcher gets, times multiple
-    /// and age.
+    /// What warm ones bear is judged by own traffic, as if all mixers sent as much, and one core at least:
+    /// who sends more than its peers takes more of the allowance, and all together what an average searcher
+    /// gets, times multiple and age.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
         if seat.since <= 0.0 || age >= g.warm_ms {
             return true;
         }
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
-        let cores = self.norms.cores.max(self.flow * self.mixers / self.ready.max(1.0));
+        let cores = (self.flow * self.mixers / self.ready.max(1.0)).max(1.0);
         let all = g.tip_multiple * able * cores * g.fall_ms;
         if all >= work * self.mixers {
             let spent = seat.spent.iter().filter(|s| s.0 >= now - g.fall_ms).map(|s| s.1).sum::<f64>();
@@ -803,14 +788,9 @@
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
         let (means, news) = (BTreeMap::new(), (true, true));
-        let gauge = Gauge { normal, cores: 1.0, means, median: 1.0, zones: Vec::new(), news };
-        let norms = Rc::new(Norms {
-            normal: start.clone(),
-            work: start,
-            cores: 1.0,
-            limit: Gauge::MULTIPLE,
-            zones: Vec::new(),
-        });
+        let gauge = Gauge { normal, means, median: 1.0, zones: Vec::new(), news };
+        let norms =
+            Rc::new(Norms { normal: start.clone(), work: start, limit: Gauge::MULTIPLE, zones: Vec::new() });
         let (further, late) = (Purse::of(guards.budget.unwrap_or(Purse::OWN)), Purse::of(Purse::OWN));
         let customers = customers.into_iter().map(|c| (c, 0, 0.0)).collect();
         let door = Door { customers, seen: VecDeque::new() };
@@ -866,18 +846,9 @@
             }
             let (me, norms) = (self.spare.pop().unwrap_or(self.srvs.len()), self.desk.norms.clone());
             self.ids.insert(addr, me);
-            let (tile, slices, probe_at, busy) = (NEW, Vec::new(), 0.0, Busy::default());
-            let srv = Searcher {
-                me,
-                zone: usize::from(zone),
-                addr,
-                norms,
-                tile,
-                slices,
-                probe_at,
-                busy,
-                dead: false,
-            };
+            let (tile, slices, probe_at) = (NEW, Vec::new(), 0.0);
+            let srv =
+                Searcher { me, zone: usize::from(zone), addr, norms, tile, slices, probe_at, dead: false };
             // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
             // must not prefer the same.
             let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
--- a/src/state.rs
+++ b/src/state.rs
@@ -13,8 +13,6 @@
 pub(crate) struct Norms {
     pub normal: Vec<f64>,
     pub work: Vec<f64>,
-    /// What a warm searcher can bear.
-    pub cores: f64,
     pub limit: f64,
     /// The average share of each zone's parts.
     pub zones: Vec<f64>,
@@ -43,7 +41,6 @@
     Pong(Ending, f64),
     // To the gauge: of a table type, of a searcher.
     Heard(usize, f64),
-    Bore(f64),
     Slice(usize, f64),
     Zone(usize, f64),
     // To the desk.
@@ -105,34 +102,6 @@
     pub out: Vec<(Leg, usize, f64)>,
 }
 
-/// A stretch of time in which a searcher had parts of ours.
-#[derive(Default)]
-pub(crate) struct Busy {
-    pub from: f64,
-    pub most: u32,
-    pub work: f64,
-    pub ok: bool,
-    out: u32,
-}
-
-impl Busy {
-    pub fn sent(&mut self, now: f64, work: f64) {
-        if self.out == 0 {
-            *self = Self { from: now, ok: true, ..Self::default() };
-        }
-        self.out += 1;
-        self.most = self.most.max(self.out);
-        self.work += work;
-    }
-
-    /// One part ended; whether that closes a stretch in which all went well.
-    pub fn ended(&mut self, ok: bool) -> bool {
-        self.out = self.out.saturating_sub(1);
-        self.ok &= ok;
-        self.ok && self.out == 0
-    }
-}
-
 /// A searcher as the desk sees it.
 pub(crate) struct Seat {
     pub addr: SocketAddrV4,
