--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! inboxes that [`Mixer::run`] empties.
 
 use std::cmp::Ordering::Equal;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -14,16 +14,6 @@
 use crate::interface::*;
 use crate::state::*;
 
-/// A searcher that is not yet heard from counts as average.
-const NEW: Tile = Tile { lat: 1.0, lat_at: 0.0, age: 0.0, marked: false, trial: false, down: false };
-
-/// One searcher, watched by slices.
-#[rustfmt::skip]
-struct Searcher {
-    me: usize, zone: usize, addr: SocketAddrV4, norms: Rc<Norms>, tile: Tile,
-    slices: Vec<Slice>, probe_at: f64, dead: bool,
-}
-
 impl Searcher {
     /// The design's half second; the paper asks for the smallest that holds enough parts.
     const SLICE_MS: f64 = 500.0;
@@ -41,14 +31,14 @@
         match note {
             // A new process has nothing of the old one's past.
             Note::Renewed => {
-                (self.tile, self.dead) = (NEW, false);
+                (self.tile, self.dead) = (Tile::NEW, false);
                 self.slices.clear();
             }
             Note::Sent(leg, kind, norms) => {
                 self.norms = norms;
                 let open = |s: &Slice| now - s.from < Self::SLICE_MS || s.sent < Self::FEW;
                 if !self.slices.last().is_some_and(open) {
-                    self.slices.push(Slice { from: now, sent: 0, sum: 0.0, sound: true, out: Vec::new() });
+                    self.slices.push(Slice::from(now));
                 }
                 if let Some(slice) = self.slices.last_mut() {
                     slice.sent += 1;
@@ -88,7 +78,7 @@
                 self.dead |= ending == Ending::ConnectFailed;
                 let quick = self.norms.normal.iter().copied().fold(f64::INFINITY, f64::min);
                 if ending == Ending::Ok && took < self.norms.limit * quick {
-                    self.tile = Tile { trial: true, ..NEW };
+                    self.tile = Tile { trial: true, ..Tile::NEW };
                     post.out.push(Action::Log { line: format!("{} readmitted on trial", self.addr) });
                     // No process stood there, now one does: it is cold, whatever the list says by now.
                     if std::mem::take(&mut self.dead) {
@@ -110,11 +100,7 @@
             self.slices.clear();
         }
         // Work follows what happens: only who is marked or has a slice open is told of the periodic timer.
-        if self.tile.marked || !self.slices.is_empty() {
-            post.awake.insert(SRVS + self.me);
-        } else {
-            post.awake.remove(&(SRVS + self.me));
-        }
+        post.wake(SRVS + self.me, self.tile.marked || !self.slices.is_empty());
         post.put(DESK, Note::Tile(self.me, self.tile));
     }
 
@@ -157,15 +143,6 @@
     }
 }
 
-/// What is normal: for each table type (milliseconds, parts heard, own work), and over all slices.
-struct Gauge {
-    normal: Vec<(f64, f64, f64)>,
-    means: BTreeMap<usize, f64>,
-    median: f64,
-    zones: Vec<f64>,
-    news: (bool, bool), // of anything, of slices
-}
-
 impl Gauge {
     /// A searcher is marked when a slice averages over so many times the median: the paper's "about three".
     const MULTIPLE: f64 = 3.0;
@@ -227,21 +204,10 @@
     }
 }
 
-/// A budget: of further dispatches, stated or our own, and of parts caught for their own lateness.
-struct Purse {
-    budget: Budget,
-    taken: VecDeque<f64>,
-    extras: VecDeque<f64>,
-}
-
 impl Purse {
     /// Our own: a tenth of the parts, and a few; more was measured to feed overload.
     const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
 
-    fn of(budget: Budget) -> Self {
-        Self { budget, taken: VecDeque::new(), extras: VecDeque::new() }
-    }
-
     /// One more fits. A millisecond is added to the window of what was sent and taken off that of what was
     /// taken, so that its edges can't matter.
     fn fits(&mut self, now: f64) -> bool {
@@ -252,12 +218,6 @@
     }
 }
 
-/// The door: whose scans go first.
-struct Door {
-    customers: Vec<(Customer, usize, f64)>, // the scans seen, and until when it is not trusted
-    seen: VecDeque<(f64, usize)>,
-}
-
 impl Door {
     /// Of a searcher's limit, what a customer over its share may fill.
     const OVER: f64 = 0.8;
@@ -267,41 +227,15 @@
     /// Time in which a customer's scans are tasted after a deadly one: some of its clients' retries.
     const DISTRUST_MS: f64 = 10_000.0;
 
-    fn distrust(&mut self, customer: usize, now: f64) {
-        if let Some(c) = self.customers.get_mut(customer) {
-            c.2 = now + Self::DISTRUST_MS;
-        }
-    }
-
-    fn distrusts(&self, customer: usize, now: f64) -> bool {
-        self.customers.get(customer).is_some_and(|c| now < c.2)
-    }
-
-    fn see(&mut self, customer: usize, now: f64) {
-        if let Some(c) = self.customers.get_mut(customer) {
-            c.1 += 1;
-            self.seen.push_back((now, customer));
-        }
-        while let Some((_, old)) = self.seen.pop_front_if(|s| s.0 < now - Self::SEEN_MS) {
-            self.customers[old].1 -= 1;
-        }
-    }
-
     /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
     /// shares, as one mixer can't tell how much its peers see.
     fn over(&self, customer: usize) -> bool {
-        let shares: f64 = self.customers.iter().map(|c| c.0.scans_per_s).sum();
-        let own = self.customers.get(customer);
-        own.is_some_and(|c| c.1 as f64 * shares > c.0.scans_per_s * self.seen.len() as f64 * 1.1)
+        let shares: f64 = self.customers.iter().map(|c| c.scans_per_s).sum();
+        let terms = self.customers.get(customer).zip(self.counts.get(customer));
+        terms.is_some_and(|(c, n)| *n as f64 * shares > c.scans_per_s * self.seen.len() as f64 * 1.1)
     }
 }
 
-/// What becomes of parts sent on connections long idle (the second) and of all others.
-struct Lines {
-    lost: [f64; 2],
-    doubt_until: f64,
-}
-
 impl Lines {
     /// Idle for so long, a connection may have been dropped unseen: a few latencies.
     const IDLE_MS: f64 = 500.0;
@@ -323,25 +257,9 @@
     }
 }
 
-/// The scans, and what goes where.
-#[rustfmt::skip]
-struct Desk {
-    types: Vec<TableType>, layout: Layout, guards: Guards, permits: Permits, mixers: f64,
-    norms: Rc<Norms>, seats: Vec<Seat>, cells: Vec<Vec<usize>>, door: Door, next: usize,
-    further: Purse, late: Purse, lines: Lines,
-    flow: f64, ready: f64, // own work sent in a millisecond, and the searchers that are ready
-    scans: BTreeMap<usize, Scan>, flights: BTreeMap<Leg, Flight>, due: Agenda,
-    owners: HashMap<u64, (usize, usize)>, // of a scan or part: the scan's index, and the part's in it
-    this_turn: BTreeMap<usize, (Rc<()>, u32)>, // the call to each searcher, and its parts
-    touched: BTreeSet<usize>, // scans to look at in this turn
-    short: BTreeSet<usize>, // scans that lack parts and wait for room
-}
-
 impl Desk {
     /// Sums of weights may fall this short of what is needed (the weights come rounded).
     const HAIR: f64 = 1e-5;
-    /// Of a target time, what a marked retry is taken to have left: the middle of none and all.
-    const RETRY_LEFT: f64 = 0.5;
     /// Final answers leave so long before the time is up: a periodic timer and some slack.
     const AHEAD_MS: f64 = 30.0;
 
@@ -358,14 +276,12 @@
             }
             Note::Norms(norms) => self.norms = norms,
             Note::Back(srv) => self.seats[srv].since = now,
-            Note::Told(Event::Scan { id, number, table_type: kind, customer, gone_at, work_ms, retry }) => {
-                self.taken(now);
-                self.door.see(customer, now);
+            Note::Told(Event::Scan { id, number, table_type: kind, customer, gone_at, work_ms, .. }) => {
+                self.took(now);
+                self.door.see(customer, now, Door::SEEN_MS);
                 let Some(terms) = self.types.get(kind) else { return };
                 let target = terms.target_ms + terms.target_stretch * work_ms.unwrap_or(0.0);
-                // A client that comes back has waited since its first try, up to its whole target time.
-                let left = if retry { Self::RETRY_LEFT * target } else { target };
-                let target_at = now + left.min(terms.query_timeout_ms) - Self::AHEAD_MS;
+                let target_at = now + target.min(terms.query_timeout_ms) - Self::AHEAD_MS;
                 let gone_at = gone_at - Self::AHEAD_MS;
                 let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
                 #[rustfmt::skip]
@@ -379,7 +295,7 @@
                 self.due.add(gone_at, Due::Gone(at));
             }
             Note::Told(Event::Part { id, number, shard, weight }) => {
-                self.taken(now);
+                self.took(now);
                 let Some((at, scan)) = self.scans.iter_mut().rfind(|s| s.1.number == number) else { return };
                 self.owners.insert(id, (*at, scan.parts.len()));
                 let (state, caught, sent, taken_at) = (State::Unsent, false, Vec::new(), now);
@@ -403,11 +319,6 @@
         }
     }
 
-    fn taken(&mut self, now: f64) {
-        self.further.taken.push_back(now);
-        self.late.taken.push_back(now);
-    }
-
     fn ended(&mut self, leg: Leg, ending: Ending, took: f64, post: &mut Post) {
         let Some(flight) = self.flights.remove(&leg) else { return };
         if Rc::strong_count(&flight.call) == 1 {
@@ -421,7 +332,7 @@
             Ending::Cancelled | Ending::Moot => took.max(normal),
             _ => took.max(flight.allotted),
         };
-        if ending != Ending::Cancelled {
+        if !matches!(ending, Ending::Cancelled | Ending::ConnectFailed) {
             self.lines.judge(flight.idle, ending != Ending::Ok, post.now);
         }
         if ending == Ending::Ok {
@@ -442,18 +353,13 @@
         }
         if ending == Ending::Ok {
             (part.state, part.caught) = (State::In, false); // caught no more, or it would be sent again
-            Self::call_off(part, self.permits.cancel, post);
-        } else if part.out().next().is_none() {
+            post.call_off(part.legs_out(), self.permits.cancel);
+        } else if part.legs_out().is_empty() {
             (part.state, part.caught) = (State::Broken, false);
         }
         self.advance(at, post);
     }
 
-    fn call_off(part: &Part, may: bool, post: &mut Post) {
-        post.out
-            .extend(part.out().filter(|_| may).map(|dispatch| Action::Cancel { part: part.id, dispatch }));
-    }
-
     /// A part out at a searcher that was marked just now, or out for too long itself, is caught there.
     fn catch(&mut self, id: u64) {
         let Some(&(at, nth)) = self.owners.get(&id) else { return };
@@ -510,10 +416,11 @@
         // Searchers die at its parts and none came back: it is the likely cause, wherever it shows.
         let proved = scan.second || scan.parts.iter().any(|p| p.state == State::In);
         if !proved && scan.deaths >= Self::DEADLY {
-            self.door.distrust(scan.customer, now);
+            self.door.taste(scan.customer, now + Door::DISTRUST_MS);
             return self.end(at, post);
         }
-        let doubted = !proved && (scan.deaths > 0 || self.door.distrusts(scan.customer, now));
+        let doubted = !proved
+            && (scan.deaths > 0 || self.door.tasted_until.get(&scan.customer).is_some_and(|t| now < *t));
         let fresh = !scan.second && scan.parts.iter().all(|p| p.sent.is_empty());
         if fresh && !self.admits(scan, now) {
             return self.end(at, post);
@@ -538,7 +445,7 @@
         }
         let Some(scan) = self.scans.get(&at).filter(|s| s.coming() + Self::HAIR < s.need) else { return };
         self.short.insert(at);
-        let ready = |p: &Part| self.holders(p.shard).any(|s| self.seats[s].up());
+        let ready = |p: &Part| self.cells.holders(p.shard).any(|s| self.seats[s].up());
         let out = |p: &Part| p.state == State::Out;
         let can = |p: &Part| p.state == State::In || out(p) || self.may_repeat(scan, p, now) && ready(p);
         let hope = scan.weight(can) + Self::HAIR;
@@ -557,24 +464,6 @@
         may && part.sent.len() < self.permits.dispatches as usize
     }
 
-    fn enter(&mut self, srv: usize, cell: u32) {
-        self.seats[srv].cell = cell;
-        if let Some(cell) = self.cells.get_mut(cell as usize) {
-            cell.push(srv);
-        }
-    }
-
-    fn leave(&mut self, srv: usize) {
-        if let Some(cell) = self.cells.get_mut(self.seats[srv].cell as usize) {
-            cell.retain(|s| *s != srv);
-        }
-    }
-
-    fn holders(&self, shard: u32) -> impl Iterator<Item = usize> {
-        let (cells, reach) = (self.cells.len(), self.layout.reach as usize);
-        (0..reach.min(cells)).flat_map(move |j| &self.cells[(shard as usize + j) % cells]).copied()
-    }
-
     /// A call that leaves for this searcher in this turn and has room for one more part.
     fn shared(&self, srv: usize) -> bool {
         self.this_turn.get(&srv).is_some_and(|c| c.1 < self.layout.parts_per_call)
@@ -588,18 +477,15 @@
     /// all are marked, the least bad serves.
     fn replica(&self, scan: &Scan, part: &Part, now: f64) -> Option<(u8, f64, usize)> {
         let lot = |c: &(u8, f64, usize)| (c.0, c.1, self.seats[c.2].lot);
-        let choices = self.holders(part.shard).filter_map(|srv| {
+        let choices = self.cells.holders(part.shard).filter_map(|srv| {
             let seat = &self.seats[srv];
             let tried = part.sent.iter().any(|s| s.0 == srv);
             let able = seat.up() && self.room(seat, self.work(scan.kind, srv), now);
             let calls = seat.calls - u32::from(self.shared(srv));
             let late = seat.tile.age > self.norms.limit * self.norms.normal[scan.kind];
             let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried || late);
-            able.then_some((
-                tier,
-                Searcher::faded(&seat.tile, &self.norms, seat.zone, now) * f64::from(1 + calls),
-                srv,
-            ))
+            let lat = Searcher::faded(&seat.tile, &self.norms, seat.zone, now);
+            able.then_some((tier, lat * f64::from(1 + calls), srv))
         });
         choices.min_by(|a, b| lot(a).partial_cmp(&lot(b)).unwrap_or(Equal))
     }
@@ -723,7 +609,7 @@
         scan.floor = if scan.floor < scan.need { scan.floor } else { 1.0 };
         scan.need = 1.0;
         let old = std::mem::take(&mut scan.parts);
-        self.drop_parts(old, post);
+        post.call_off(self.drop_parts(old), self.permits.cancel);
     }
 
     /// The final answer of a scan that will not be whole: what is in if that is enough, else a throttling
@@ -749,14 +635,7 @@
         let Some(scan) = self.scans.remove(&at) else { return };
         self.short.remove(&at);
         self.owners.remove(&scan.id);
-        self.drop_parts(scan.parts, post);
-    }
-
-    fn drop_parts(&mut self, parts: Vec<Part>, post: &mut Post) {
-        for part in parts {
-            self.owners.remove(&part.id);
-            Self::call_off(&part, self.permits.cancel, post);
-        }
+        post.call_off(self.drop_parts(scan.parts), self.permits.cancel);
     }
 }
 
@@ -787,35 +666,25 @@
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
-        let (means, news) = (BTreeMap::new(), (true, true));
-        let gauge = Gauge { normal, means, median: 1.0, zones: Vec::new(), news };
-        let norms =
-            Rc::new(Norms { normal: start.clone(), work: start, limit: Gauge::MULTIPLE, zones: Vec::new() });
-        let (further, late) = (Purse::of(guards.budget.unwrap_or(Purse::OWN)), Purse::of(Purse::OWN));
-        let customers = customers.into_iter().map(|c| (c, 0, 0.0)).collect();
-        let door = Door { customers, seen: VecDeque::new() };
-        let cells = vec![Vec::new(); layout.cells as usize];
+        let gauge =
+            Gauge { normal, means: BTreeMap::new(), median: 1.0, zones: Vec::new(), news: (true, true) };
+        let (limit, zones) = (Gauge::MULTIPLE, Vec::new());
+        let norms = Rc::new(Norms { normal: start.clone(), work: start, limit, zones });
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
-        let mixers = f64::from(berth.mixers.max(1));
+        let further = Purse::of(guards.budget.unwrap_or(Purse::OWN));
+        let (mixers, late) = (f64::from(berth.mixers.max(1)), Purse::of(Purse::OWN));
+        let (cells, door) = (Cells::new(layout.cells, layout.reach), Door::of(customers));
         #[rustfmt::skip]
-        let desk = Desk { types, layout, guards, permits, mixers, norms, seats: Vec::new(), cells, door,
-            further, late, lines: Lines { lost: [0.0; 2], doubt_until: 0.0 }, touched: BTreeSet::new(), short: BTreeSet::new(), flow: 0.0, ready: 0.0, next: 0, scans: BTreeMap::new(), flights: BTreeMap::new(), due: Agenda::default(),
-            owners: HashMap::new(), this_turn: BTreeMap::new() };
+        let desk = Desk { types, layout, guards, permits, mixers, norms, cells, door, further, late,
+            lines: Lines::default(), seats: Vec::new(), flow: 0.0, ready: 0.0, next: 0, due: Agenda::default(),
+            scans: BTreeMap::new(), flights: BTreeMap::new(), owners: HashMap::new(),
+            this_turn: BTreeMap::new(), touched: BTreeSet::new(), short: BTreeSet::new() };
         let mut post = Post::default();
         post.awake.extend([DESK, GAUGE]);
-        let (seed, ids, srvs) = (Rand64::new(u128::from(seed)), HashMap::new(), Vec::new());
-        Self {
-            seed,
-            zone: berth.zone,
-            ids,
-            subscribe_at,
-            next_tick: f64::NEG_INFINITY,
-            spare: Vec::new(),
-            srvs,
-            gauge,
-            desk,
-            post,
-        }
+        let (seed, ids, srvs, spare) =
+            (Rand64::new(u128::from(seed)), HashMap::new(), Vec::new(), Vec::new());
+        let (zone, next_tick) = (berth.zone, f64::NEG_INFINITY);
+        Self { seed, zone, ids, subscribe_at, next_tick, spare, srvs, gauge, desk, post }
     }
 
     /// The list: a searcher is known by its address; a new start voids its past.
@@ -835,55 +704,39 @@
                     self.post.put(SRVS + srv, Note::Renewed);
                 }
                 seat.life = life;
-                if seat.cell != cell {
-                    self.desk.leave(srv);
-                    self.desk.enter(srv, cell);
+                let old = std::mem::replace(&mut seat.cell, cell);
+                if old != cell {
+                    self.desk.cells.leave(old, srv);
+                    self.desk.cells.enter(cell, srv);
                 }
                 continue;
             }
             if life == Life::Gone {
                 continue;
             }
-            let (me, norms) = (self.spare.pop().unwrap_or(self.srvs.len()), self.desk.norms.clone());
+            let me = self.spare.pop().unwrap_or(self.srvs.len());
             self.ids.insert(addr, me);
-            let (tile, slices, probe_at) = (NEW, Vec::new(), 0.0);
-            let srv =
-                Searcher { me, zone: usize::from(zone), addr, norms, tile, slices, probe_at, dead: false };
+            let srv = Searcher::new(me, addr, zone, self.desk.norms.clone());
             // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
             // must not prefer the same.
             let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
-            let (calls, limit, cut_at, spent) = (0, f64::INFINITY, 0.0, VecDeque::new());
-            let seat = Seat {
-                addr,
-                cell,
-                zone: usize::from(zone),
-                listed: since,
-                since,
-                life,
-                tile,
-                lot,
-                calls,
-                heard_at: f64::INFINITY,
-                limit,
-                cut_at,
-                spent,
-            };
+            let seat = Seat::new(addr, cell, zone, since, life, lot);
             if me < self.srvs.len() {
                 (self.srvs[me], self.desk.seats[me]) = (srv, seat);
             } else {
                 self.srvs.push(srv);
                 self.desk.seats.push(seat);
             }
-            self.desk.enter(me, cell);
+            self.desk.cells.enter(cell, me);
         }
         // Who is gone and has no call of ours out leaves its place to another, as releases bring new ones.
-        let (desk, spare, awake) = (&mut self.desk, &mut self.spare, &mut self.post.awake);
+        let (desk, spare, post) = (&mut self.desk, &mut self.spare, &mut self.post);
         self.ids.retain(|_, srv| {
             let stays = desk.seats[*srv].life != Life::Gone || desk.seats[*srv].calls > 0;
             if !stays {
-                desk.leave(*srv);
+                desk.cells.leave(desk.seats[*srv].cell, *srv);
                 spare.push(*srv);
-                awake.remove(&(SRVS + *srv));
+                post.wake(SRVS + *srv, false);
             }
             stays
         });
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,10 @@
 //! What the actors of the decision module hold and hand to each other. Nothing is decided here.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use crate::interface::{Action, Ending, Event, Life};
+use crate::interface::{Action, Budget, Customer, Ending, Event, Guards, Layout, Life, Permits, TableType};
 
 /// A part and the number of its dispatch.
 pub(crate) type Leg = (u64, u8);
@@ -32,6 +32,11 @@
     pub down: bool,
 }
 
+impl Tile {
+    /// A searcher that is not yet heard from counts as average.
+    pub const NEW: Self = Self { lat: 1.0, lat_at: 0.0, age: 0.0, marked: false, trial: false, down: false };
+}
+
 pub(crate) enum Note {
     // To a searcher.
     Renewed,
@@ -79,6 +84,21 @@
         self.full.insert(to);
     }
 
+    /// Whether this inbox wants the periodic note.
+    pub fn wake(&mut self, to: usize, awake: bool) {
+        if awake {
+            self.awake.insert(to);
+        } else {
+            self.awake.remove(&to);
+        }
+    }
+
+    /// Calls dispatches off, where that may be done.
+    pub fn call_off(&mut self, legs: Vec<Leg>, may: bool) {
+        let cancels = legs.into_iter().filter(|_| may);
+        self.out.extend(cancels.map(|(part, dispatch)| Action::Cancel { part, dispatch }));
+    }
+
     /// The next note of the last inbox that holds one.
     pub fn take(&mut self) -> Option<(usize, Note)> {
         let to = *self.full.last()?;
@@ -102,6 +122,169 @@
     pub out: Vec<(Leg, usize, f64)>,
 }
 
+impl Slice {
+    pub fn from(now: f64) -> Self {
+        Self { from: now, sent: 0, sum: 0.0, sound: true, out: Vec::new() }
+    }
+}
+
+/// One searcher, watched by slices.
+pub(crate) struct Searcher {
+    pub me: usize,
+    pub zone: usize,
+    pub addr: SocketAddrV4,
+    pub norms: Rc<Norms>,
+    pub tile: Tile,
+    pub slices: Vec<Slice>,
+    pub probe_at: f64,
+    /// It refused a connection since it last answered.
+    pub dead: bool,
+}
+
+impl Searcher {
+    pub fn new(me: usize, addr: SocketAddrV4, zone: u16, norms: Rc<Norms>) -> Self {
+        let (tile, slices, zone) = (Tile::NEW, Vec::new(), usize::from(zone));
+        Self { me, zone, addr, norms, tile, slices, probe_at: 0.0, dead: false }
+    }
+}
+
+/// What is normal.
+pub(crate) struct Gauge {
+    /// For each table type: milliseconds, parts heard, own work.
+    pub normal: Vec<(f64, f64, f64)>,
+    /// Of each searcher's last slice.
+    pub means: BTreeMap<usize, f64>,
+    pub median: f64,
+    pub zones: Vec<f64>,
+    /// Since the last tick: of anything, of slices.
+    pub news: (bool, bool),
+}
+
+/// A budget: of further dispatches, stated or our own, and of parts caught for their own lateness.
+pub(crate) struct Purse {
+    pub budget: Budget,
+    pub taken: VecDeque<f64>,
+    pub extras: VecDeque<f64>,
+}
+
+impl Purse {
+    pub fn of(budget: Budget) -> Self {
+        Self { budget, taken: VecDeque::new(), extras: VecDeque::new() }
+    }
+}
+
+/// The customers at the door, and whose scans were seen lately.
+pub(crate) struct Door {
+    pub customers: Vec<Customer>,
+    pub counts: Vec<usize>,
+    pub seen: VecDeque<(f64, usize)>,
+    /// Until when a customer's scans go out one part first.
+    pub tasted_until: BTreeMap<usize, f64>,
+}
+
+impl Door {
+    pub fn of(customers: Vec<Customer>) -> Self {
+        let counts = vec![0; customers.len()];
+        Self { customers, counts, seen: VecDeque::new(), tasted_until: BTreeMap::new() }
+    }
+
+    pub fn taste(&mut self, customer: usize, until: f64) {
+        if customer < self.customers.len() {
+            self.tasted_until.insert(customer, until);
+        }
+    }
+
+    pub fn see(&mut self, customer: usize, now: f64, span_ms: f64) {
+        if let Some(count) = self.counts.get_mut(customer) {
+            *count += 1;
+            self.seen.push_back((now, customer));
+        }
+        while let Some((_, old)) = self.seen.pop_front_if(|s| s.0 < now - span_ms) {
+            self.counts[old] -= 1;
+        }
+    }
+}
+
+/// What becomes of parts sent on connections long idle (the second) and of all others.
+#[derive(Default)]
+pub(crate) struct Lines {
+    pub lost: [f64; 2],
+    pub doubt_until: f64,
+}
+
+/// Who stands in which cell, and so holds which shards.
+pub(crate) struct Cells(Vec<Vec<usize>>, usize);
+
+impl Cells {
+    pub fn new(cells: u32, reach: u32) -> Self {
+        Self(vec![Vec::new(); cells as usize], reach.min(cells) as usize)
+    }
+
+    pub fn enter(&mut self, cell: u32, srv: usize) {
+        if let Some(cell) = self.0.get_mut(cell as usize) {
+            cell.push(srv);
+        }
+    }
+
+    pub fn leave(&mut self, cell: u32, srv: usize) {
+        if let Some(cell) = self.0.get_mut(cell as usize) {
+            cell.retain(|s| *s != srv);
+        }
+    }
+
+    pub fn holders(&self, shard: u32) -> impl Iterator<Item = usize> {
+        let (cells, first) = (&self.0, shard as usize % self.0.len());
+        (0..self.1).flat_map(move |j| &cells[(first + j) % cells.len()]).copied()
+    }
+}
+
+/// The scans, and what goes where.
+pub(crate) struct Desk {
+    pub types: Vec<TableType>,
+    pub layout: Layout,
+    pub guards: Guards,
+    pub permits: Permits,
+    pub mixers: f64,
+    pub norms: Rc<Norms>,
+    pub seats: Vec<Seat>,
+    pub cells: Cells,
+    pub door: Door,
+    pub further: Purse,
+    pub late: Purse,
+    pub lines: Lines,
+    /// Own work sent in a millisecond, and the searchers that are ready.
+    pub flow: f64,
+    pub ready: f64,
+    pub next: usize,
+    pub scans: BTreeMap<usize, Scan>,
+    pub flights: BTreeMap<Leg, Flight>,
+    pub due: Agenda,
+    /// Of a scan or part: the scan's index, and the part's in it.
+    pub owners: HashMap<u64, (usize, usize)>,
+    /// The call to each searcher, and its parts.
+    pub this_turn: BTreeMap<usize, (Rc<()>, u32)>,
+    /// Scans to look at in this turn.
+    pub touched: BTreeSet<usize>,
+    /// Scans that lack parts and wait for room.
+    pub short: BTreeSet<usize>,
+}
+
+impl Desk {
+    /// One more scan or part was taken.
+    pub fn took(&mut self, now: f64) {
+        self.further.taken.push_back(now);
+        self.late.taken.push_back(now);
+    }
+
+    /// Forgets parts; their dispatches that are out.
+    pub fn drop_parts(&mut self, parts: Vec<Part>) -> Vec<Leg> {
+        for part in &parts {
+            self.owners.remove(&part.id);
+        }
+        parts.iter().flat_map(Part::legs_out).collect()
+    }
+}
+
 /// A searcher as the desk sees it.
 pub(crate) struct Seat {
     pub addr: SocketAddrV4,
@@ -125,6 +308,12 @@
 }
 
 impl Seat {
+    pub fn new(addr: SocketAddrV4, cell: u32, zone: u16, since: f64, life: Life, lot: f64) -> Self {
+        let (zone, tile, limit, heard_at) = (usize::from(zone), Tile::NEW, f64::INFINITY, f64::INFINITY);
+        let (listed, calls, cut_at, spent) = (since, 0, 0.0, VecDeque::new());
+        Self { addr, cell, zone, listed, since, life, tile, lot, calls, heard_at, limit, cut_at, spent }
+    }
+
     /// Listed as ready, and not both marked and without connection.
     pub fn up(&self) -> bool {
         self.life == Life::Ready && !(self.tile.marked && self.tile.down)
@@ -155,9 +344,10 @@
         self.sent.iter().all(|s| s.1.is_some_and(Ending::never_ran))
     }
 
-    /// Numbers of the dispatches still out.
-    pub fn out(&self) -> impl Iterator<Item = u8> {
-        self.sent.iter().enumerate().filter(|s| s.1.1.is_none()).map(|s| s.0 as u8)
+    /// The dispatches still out.
+    pub fn legs_out(&self) -> Vec<Leg> {
+        let out = self.sent.iter().enumerate().filter(|s| s.1.1.is_none());
+        out.map(|s| (self.id, s.0 as u8)).collect()
     }
 }
 
