Costs within half again count as equal: shared calls, own zone, then lot

A latency smoothed over five parts can't tell costs within half again apart, so the replica rule treats them as equal and its ties serve distance and shared calls. Harms where traffic leans on one zone, until its latency shows.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -260,6 +260,8 @@
 impl Desk {
     /// Sums of weights may fall this short of what is needed (the weights come rounded).
     const HAIR: f64 = 1e-5;
+    /// Of a target time, what a marked retry is taken to have left: the middle of none and all.
+    const RETRY_LEFT: f64 = 0.5;
     /// Final answers leave so long before the time is up: a periodic timer and some slack.
     const AHEAD_MS: f64 = 30.0;
 
@@ -276,12 +278,13 @@
             }
             Note::Norms(norms) => self.norms = norms,
             Note::Back(srv) => self.seats[srv].since = now,
-            Note::Told(Event::Scan { id, number, table_type: kind, customer, gone_at, work_ms, .. }) => {
+            Note::Told(Event::Scan { id, number, table_type: kind, customer, gone_at, work_ms, retry }) => {
                 self.took(now);
                 self.door.see(customer, now, Door::SEEN_MS);
                 let Some(terms) = self.types.get(kind) else { return };
                 let target = terms.target_ms + terms.target_stretch * work_ms.unwrap_or(0.0);
-                let target_at = now + target.min(terms.query_timeout_ms) - Self::AHEAD_MS;
+                let left = if retry { Self::RETRY_LEFT * target } else { target };
+                let target_at = now + left.min(terms.query_timeout_ms) - Self::AHEAD_MS;
                 let gone_at = gone_at - Self::AHEAD_MS;
                 let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
                 #[rustfmt::skip]
@@ -473,21 +476,26 @@
         self.norms.work[kind] + if self.shared(srv) { 0.0 } else { self.layout.call_work_ms }
     }
 
-    /// The replica rule: least smoothed latency times one plus own calls out. Marked ones come last: when
-    /// all are marked, the least bad serves.
+    /// Costs within this factor count as equal: a latency smoothed over five parts says no more.
+    const EQUAL: f64 = 1.5;
+
+    /// The replica rule: least smoothed latency times one plus own calls out. Of equals one to which a call
+    /// leaves anyway, then the own zone, then by lot. Marked ones come last: when all are marked, the least
+    /// bad serves.
     fn replica(&self, scan: &Scan, part: &Part, now: f64) -> Option<(u8, f64, usize)> {
-        let lot = |c: &(u8, f64, usize)| (c.0, c.1, self.seats[c.2].lot);
         let choices = self.cells.holders(part.shard).filter_map(|srv| {
             let seat = &self.seats[srv];
             let tried = part.sent.iter().any(|s| s.0 == srv);
             let able = seat.up() && self.room(seat, self.work(scan.kind, srv), now);
-            let calls = seat.calls - u32::from(self.shared(srv));
+            let shared = self.shared(srv);
+            let calls = seat.calls - u32::from(shared);
             let late = seat.tile.age > self.norms.limit * self.norms.normal[scan.kind];
             let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried || late);
-            let lat = Searcher::faded(&seat.tile, &self.norms, seat.zone, now);
-            able.then_some((tier, lat * f64::from(1 + calls), srv))
+            let cost = Searcher::faded(&seat.tile, &self.norms, seat.zone, now) * f64::from(1 + calls);
+            able.then_some((tier, cost.log(Self::EQUAL).round(), !shared, seat.lot, srv))
         });
-        choices.min_by(|a, b| lot(a).partial_cmp(&lot(b)).unwrap_or(Equal))
+        let best = choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal));
+        best.map(|(tier, cost, .., srv)| (tier, Self::EQUAL.powf(cost), srv))
     }
 
     /// All mixers are held, on average, to what stays under a window's allowance by this many times the
