--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,8 +5,7 @@
 //! inboxes that [`Mixer::run`] empties.
 
 use std::cmp::Ordering::Equal;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddrV4;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use oorandom::Rand64;
@@ -50,9 +49,8 @@
                 let lat = Self::faded(&self.tile, &self.norms, self.zone, now);
                 (self.tile.lat, self.tile.lat_at) = (lat + Self::SMOOTH * (share - lat), now);
                 self.tile.down = matches!(ending, Ending::ConnectFailed | Ending::Reset);
-                // A lost connection is no matter of averages: it marks at once and is probed at once. Guards
-                // against the dead where a slice would take many seconds to fill; harms a sound searcher
-                // that dropped an idle connection, until its probe is back.
+                // A lost connection marks and is probed at once: the dead don't wait for a slice to fill.
+                // Harms a sound searcher that dropped an idle connection, until its probe is back.
                 self.dead |= ending == Ending::ConnectFailed;
                 if self.tile.down && !self.tile.marked {
                     self.mark(share, post);
@@ -71,9 +69,8 @@
                     self.tile.trial &= !good && !self.tile.marked;
                 }
             }
-            // A probe does almost no work, so a pass only admits to a trial: one part at a time until one
-            // comes back in time. Guards against searchers that answer probes and nothing else; harms a
-            // sound one by a few parts.
+            // A pass only admits to a trial, one part at a time until one comes back in time: guards against
+            // searchers that answer probes and nothing else, harms a sound one by a few parts.
             Note::Pong(ending, took) if self.tile.marked => {
                 self.dead |= ending == Ending::ConnectFailed;
                 let quick = self.norms.normal.iter().copied().fold(f64::INFINITY, f64::min);
@@ -104,21 +101,19 @@
         post.put(DESK, Note::Tile(self.me, self.tile));
     }
 
-    /// The smoothed latency, on its way back to the average of its zone as seen from here. Guards against a
-    /// zone that is dead, or slow over the way there, where each searcher is heard of too seldom to show
-    /// it; harms a zone's good ones until they are heard from.
+    /// The smoothed latency, on its way back to its zone's average as seen from here. Guards against a zone
+    /// that is dead or slow to reach, where each searcher is seldom heard of; harms its good ones until then.
     fn faded(tile: &Tile, norms: &Norms, zone: usize, now: f64) -> f64 {
         let average = norms.zones.get(zone).copied().unwrap_or(1.0);
         average + (tile.lat - average) * ((tile.lat_at - now) / Self::FADE_MS).exp()
     }
 
     /// A slice is judged when it is over and its parts have ended, or as soon as the ages of those still
-    /// out lift its average over the multiple. The latter guards against a hang, which would show only
-    /// with the last time-out; it harms a searcher whose few parts are all heavy, until its next probe.
+    /// out lift its average over the multiple: a hang would show only with the last time-out. Harms a
+    /// searcher whose few parts are all heavy, until its next probe.
     fn judge(&mut self, post: &mut Post) {
         let (now, limit, mut worst) = (post.now, self.norms.limit, 0.0);
-        let ages = self.slices.iter().flat_map(|s| &s.out).map(|l| now - l.2);
-        self.tile.age = ages.fold(0.0, f64::max);
+        self.tile.age = self.slices.iter().flat_map(|s| &s.out).map(|l| now - l.2).fold(0.0, f64::max);
         self.slices.retain(|slice| {
             let aged: f64 = slice.out.iter().map(|l| (now - l.2) / self.norms.normal[l.1]).sum();
             let mean = (slice.sum + aged) / f64::from(slice.sent);
@@ -148,8 +143,7 @@
     const MULTIPLE: f64 = 3.0;
     /// Weight of the newest part in a table type's normal latency: a few hundred parts, some seconds.
     const SMOOTH: f64 = 0.01;
-    /// Least and first step of the work estimate: it is found within some tens of parts, and a jam, which
-    /// makes all parts look heavy, takes several hundred to change it.
+    /// Least and first step of the work estimate: found within tens of parts, moved by a jam in hundreds.
     const STEPS: (f64, f64) = (0.002, 0.05);
     /// Weight of the newest part in a zone's average: about the last ten count.
     const ZONE: f64 = 0.1;
@@ -157,7 +151,6 @@
     const FEW: usize = 3;
 
     fn note(&mut self, note: Note, post: &mut Post) {
-        self.news.0 |= !matches!(note, Note::Tick);
         match note {
             Note::Heard(kind, ms) => {
                 let (normal, heard, work) = &mut self.normal[kind];
@@ -165,34 +158,23 @@
                 // Clipped, so that one slow searcher does not become the norm.
                 let clipped = if *heard > 10.0 { ms.min(Self::MULTIPLE * *normal) } else { ms };
                 *normal += (1.0 / *heard).max(Self::SMOOTH) * (clipped - *normal);
-                // A part's own work shows where little waits: a step up and three down settle at the
-                // quarter of the parts that were quickest.
+                // A part's own work: a step up and three down settle at the quickest quarter of the parts.
                 let step = (1.0 / *heard).clamp(Self::STEPS.0, Self::STEPS.1);
                 *work *= if ms > *work { 1.0 + step } else { 1.0 - 3.0 * step };
             }
             Note::Slice(srv, mean) => {
                 self.means.insert(srv, mean);
-                self.news.1 = true;
+                // All slow: the median moves, and nobody is marked.
+                self.median = median(self.means.values().copied(), Self::FEW).unwrap_or(1.0);
             }
             Note::Zone(zone, share) => {
-                if self.zones.len() <= zone {
-                    self.zones.resize(zone + 1, 1.0);
-                }
+                self.zones.resize(self.zones.len().max(zone + 1), 1.0);
                 self.zones[zone] += Self::ZONE * (share - self.zones[zone]);
             }
             Note::Tick => {
                 self.zones.iter_mut().for_each(|z| *z += (1.0 - *z) * Mixer::TICK_MS / Searcher::FADE_MS);
-                if !self.news.0 && self.zones.iter().all(|z| (z - 1.0).abs() < 0.01) {
-                    return;
-                }
-                // All slow: the median moves, and nobody is marked.
-                if self.news.1 {
-                    self.median = median(self.means.values().copied(), Self::FEW).unwrap_or(1.0);
-                }
-                self.news = (false, false);
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
-                let limit = Self::MULTIPLE * self.median;
-                let zones = self.zones.clone();
+                let (limit, zones) = (Self::MULTIPLE * self.median, self.zones.clone());
                 let norms = Rc::new(Norms { normal, work, limit, zones });
                 for to in post.awake.clone() {
                     post.put(to, Note::Norms(norms.clone()));
@@ -208,8 +190,7 @@
     /// Our own: a tenth of the parts, and a few; more was measured to feed overload.
     const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
 
-    /// One more fits. A millisecond is added to the window of what was sent and taken off that of what was
-    /// taken, so that its edges can't matter.
+    /// One more fits, by a millisecond at the window's edges.
     fn fits(&mut self, now: f64) -> bool {
         let from = now - self.budget.window_ms;
         trim(&mut self.extras, |e| *e < from - 1.0);
@@ -227,8 +208,7 @@
     /// Time in which a customer's scans are tasted after a deadly one: some of its clients' retries.
     const DISTRUST_MS: f64 = 10_000.0;
 
-    /// Traffic over a customer's share goes first: its part of the scans seen here against its part of all
-    /// shares, as one mixer can't tell how much its peers see.
+    /// Traffic over a customer's share goes first: its part of the scans seen here against that of all shares.
     fn over(&self, customer: usize) -> bool {
         let shares: f64 = self.customers.iter().map(|c| c.scans_per_s).sum();
         let terms = self.customers.get(customer).zip(self.counts.get(customer));
@@ -243,11 +223,11 @@
     const SMOOTH: f64 = 0.1;
     /// Lost on idle connections from which on they are closed before use: more than searchers that fail.
     const LOST: f64 = 0.25;
-    /// Then for so long: new connections say nothing of idle ones, so it is tried again after some of them.
+    /// Then for so long, as new connections say nothing of idle ones.
     const DOUBT_MS: f64 = 10_000.0;
 
-    /// Guards against connections dropped while idle, where the searcher is sound: losses that keep to idle
-    /// connections, wherever they lead. Harms by new connections where searchers hang instead.
+    /// Guards against connections dropped while idle, where the searcher is sound: losses keep to them,
+    /// wherever they lead. Harms by new connections where searchers hang instead.
     fn judge(&mut self, idle: Option<bool>, lost: bool, now: f64) {
         let Some(idle) = idle.map(usize::from) else { return };
         self.lost[idle] += Self::SMOOTH * (f64::from(u8::from(lost)) - self.lost[idle]);
@@ -327,8 +307,8 @@
         if Rc::strong_count(&flight.call) == 1 {
             self.seats[flight.srv].calls -= 1;
         }
-        // Failing must never look fast (errors, a dead zone's resets): it is filed at no less than the
-        // time it was allowed. Called off, a part counts with its age, and as normal at least.
+        // Failing must never look fast: it is filed at no less than the time it was allowed. Called off, a
+        // part counts with its age, and as normal at least.
         let normal = self.norms.normal[flight.kind];
         let ms = match ending {
             Ending::Ok => took,
@@ -375,8 +355,8 @@
     fn settle(&mut self, post: &mut Post) {
         while let Some(due) = self.due.take(post.now) {
             match due {
-                // Late on its own, before its searcher is marked; within our own budget, as under overload
-                // everything is late and replacing it all would be the worse load.
+                // Late on its own, before its searcher is marked; within our own budget, as all is late under
+                // overload.
                 Due::Late(leg) => {
                     let Some(flight) = self.flights.get_mut(&leg) else { continue };
                     self.lines.judge(flight.idle.take(), true, post.now);
@@ -404,9 +384,8 @@
     }
 
     /// Lost connections at a scan's parts, with none in, that end it. Guards against scans that bring down
-    /// each searcher they reach: they are not sent on, and for a while its customer's scans go out one part
-    /// first. Harms a scan that met two searchers as they died of something else, and its customer's by the
-    /// latency of a part.
+    /// whom they reach: for a while its customer's scans go out one part first. Harms scans that met two
+    /// searchers dying of something else, and its customer's by a part's latency.
     const DEADLY: u32 = 2;
 
     /// Sends what the scan lacks, and ends it as soon as it is whole or can't become so.
@@ -416,7 +395,6 @@
         if scan.have() + Self::HAIR >= scan.need {
             return self.complete(at, true, post);
         }
-        // Searchers die at its parts and none came back: it is the likely cause, wherever it shows.
         let proved = scan.second || scan.parts.iter().any(|p| p.state == State::In);
         if !proved && scan.deaths >= Self::DEADLY {
             self.door.taste(scan.customer, now + Door::DISTRUST_MS);
@@ -479,9 +457,8 @@
     /// Costs within this factor count as equal: a latency smoothed over five parts says no more.
     const EQUAL: f64 = 1.5;
 
-    /// The replica rule: least smoothed latency times one plus own calls out. Of equals one to which a call
-    /// leaves anyway, then the own zone, then by lot. Marked ones come last: when all are marked, the least
-    /// bad serves.
+    /// The replica rule: least smoothed latency times one plus own calls out; of equals one to which a call
+    /// leaves anyway, then the own zone, then by lot. Marked ones last: when all are, the least bad serves.
     fn replica(&self, scan: &Scan, part: &Part, now: f64) -> Option<(u8, f64, usize)> {
         let choices = self.cells.holders(part.shard).filter_map(|srv| {
             let seat = &self.seats[srv];
@@ -498,36 +475,25 @@
         best.map(|(tier, cost, .., srv)| (tier, Self::EQUAL.powf(cost), srv))
     }
 
-    /// All mixers are held, on average, to what stays under a window's allowance by this many times the
-    /// spread of independent senders. One, as cores that a mixer can't see borne are not counted.
-    const CHANCE: f64 = 1.0;
+    /// A stretched window is half as long again, as mixers that don't know of each other meet by chance.
+    const STRETCH: f64 = 1.5;
     /// Span of own traffic: some fall windows.
     const FLOW_MS: f64 = 5000.0;
 
-    /// What a mixer may send a cold searcher: its equal part of what all may send in a fall window, the
-    /// multiple of what warm ones bore, at that age, if it warms up as slowly as it may. Where that is less
-    /// than one part, one part in a window stretched so that all together stay below by chance, the first
-    /// at a time drawn by lot. Guards against newcomers, restarts and returns alike, which must neither
-    /// starve nor be pushed over; harms when most of the fleet is cold, as the rest must then carry it.
-    ///
-    /// What warm ones bear is judged by own traffic, as if all mixers sent as much, and one core at least:
-    /// who sends more than its peers takes more of the allowance, and all together what an average searcher
-    /// gets, times multiple and age.
+    /// What a mixer may send a cold searcher: its equal part of the multiple of what warm ones bear, at that
+    /// age, if it warms up as slowly as it may; where that is less than one part, one part in a window
+    /// stretched so far, the first by lot. What warm ones bear is judged by own traffic, as if all sent as
+    /// much, and one core at least: summed over mixers, what an average searcher gets. Guards newcomers,
+    /// restarts and returns against a push and against starving; harms when most of the fleet is cold.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
-        if seat.since <= 0.0 || age >= g.warm_ms {
-            return true;
-        }
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
         let cores = (self.flow * self.mixers / self.ready.max(1.0)).max(1.0);
-        let all = g.tip_multiple * able * cores * g.fall_ms;
-        if all >= work * self.mixers {
-            let spent = seat.spent.iter().filter(|s| s.0 >= now - g.fall_ms).map(|s| s.1).sum::<f64>();
-            return spent + work <= all / self.mixers;
-        }
-        let mean = (((Self::CHANCE.powi(2) + 4.0 * all / work).sqrt() - Self::CHANCE) / 2.0).powi(2);
-        let span = g.fall_ms * self.mixers / mean;
-        age >= seat.lot.fract() * span && seat.spent.back().is_none_or(|s| now - s.0 >= span)
+        let share = g.tip_multiple * able * cores * g.fall_ms / self.mixers;
+        let span = g.fall_ms * if work <= share { 1.0 } else { Self::STRETCH * work / share };
+        let spent: f64 = seat.spent.iter().filter(|s| s.0 >= now - span).map(|s| s.1).sum();
+        let fits = spent + work <= share.max(work) && (work <= share || age >= seat.lot.fract() * span);
+        seat.since <= 0.0 || age >= g.warm_ms || fits
     }
 
     fn dispatch(&mut self, at: usize, nth: usize, srv: usize, post: &mut Post) {
@@ -568,8 +534,7 @@
         post.put(SRVS + srv, Note::Sent(leg, kind, self.norms.clone()));
     }
 
-    /// Share of a target time that a part may take: its scan waits for the slowest of several. Tried at
-    /// 0.35 too, which refuses more on days without jams.
+    /// Share of a target time that a part may take: a scan waits for the slowest of several.
     const PRESSED: f64 = 0.5;
     /// What a cut leaves of a limit.
     const CUT: f64 = 0.8;
@@ -590,9 +555,8 @@
     /// Share of what is left to the target that our oldest part at a replica may have waited.
     const SLOW: f64 = 0.6;
 
-    /// What cannot come in time is refused at the door: when too few of the replicas that it needs have
-    /// room under their limits and no old part of ours. One call always fits, as without it nothing would
-    /// be learnt; so marked replicas get one at a time.
+    /// What cannot come in time is refused at the door: too few of the replicas that it needs have room
+    /// under their limits and no old part of ours. One call always fits, or nothing would be learnt.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
         let most = Self::SLOW * (scan.target_at - now);
         let over = self.door.over(scan.customer);
@@ -650,8 +614,7 @@
 /// One mixer: the actors, their loop, and the index of searchers at the door.
 #[rustfmt::skip]
 pub struct Mixer {
-    seed: Rand64, zone: u16, ids: HashMap<SocketAddrV4, usize>, subscribe_at: f64, next_tick: f64,
-    spare: Vec<usize>, // places of searchers that are gone
+    seed: Rand64, zone: u16, roster: Roster, subscribe_at: f64, next_tick: f64,
     srvs: Vec<Searcher>, gauge: Gauge, desk: Desk, post: Post,
 }
 
@@ -674,25 +637,19 @@
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
-        let gauge =
-            Gauge { normal, means: BTreeMap::new(), median: 1.0, zones: Vec::new(), news: (true, true) };
+        let gauge = Gauge { normal, means: BTreeMap::new(), median: 1.0, zones: Vec::new() };
         let (limit, zones) = (Gauge::MULTIPLE, Vec::new());
         let norms = Rc::new(Norms { normal: start.clone(), work: start, limit, zones });
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
         let further = Purse::of(guards.budget.unwrap_or(Purse::OWN));
         let (mixers, late) = (f64::from(berth.mixers.max(1)), Purse::of(Purse::OWN));
-        let (cells, door) = (Cells::new(layout.cells, layout.reach), Door::of(customers));
-        #[rustfmt::skip]
-        let desk = Desk { types, layout, guards, permits, mixers, norms, cells, door, further, late,
-            lines: Lines::default(), seats: Vec::new(), flow: 0.0, ready: 0.0, next: 0, due: Agenda::default(),
-            scans: BTreeMap::new(), flights: BTreeMap::new(), owners: HashMap::new(),
-            this_turn: BTreeMap::new(), touched: BTreeSet::new(), short: BTreeSet::new() };
+        let door = Door::of(customers);
+        let desk = Desk::new(types, layout, guards, permits, mixers, norms, door, further, late);
         let mut post = Post::default();
         post.awake.extend([DESK, GAUGE]);
-        let (seed, ids, srvs, spare) =
-            (Rand64::new(u128::from(seed)), HashMap::new(), Vec::new(), Vec::new());
+        let (seed, roster, srvs) = (Rand64::new(u128::from(seed)), Roster::default(), Vec::new());
         let (zone, next_tick) = (berth.zone, f64::NEG_INFINITY);
-        Self { seed, zone, ids, subscribe_at, next_tick, spare, srvs, gauge, desk, post }
+        Self { seed, zone, roster, subscribe_at, next_tick, srvs, gauge, desk, post }
     }
 
     /// The list: a searcher is known by its address; a new start voids its past.
@@ -705,52 +662,37 @@
             self.desk.seats.iter_mut().for_each(|s| s.life = Life::Gone); // but for those that it names
         }
         for Listed { searcher: addr, cell, zone, since, life } in lines {
-            if let Some(&srv) = self.ids.get(&addr) {
-                let seat = &mut self.desk.seats[srv];
-                if seat.listed != since && life == Life::Ready {
-                    (seat.listed, seat.since, seat.limit) = (since, since, f64::INFINITY);
-                    self.post.put(SRVS + srv, Note::Renewed);
-                }
-                seat.life = life;
-                let old = std::mem::replace(&mut seat.cell, cell);
-                if old != cell {
-                    self.desk.cells.leave(old, srv);
-                    self.desk.cells.enter(cell, srv);
+            let Some(srv) = self.roster.find(addr) else {
+                if life == Life::Gone {
+                    continue;
                 }
+                let srv = self.roster.place(addr);
+                let actor = Searcher::new(srv, addr, zone, self.desk.norms.clone());
+                // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
+                // must not prefer the same.
+                let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
+                put(&mut self.srvs, srv, actor);
+                put(&mut self.desk.seats, srv, Seat::new(addr, cell, zone, since, life, lot));
+                self.desk.cells.enter(cell, srv);
                 continue;
+            };
+            let seat = &mut self.desk.seats[srv];
+            if seat.listed != since && life == Life::Ready {
+                (seat.listed, seat.since, seat.limit) = (since, since, f64::INFINITY);
+                self.post.put(SRVS + srv, Note::Renewed);
             }
-            if life == Life::Gone {
-                continue;
-            }
-            let me = self.spare.pop().unwrap_or(self.srvs.len());
-            self.ids.insert(addr, me);
-            let srv = Searcher::new(me, addr, zone, self.desk.norms.clone());
-            // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
-            // must not prefer the same.
-            let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
-            let seat = Seat::new(addr, cell, zone, since, life, lot);
-            if me < self.srvs.len() {
-                (self.srvs[me], self.desk.seats[me]) = (srv, seat);
-            } else {
-                self.srvs.push(srv);
-                self.desk.seats.push(seat);
-            }
-            self.desk.cells.enter(cell, me);
+            seat.life = life;
+            let old = std::mem::replace(&mut seat.cell, cell);
+            self.desk.cells.leave(old, srv);
+            self.desk.cells.enter(cell, srv);
         }
         // Who is gone and has no call of ours out leaves its place to another, as releases bring new ones.
-        let (desk, spare, post) = (&mut self.desk, &mut self.spare, &mut self.post);
-        self.ids.retain(|_, srv| {
-            let stays = desk.seats[*srv].life != Life::Gone || desk.seats[*srv].calls > 0;
-            if !stays {
-                desk.cells.leave(desk.seats[*srv].cell, *srv);
-                spare.push(*srv);
-                post.wake(SRVS + *srv, false);
-            }
-            stays
-        });
-        self.spare.sort_unstable();
-        let ready = |srv: &&usize| self.desk.seats[**srv].life == Life::Ready;
-        self.desk.ready = self.ids.values().filter(ready).count() as f64;
+        let idle = |srv: usize| self.desk.seats[srv].life == Life::Gone && self.desk.seats[srv].calls == 0;
+        for srv in self.roster.retire(idle) {
+            self.desk.cells.leave(self.desk.seats[srv].cell, srv);
+            self.post.wake(SRVS + srv, false);
+        }
+        self.desk.ready = self.desk.seats.iter().filter(|s| s.life == Life::Ready).count() as f64;
     }
 
     /// Empties all inboxes, the searchers' before the gauge's and the desk's.
@@ -776,15 +718,14 @@
             match event {
                 Event::List { kind, lines } => self.list(kind, lines),
                 Event::Probed { searcher, ending, took_ms } => {
-                    if let Some(&srv) = self.ids.get(&searcher) {
+                    if let Some(srv) = self.roster.find(searcher) {
                         self.post.put(SRVS + srv, Note::Pong(ending, took_ms));
                     }
                 }
                 told => self.post.put(DESK, Note::Told(told)),
             }
         }
-        // All that happened is known before ages are judged: a mixer that stood still itself would take its
-        // own pause for that of every searcher.
+        // All that happened is known before ages are judged: a mixer's own pause is no searcher's.
         self.run();
         if now >= self.next_tick {
             self.next_tick = now + Self::TICK_MS;
--- a/src/state.rs
+++ b/src/state.rs
@@ -156,8 +156,6 @@
     pub means: BTreeMap<usize, f64>,
     pub median: f64,
     pub zones: Vec<f64>,
-    /// Since the last tick: of anything, of slices.
-    pub news: (bool, bool),
 }
 
 /// A budget: of further dispatches, stated or our own, and of parts caught for their own lateness.
@@ -217,7 +215,7 @@
 
 impl Cells {
     pub fn new(cells: u32, reach: u32) -> Self {
-        Self(vec![Vec::new(); cells as usize], reach.min(cells) as usize)
+        Self(vec![Vec::new(); cells.max(1) as usize], reach.min(cells) as usize)
     }
 
     pub fn enter(&mut self, cell: u32, srv: usize) {
@@ -238,6 +236,44 @@
     }
 }
 
+/// Known searchers by address, and the places that the gone have left.
+#[derive(Default)]
+pub(crate) struct Roster {
+    places: BTreeMap<SocketAddrV4, usize>,
+    spare: Vec<usize>,
+    used: usize,
+}
+
+impl Roster {
+    pub fn find(&self, addr: SocketAddrV4) -> Option<usize> {
+        self.places.get(&addr).copied()
+    }
+
+    /// A place for a new one: the first that is left, or one at the end.
+    pub fn place(&mut self, addr: SocketAddrV4) -> usize {
+        let place = self.spare.pop().unwrap_or(self.used);
+        self.used = self.used.max(place + 1);
+        self.places.insert(addr, place);
+        place
+    }
+
+    /// Forgets those for whom that holds; their places.
+    pub fn retire(&mut self, left: impl Fn(usize) -> bool) -> Vec<usize> {
+        let gone: Vec<usize> = self.places.values().copied().filter(|p| left(*p)).collect();
+        self.places.retain(|_, place| !left(*place));
+        self.spare.extend(&gone);
+        gone
+    }
+}
+
+/// Sets a place that exists or comes next.
+pub(crate) fn put<T>(row: &mut Vec<T>, at: usize, value: T) {
+    match row.get_mut(at) {
+        Some(place) => *place = value,
+        None => row.push(value),
+    }
+}
+
 /// The scans, and what goes where.
 pub(crate) struct Desk {
     pub types: Vec<TableType>,
@@ -270,6 +306,44 @@
 }
 
 impl Desk {
+    #[allow(clippy::too_many_arguments)] // each part takes its own few settings
+    pub fn new(
+        types: Vec<TableType>,
+        layout: Layout,
+        guards: Guards,
+        permits: Permits,
+        mixers: f64,
+        norms: Rc<Norms>,
+        door: Door,
+        further: Purse,
+        late: Purse,
+    ) -> Self {
+        Self {
+            cells: Cells::new(layout.cells, layout.reach),
+            types,
+            layout,
+            guards,
+            permits,
+            mixers,
+            norms,
+            door,
+            further,
+            late,
+            seats: Vec::new(),
+            lines: Lines::default(),
+            flow: 0.0,
+            ready: 0.0,
+            next: 0,
+            scans: BTreeMap::new(),
+            flights: BTreeMap::new(),
+            due: Agenda::default(),
+            owners: HashMap::new(),
+            this_turn: BTreeMap::new(),
+            touched: BTreeSet::new(),
+            short: BTreeSet::new(),
+        }
+    }
+
     /// One more scan or part was taken.
     pub fn took(&mut self, now: f64) {
         self.further.taken.push_back(now);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -40,6 +40,14 @@
 
 impl Rig {
     pub fn new(types: Vec<TableType>, budget: Option<Budget>) -> Self {
+        Self::with(types, budget, 1)
+    }
+
+    pub fn among(mixers: u32, types: Vec<TableType>) -> Self {
+        Self::with(types, None, mixers)
+    }
+
+    fn with(types: Vec<TableType>, budget: Option<Budget>, mixers: u32) -> Self {
         let layout = Layout { cells: 1, reach: 1, parts_per_call: 1, call_work_ms: 0.0 };
         let (cold_from, warm_ms, tip_multiple, fall_ms) = (0.2, 10_000.0, 2.0, 1000.0);
         let guards = Guards { cold_from, warm_ms, tip_multiple, fall_ms, budget };
@@ -51,8 +59,9 @@
             back_in_ms: Some(500.0),
             subscribe: false,
         };
-        let berth = Berth { mixers: 1, zone: 0 };
-        let mixer = Mixer::open(7, types, Vec::new(), layout, guards, permits, berth);
+        let berth = Berth { mixers, zone: 0 };
+        let customers = vec![Customer { scans_per_s: 100.0, over_share: 0.2 }];
+        let mixer = Mixer::open(7, types, customers, layout, guards, permits, berth);
         Self { mixer, now: 100_000.0, wake: 0.0, scans: 0, trace: String::new() }
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -4,7 +4,7 @@
 
 use common::{Rig, line, searcher, table_type};
 use insta::assert_snapshot;
-use pewterwharf::interface::{Budget, Ending, Event, Life, ListKind, Repeat};
+use pewterwharf::interface::{Budget, Ending, Event, Life, ListKind, Listed, Repeat};
 
 fn any_two_of_three() -> Rig {
     Rig::new(vec![table_type(Repeat::Replayable, 2.0 / 3.0)], None)
@@ -90,9 +90,9 @@
     rig.warm(3);
     rig.scan(0, 1);
     rig.pass(100.0);
-    rig.ends(101, 0, 1, Ending::Reset, 100.0);
+    rig.ends(101, 0, 1, Ending::Error, 100.0);
     rig.pass(350.0);
-    rig.ends(101, 1, 2, Ending::Reset, 350.0);
+    rig.ends(101, 1, 2, Ending::Error, 350.0);
     assert_snapshot!(rig.trace());
 }
 
@@ -265,3 +265,84 @@
     rig.pass(600.0);
     assert_snapshot!(rig.trace());
 }
+
+#[test]
+fn a_scan_at_whose_parts_searchers_die_is_not_sent_on_and_its_customer_is_tasted() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(6);
+    rig.scan(0, 3);
+    let sent = rig.trace();
+    for part in [101, 102] {
+        let to = sent.lines().find(|l| l.contains(&format!("part {part} ")));
+        let to = to.and_then(|l| l.rsplit('s').next()).and_then(|n| n.parse().ok()).unwrap_or(0);
+        rig.ends(part, 0, to, Ending::Reset, 5.0);
+    }
+    rig.scan(0, 3); // one part first
+    rig.ends(201, 0, 1, Ending::Ok, 50.0);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn idle_connections_are_hung_up_on_once_losses_keep_to_them() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(2);
+    settle_in(&mut rig, 8);
+    for part in (9..14).map(|scan| scan * 100 + 1) {
+        rig.pass(3000.0); // idle for longer than what the way keeps
+        rig.scan(0, 1);
+        let to = if rig.trace().contains("-> s1") { 1 } else { 2 };
+        rig.pass(700.0); // caught, and copied to the other
+        rig.ends(part, 1, 3 - to, Ending::Ok, 100.0);
+        rig.ends(part, 0, to, Ending::Cancelled, 700.0);
+    }
+    rig.pass(3000.0);
+    rig.trace();
+    rig.scan(0, 1);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn rule_4_less_than_a_part_each_means_one_part_in_a_stretched_window() {
+    let mut rig = Rig::among(60, vec![table_type(Repeat::Replayable, 1.0)]);
+    let old = vec![line(1, 100_000.0, Life::Ready)];
+    rig.tell(vec![Event::List { kind: ListKind::Full, lines: old }]);
+    for _ in 0..40 {
+        rig.pass(250.0);
+        rig.scan(0, 1); // throttled but for one now and then
+    }
+    let sent: Vec<String> = rig.trace().lines().filter(|l| l.contains("->")).map(str::to_owned).collect();
+    assert_snapshot!(sent.join("\n"));
+}
+
+#[test]
+fn a_searcher_that_refused_connections_comes_back_cold_whatever_the_list_says() {
+    let mut rig = Rig::among(60, vec![table_type(Repeat::Replayable, 1.0)]);
+    rig.warm(1);
+    rig.scan(0, 1);
+    rig.ends(101, 0, 1, Ending::ConnectFailed, 1.0);
+    rig.pass(20.0);
+    rig.tell(vec![Event::Probed { searcher: searcher(1), ending: Ending::Ok, took_ms: 2.0 }]);
+    rig.scan(0, 1);
+    assert_snapshot!(rig.trace());
+}
+
+#[test]
+fn a_zone_that_is_slow_from_here_comes_after_the_own_one() {
+    let mut rig = all_of(Repeat::Replayable);
+    let far = |n| Listed { zone: 1, ..line(n, 0.0, Life::Ready) };
+    let lines = vec![line(1, 0.0, Life::Ready), far(2), far(3)];
+    rig.tell(vec![Event::List { kind: ListKind::Full, lines }]);
+    settle_in(&mut rig, 12);
+    rig.scan(0, 3);
+    let sent = rig.trace();
+    for (part, at) in [(1301, 1), (1302, 2), (1303, 3)] {
+        let at = sent
+            .lines()
+            .find(|l| l.contains(&format!("part {part} ")))
+            .map_or(at, |l| l.rsplit('s').next().and_then(|n| n.parse().ok()).unwrap_or(at));
+        rig.ends(part, 0, at, Ending::Ok, if at == 1 { 100.0 } else { 900.0 });
+    }
+    rig.pass(20.0);
+    (0..3).for_each(|_| rig.scan(0, 1)); // the one not heard from shares its zone's word
+    assert_snapshot!(rig.trace());
+}
