The door refuses where a replica's smoothed latency is past the target

A replica whose cost by the replica rule says later than the target, zone average included, no longer counts as in time, call out or not; as latencies fade in seconds it is tried again. Harms after one very late part, for seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -558,9 +558,13 @@
     /// What cannot come in time is refused at the door: too few of the replicas that it needs have room
     /// under their limits and no old part of ours. One call always fits, or nothing would be learnt.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
-        let most = Self::SLOW * (scan.target_at - now);
+        let left = scan.target_at - now;
+        let most = Self::SLOW * left;
         let over = self.door.over(scan.customer);
-        let quick = |(_, _, srv): (u8, f64, usize)| {
+        let quick = |(_, cost, srv): (u8, f64, usize)| {
+            if cost * self.norms.normal[scan.kind] > left {
+                return false;
+            }
             let Seat { tile, calls, limit, .. } = &self.seats[srv];
             let limit = if over { Door::OVER * limit } else { *limit };
             *calls == 0 || tile.age <= most && f64::from(calls + 1) <= limit
