Where no call of ours is out, the door goes by smoothed latency alone

One rule for both: with calls of ours out the limit and their age, else the replica's cost against 0.6 of what is left. Guards jams that one mixer sees in averages alone.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -556,18 +556,20 @@
     const SLOW: f64 = 0.6;
 
     /// What cannot come in time is refused at the door: too few of the replicas that it needs have room
-    /// under their limits and no old part of ours. One call always fits, or nothing would be learnt.
+    /// under their limits and no old part of ours or, with no call of ours out, a cost in time by the replica
+    /// rule. That fades in seconds, so it is tried again. Guards jams that a mixer with little traffic can see
+    /// in averages alone; harms for seconds after one very late part.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
         let left = scan.target_at - now;
         let most = Self::SLOW * left;
         let over = self.door.over(scan.customer);
         let quick = |(_, cost, srv): (u8, f64, usize)| {
-            if cost * self.norms.normal[scan.kind] > left {
-                return false;
-            }
             let Seat { tile, calls, limit, .. } = &self.seats[srv];
             let limit = if over { Door::OVER * limit } else { *limit };
-            *calls == 0 || tile.age <= most && f64::from(calls + 1) <= limit
+            match calls {
+                0 => cost * self.norms.normal[scan.kind] <= most,
+                _ => tile.age <= most && f64::from(calls + 1) <= limit,
+            }
         };
         let in_time = scan.weight(|p| self.replica(scan, p, now).is_some_and(quick));
         in_time + Self::HAIR >= scan.need
