--- a/src/logic.rs
+++ b/src/logic.rs
@@ -567,7 +567,7 @@
             let Seat { tile, calls, limit, .. } = &self.seats[srv];
             let limit = if over { Door::OVER * limit } else { *limit };
             match calls {
-                0 => cost * self.norms.normal[scan.kind] <= most,
+                0 => cost * self.norms.normal[scan.kind] <= Self::PRESSED * left,
                 _ => tile.age <= most && f64::from(calls + 1) <= limit,
             }
         };
