--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,8 +1,7 @@
-//! The decisions of one mixer: ShortTail's sliced detection and degraded reads, kept and extended as
-//! `docs/design.md` tells. A host opens a [`Mixer`] with the deployment's terms and calls `turn` with all
-//! that happened at one time; types and trait stand in `src/interface.rs`. Inside, every searcher is an
-//! actor, the [`Gauge`] knows what is normal, the [`Desk`] has the scans; they talk only by notes put into
-//! inboxes that [`Mixer::run`] empties.
+//! The decisions of one mixer: ShortTail, kept and extended as `docs/design.md` tells. A host opens a
+//! [`Mixer`] with the deployment's terms and calls `turn` with all that happened at one time; types and trait
+//! stand in `src/interface.rs`. Inside, every searcher is an actor, the [`Gauge`] knows what is normal, the
+//! [`Desk`] has the scans; they talk only by notes put into inboxes that [`Mixer::run`] empties.
 
 use std::cmp::Ordering::Equal;
 use std::collections::BTreeMap;
@@ -28,7 +27,6 @@
     fn note(&mut self, note: Note, post: &mut Post, probing: bool) {
         let now = post.now;
         match note {
-            // A new process has nothing of the old one's past.
             Note::Renewed => {
                 (self.tile, self.dead) = (Tile::NEW, false);
                 self.slices.clear();
@@ -49,8 +47,7 @@
                 let lat = Self::faded(&self.tile, &self.norms, self.zone, now);
                 (self.tile.lat, self.tile.lat_at) = (lat + Self::SMOOTH * (share - lat), now);
                 self.tile.down = matches!(ending, Ending::ConnectFailed | Ending::Reset);
-                // A lost connection marks and is probed at once: the dead don't wait for a slice to fill.
-                // Harms a sound searcher that dropped an idle connection, until its probe is back.
+                // A lost connection marks and is probed at once: no slice need fill to tell the dead.
                 self.dead |= ending == Ending::ConnectFailed;
                 if self.tile.down && !self.tile.marked {
                     self.mark(share, post);
@@ -63,7 +60,7 @@
                     // Failing is not being slow: it must not lift the median that all are held against.
                     slice.sound &= !matches!(ending, Ending::Error | Ending::ConnectFailed | Ending::Reset);
                     let good = share <= self.norms.limit && ending == Ending::Ok;
-                    if self.tile.trial && !good && ending != Ending::Cancelled {
+                    if self.tile.trial && !good && !matches!(ending, Ending::Cancelled | Ending::Moot) {
                         self.mark(share, post);
                     }
                     self.tile.trial &= !good && !self.tile.marked;
@@ -101,8 +98,8 @@
         post.put(DESK, Note::Tile(self.me, self.tile));
     }
 
-    /// The smoothed latency, on its way back to its zone's average as seen from here. Guards against a zone
-    /// that is dead or slow to reach, where each searcher is seldom heard of; harms its good ones until then.
+    /// The smoothed latency, on its way back to its zone's average: guards against a zone that is dead or
+    /// slow to reach, each searcher of which is seldom heard of; harms its good ones until they are.
     fn faded(tile: &Tile, norms: &Norms, zone: usize, now: f64) -> f64 {
         let average = norms.zones.get(zone).copied().unwrap_or(1.0);
         average + (tile.lat - average) * ((tile.lat_at - now) / Self::FADE_MS).exp()
@@ -139,14 +136,14 @@
 }
 
 impl Gauge {
-    /// A searcher is marked when a slice averages over so many times the median: the paper's "about three".
+    /// Marked is whose slice averages over so many times the median: the paper's "about three".
     const MULTIPLE: f64 = 3.0;
     /// Weight of the newest part in a table type's normal latency: a few hundred parts, some seconds.
     const SMOOTH: f64 = 0.01;
     /// Least and first step of the work estimate: found within tens of parts, moved by a jam in hundreds.
     const STEPS: (f64, f64) = (0.002, 0.05);
-    /// Weight of the newest part in a zone's average: about the last ten count.
-    const ZONE: f64 = 0.1;
+    /// Weight of the newest part where about the last ten are to count.
+    const TEN: f64 = 0.1;
     /// A median of fewer searchers says little; until then one normal stands for it.
     const FEW: usize = 3;
 
@@ -155,7 +152,6 @@
             Note::Heard(kind, ms) => {
                 let (normal, heard, work) = &mut self.normal[kind];
                 *heard += 1.0;
-                // Clipped, so that one slow searcher does not become the norm.
                 let clipped = if *heard > 10.0 { ms.min(Self::MULTIPLE * *normal) } else { ms };
                 *normal += (1.0 / *heard).max(Self::SMOOTH) * (clipped - *normal);
                 // A part's own work: a step up and three down settle at the quickest quarter of the parts.
@@ -169,17 +165,14 @@
             }
             Note::Zone(zone, share) => {
                 self.zones.resize(self.zones.len().max(zone + 1), 1.0);
-                self.zones[zone] += Self::ZONE * (share - self.zones[zone]);
+                self.zones[zone] += Self::TEN * (share - self.zones[zone]);
             }
             Note::Tick => {
                 self.zones.iter_mut().for_each(|z| *z += (1.0 - *z) * Mixer::TICK_MS / Searcher::FADE_MS);
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
                 let (limit, zones) = (Self::MULTIPLE * self.median, self.zones.clone());
                 let norms = Rc::new(Norms { normal, work, limit, zones });
-                for to in post.awake.clone() {
-                    post.put(to, Note::Norms(norms.clone()));
-                }
-                post.put(DESK, Note::Norms(norms));
+                post.awake.clone().into_iter().for_each(|to| post.put(to, Note::Norms(norms.clone())));
             }
             _ => {}
         }
@@ -190,7 +183,6 @@
     /// Our own: a tenth of the parts, and a few; more was measured to feed overload.
     const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
 
-    /// One more fits, by a millisecond at the window's edges.
     fn fits(&mut self, now: f64) -> bool {
         let from = now - self.budget.window_ms;
         trim(&mut self.extras, |e| *e < from - 1.0);
@@ -219,18 +211,15 @@
 impl Lines {
     /// Idle for so long, a connection may have been dropped unseen: a few latencies.
     const IDLE_MS: f64 = 500.0;
-    /// Weight of the newest part: about the last ten count.
-    const SMOOTH: f64 = 0.1;
     /// Lost on idle connections from which on they are closed before use: more than searchers that fail.
     const LOST: f64 = 0.25;
     /// Then for so long, as new connections say nothing of idle ones.
     const DOUBT_MS: f64 = 10_000.0;
 
-    /// Guards against connections dropped while idle, where the searcher is sound: losses keep to them,
-    /// wherever they lead. Harms by new connections where searchers hang instead.
+    /// Guards against connections dropped while idle, where the searcher is sound: losses keep to them.
     fn judge(&mut self, idle: Option<bool>, lost: bool, now: f64) {
         let Some(idle) = idle.map(usize::from) else { return };
-        self.lost[idle] += Self::SMOOTH * (f64::from(u8::from(lost)) - self.lost[idle]);
+        self.lost[idle] += Gauge::TEN * (f64::from(u8::from(lost)) - self.lost[idle]);
         if self.lost[1] > Self::LOST && self.lost[1] > 2.0 * self.lost[0] {
             (self.lost[1], self.doubt_until) = (0.0, now + Self::DOUBT_MS);
         }
@@ -289,9 +278,8 @@
                 self.ended((part, dispatch), ending, took_ms, post);
             }
             Note::Told(Event::ClientGone { scan }) => {
-                if let Some(&(at, usize::MAX)) = self.owners.get(&scan) {
-                    self.close(at, post);
-                }
+                let at = self.owners.get(&scan).filter(|o| o.1 == usize::MAX).map(|o| o.0);
+                at.into_iter().for_each(|at| self.close(at, post));
             }
             Note::Tick => {
                 self.touched.append(&mut self.short);
@@ -323,9 +311,7 @@
             post.put(GAUGE, Note::Heard(flight.kind, ms));
         }
         self.adapt(&flight, ms, post.now);
-        if ending != Ending::Moot {
-            post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ending));
-        }
+        post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ending));
         let Some(&(at, nth)) = self.owners.get(&leg.0) else { return };
         let Some(scan) = self.scans.get_mut(&at) else { return };
         scan.deaths += u32::from(ending == Ending::Reset);
@@ -351,12 +337,11 @@
         self.touched.insert(at);
     }
 
-    /// What the turn leaves to do: due times first, then every scan that lacks parts on the way.
+    /// What the turn leaves to do: due times, then scans that were touched.
     fn settle(&mut self, post: &mut Post) {
         while let Some(due) = self.due.take(post.now) {
             match due {
-                // Late on its own, before its searcher is marked; within our own budget, as all is late under
-                // overload.
+                // Late on its own, its searcher unmarked; budgeted, as under overload all is late.
                 Due::Late(leg) => {
                     let Some(flight) = self.flights.get_mut(&leg) else { continue };
                     self.lines.judge(flight.idle.take(), true, post.now);
@@ -368,9 +353,8 @@
                 Due::Target(at) => {
                     let Some(scan) = self.scans.get(&at) else { continue };
                     let terms = &self.types[scan.kind];
-                    let partial =
-                        if scan.have() + Self::HAIR >= scan.floor { scan.have() / scan.need } else { 0.0 };
-                    if terms.late_share <= partial * terms.partial_share {
+                    let partial = if scan.have() + Self::HAIR >= scan.floor { scan.have() } else { 0.0 };
+                    if terms.late_share <= partial / scan.need * terms.partial_share {
                         self.end(at, post);
                     }
                 }
@@ -383,9 +367,8 @@
         self.this_turn.clear();
     }
 
-    /// Lost connections at a scan's parts, with none in, that end it. Guards against scans that bring down
-    /// whom they reach: for a while its customer's scans go out one part first. Harms scans that met two
-    /// searchers dying of something else, and its customer's by a part's latency.
+    /// Lost connections at a scan's parts, none in, that end it: guards against scans that bring down whom
+    /// they reach. For a while its customer's go out one part first; harms those in a mass crash.
     const DEADLY: u32 = 2;
 
     /// Sends what the scan lacks, and ends it as soon as it is whole or can't become so.
@@ -400,8 +383,7 @@
             self.door.taste(scan.customer, now + Door::DISTRUST_MS);
             return self.end(at, post);
         }
-        let doubted = !proved
-            && (scan.deaths > 0 || self.door.tasted_until.get(&scan.customer).is_some_and(|t| now < *t));
+        let doubted = !proved && (scan.deaths > 0 || self.door.tastes(scan.customer, now));
         let fresh = !scan.second && scan.parts.iter().all(|p| p.sent.is_empty());
         if fresh && !self.admits(scan, now) {
             return self.end(at, post);
@@ -457,8 +439,8 @@
     /// Costs within this factor count as equal: a latency smoothed over five parts says no more.
     const EQUAL: f64 = 1.5;
 
-    /// The replica rule: least smoothed latency times one plus own calls out; of equals one to which a call
-    /// leaves anyway, then the own zone, then by lot. Marked ones last: when all are, the least bad serves.
+    /// The replica rule: least smoothed latency times one plus own calls out; of equals who gets a call
+    /// anyway, then the own zone, then by lot. Marked ones last: when all are, the least bad serves.
     fn replica(&self, scan: &Scan, part: &Part, now: f64) -> Option<(u8, f64, usize)> {
         let choices = self.cells.holders(part.shard).filter_map(|srv| {
             let seat = &self.seats[srv];
@@ -481,10 +463,9 @@
     const FLOW_MS: f64 = 5000.0;
 
     /// What a mixer may send a cold searcher: its equal part of the multiple of what warm ones bear, at that
-    /// age, if it warms up as slowly as it may; where that is less than one part, one part in a window
-    /// stretched so far, the first by lot. What warm ones bear is judged by own traffic, as if all sent as
-    /// much, and one core at least: summed over mixers, what an average searcher gets. Guards newcomers,
-    /// restarts and returns against a push and against starving; harms when most of the fleet is cold.
+    /// age, if it warms as slowly as it may; less than one part is one part in a window stretched so far, the
+    /// first by lot. What warm ones bear: own traffic, as if all sent as much, and one core at least. Guards
+    /// newcomers and returns against a push and against starving; harms when most of the fleet is cold.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
@@ -539,9 +520,8 @@
     /// What a cut leaves of a limit.
     const CUT: f64 = 0.8;
 
-    /// The limit on own calls out at a searcher grows by one in a latency of parts that came in time, and
-    /// is cut by a share, once a latency, when one took too long. Guards against hot spots and jams of any
-    /// cause; harms a searcher that met one heavy scan, for some latencies.
+    /// The limit on own calls out at a searcher grows by one in a latency of parts in time, and is cut by a
+    /// share, once a latency, when one took too long: guards against hot spots and jams of any cause.
     fn adapt(&mut self, flight: &Flight, ms: f64, now: f64) {
         let seat = &mut self.seats[flight.srv];
         if ms <= Self::PRESSED * self.types[flight.kind].target_ms {
@@ -557,22 +537,19 @@
 
     /// What cannot come in time is refused at the door: too few of the replicas that it needs have room
     /// under their limits and no old part of ours or, with no call of ours out, a cost in time by the replica
-    /// rule. That fades in seconds, so it is tried again. Guards jams that a mixer with little traffic can see
-    /// in averages alone; harms for seconds after one very late part.
+    /// rule (it fades, so it is tried again). The latter harms for seconds after one very late part.
     fn admits(&self, scan: &Scan, now: f64) -> bool {
         let left = scan.target_at - now;
-        let most = Self::SLOW * left;
         let over = self.door.over(scan.customer);
         let quick = |(_, cost, srv): (u8, f64, usize)| {
             let Seat { tile, calls, limit, .. } = &self.seats[srv];
             let limit = if over { Door::OVER * limit } else { *limit };
             match calls {
                 0 => cost * self.norms.normal[scan.kind] <= Self::PRESSED * left,
-                _ => tile.age <= most && f64::from(calls + 1) <= limit,
+                _ => tile.age <= Self::SLOW * left && f64::from(calls + 1) <= limit,
             }
         };
-        let in_time = scan.weight(|p| self.replica(scan, p, now).is_some_and(quick));
-        in_time + Self::HAIR >= scan.need
+        scan.weight(|p| self.replica(scan, p, now).is_some_and(quick)) + Self::HAIR >= scan.need
     }
 
     fn complete(&mut self, at: usize, whole: bool, post: &mut Post) {
@@ -582,7 +559,6 @@
         if scan.second || !self.types[scan.kind].second_step {
             return self.close(at, post);
         }
-        // The second step brings parts of its own and needs them all.
         (scan.second, scan.whole) = (true, whole);
         scan.floor = if scan.floor < scan.need { scan.floor } else { 1.0 };
         scan.need = 1.0;
@@ -590,8 +566,8 @@
         post.call_off(self.drop_parts(old), self.permits.cancel);
     }
 
-    /// The final answer of a scan that will not be whole: what is in if that is enough, else a throttling
-    /// reply where trying again is harmless, else an abandonment.
+    /// A scan that will not be whole: what is in if that is enough, else a throttling reply where trying
+    /// again is harmless, else an abandonment.
     fn end(&mut self, at: usize, post: &mut Post) {
         let Some(scan) = self.scans.get(&at) else { return };
         let (id, have) = (scan.id, scan.have() + Self::HAIR);
@@ -649,8 +625,8 @@
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
         let further = Purse::of(guards.budget.unwrap_or(Purse::OWN));
         let (mixers, late) = (f64::from(berth.mixers.max(1)), Purse::of(Purse::OWN));
-        let door = Door::of(customers);
-        let desk = Desk::new(types, layout, guards, permits, mixers, norms, door, further, late);
+        let desk =
+            Desk::new(types, layout, guards, permits, mixers, norms, Door::of(customers), further, late);
         let mut post = Post::default();
         post.awake.extend([DESK, GAUGE]);
         let (seed, roster, srvs) = (Rand64::new(u128::from(seed)), Roster::default(), Vec::new());
@@ -667,11 +643,10 @@
         if kind != ListKind::Changes {
             self.desk.seats.iter_mut().for_each(|s| s.life = Life::Gone); // but for those that it names
         }
+        let known = |l: &Listed| l.life != Life::Gone || self.roster.find(l.searcher).is_some();
+        let lines: Vec<Listed> = lines.into_iter().filter(known).collect();
         for Listed { searcher: addr, cell, zone, since, life } in lines {
             let Some(srv) = self.roster.find(addr) else {
-                if life == Life::Gone {
-                    continue;
-                }
                 let srv = self.roster.place(addr);
                 let actor = Searcher::new(srv, addr, zone, self.desk.norms.clone());
                 // Of equal searchers the nearest serve; beyond that each mixer draws lots of its own, as all
@@ -692,7 +667,7 @@
             self.desk.cells.leave(old, srv);
             self.desk.cells.enter(cell, srv);
         }
-        // Who is gone and has no call of ours out leaves its place to another, as releases bring new ones.
+        // Who is gone leaves its place to another, as releases bring new ones.
         let idle = |srv: usize| self.desk.seats[srv].life == Life::Gone && self.desk.seats[srv].calls == 0;
         for srv in self.roster.retire(idle) {
             self.desk.cells.leave(self.desk.seats[srv].cell, srv);
@@ -736,9 +711,7 @@
         if now >= self.next_tick {
             self.next_tick = now + Self::TICK_MS;
             self.post.out.push(Action::WakeAt { at: self.next_tick });
-            for to in self.post.awake.clone() {
-                self.post.put(to, Note::Tick);
-            }
+            self.post.awake.clone().into_iter().for_each(|to| self.post.put(to, Note::Tick));
             if now >= self.subscribe_at {
                 self.subscribe_at = f64::INFINITY;
                 self.post.out.push(Action::Subscribe);
--- a/src/state.rs
+++ b/src/state.rs
@@ -192,6 +192,10 @@
         }
     }
 
+    pub fn tastes(&self, customer: usize, now: f64) -> bool {
+        self.tasted_until.get(&customer).is_some_and(|t| now < *t)
+    }
+
     pub fn see(&mut self, customer: usize, now: f64, span_ms: f64) {
         if let Some(count) = self.counts.get_mut(customer) {
             *count += 1;
