Where nobody may probe, a marked searcher is tried with a part after half a second

Found by reading: marks at once on a lost connection would have kept a searcher out for good in a deployment without probes. Now such a deployment's marks run into the trial by themselves.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,7 +24,7 @@
     /// A marked searcher is probed as often as a slice is long; longer waits after relapses gained nothing.
     const PROBE_MS: f64 = 500.0;
 
-    fn note(&mut self, note: Note, post: &mut Post, probing: bool) {
+    fn note(&mut self, note: Note, post: &mut Post, ready: bool, probing: bool) {
         let now = post.now;
         match note {
             Note::Renewed => {
@@ -51,10 +51,9 @@
                 self.dead |= ending == Ending::ConnectFailed;
                 if self.tile.down && !self.tile.marked {
                     self.mark(share, post);
-                    self.probe_at = now;
+                    self.probe_at = if probing { now } else { self.probe_at };
                 }
-                let held = |s: &&mut Slice| s.out.iter().any(|l| l.0 == leg);
-                if let Some(slice) = self.slices.iter_mut().find(held) {
+                if let Some(slice) = self.slices.iter_mut().find(|s| s.out.iter().any(|l| l.0 == leg)) {
                     slice.out.retain(|l| l.0 != leg);
                     slice.sum += share;
                     // Failing is not being slow: it must not lift the median that all are held against.
@@ -66,26 +65,22 @@
                     self.tile.trial &= !good && !self.tile.marked;
                 }
             }
-            // A pass only admits to a trial, one part at a time until one comes back in time: guards against
-            // searchers that answer probes and nothing else, harms a sound one by a few parts.
             Note::Pong(ending, took) if self.tile.marked => {
                 self.dead |= ending == Ending::ConnectFailed;
                 let quick = self.norms.normal.iter().copied().fold(f64::INFINITY, f64::min);
                 if ending == Ending::Ok && took < self.norms.limit * quick {
-                    self.tile = Tile { trial: true, ..Tile::NEW };
-                    post.out.push(Action::Log { line: format!("{} readmitted on trial", self.addr) });
-                    // No process stood there, now one does: it is cold, whatever the list says by now.
-                    if std::mem::take(&mut self.dead) {
-                        post.put(DESK, Note::Back(self.me));
-                    }
+                    self.readmit(post);
                 }
             }
             Note::Norms(norms) => self.norms = norms,
             Note::Tick => {
                 self.judge(post);
-                if self.tile.marked && now >= self.probe_at && probing {
+                let due = self.tile.marked && ready && now >= self.probe_at;
+                if due && probing {
                     self.probe_at = now + Self::PROBE_MS;
                     post.out.push(Action::Probe { searcher: self.addr });
+                } else if due {
+                    self.readmit(post); // where nobody may probe, a part has to tell
                 }
             }
             _ => {}
@@ -98,6 +93,17 @@
         post.put(DESK, Note::Tile(self.me, self.tile));
     }
 
+    /// Admits to a trial only, one part at a time until one comes back in time: guards against searchers that
+    /// answer probes and nothing else, harms a sound one by a few parts.
+    fn readmit(&mut self, post: &mut Post) {
+        self.tile = Tile { trial: true, ..Tile::NEW };
+        post.out.push(Action::Log { line: format!("{} readmitted on trial", self.addr) });
+        // No process stood there, now one does: it is cold, whatever the list says by now.
+        if std::mem::take(&mut self.dead) {
+            post.put(DESK, Note::Back(self.me));
+        }
+    }
+
     /// The smoothed latency, on its way back to its zone's average: guards against a zone that is dead or
     /// slow to reach, each searcher of which is seldom heard of; harms its good ones until they are.
     fn faded(tile: &Tile, norms: &Norms, zone: usize, now: f64) -> f64 {
@@ -144,8 +150,6 @@
     const STEPS: (f64, f64) = (0.002, 0.05);
     /// Weight of the newest part where about the last ten are to count.
     const TEN: f64 = 0.1;
-    /// A median of fewer searchers says little; until then one normal stands for it.
-    const FEW: usize = 3;
 
     fn note(&mut self, note: Note, post: &mut Post) {
         match note {
@@ -161,7 +165,7 @@
             Note::Slice(srv, mean) => {
                 self.means.insert(srv, mean);
                 // All slow: the median moves, and nobody is marked.
-                self.median = median(self.means.values().copied(), Self::FEW).unwrap_or(1.0);
+                self.median = median(self.means.values().copied(), Searcher::FEW as usize).unwrap_or(1.0);
             }
             Note::Zone(zone, share) => {
                 self.zones.resize(self.zones.len().max(zone + 1), 1.0);
@@ -254,11 +258,10 @@
                 let target = terms.target_ms + terms.target_stretch * work_ms.unwrap_or(0.0);
                 let left = if retry { Self::RETRY_LEFT * target } else { target };
                 let target_at = now + left.min(terms.query_timeout_ms) - Self::AHEAD_MS;
-                let gone_at = gone_at - Self::AHEAD_MS;
-                let (need, floor, parts) = (terms.need, terms.floor.min(terms.need), Vec::new());
+                let (gone_at, need) = (gone_at - Self::AHEAD_MS, terms.need);
                 #[rustfmt::skip]
-                let scan = Scan { id, number, kind, customer, target_at, gone_at, parts, need, floor,
-                    whole: true, second: false, deaths: 0 };
+                let scan = Scan { id, number, kind, customer, target_at, gone_at, need,
+                    floor: terms.floor.min(need), parts: Vec::new(), whole: true, second: false, deaths: 0 };
                 self.next += 1;
                 let at = self.next;
                 self.scans.insert(at, scan);
@@ -270,9 +273,8 @@
                 self.took(now);
                 let Some((at, scan)) = self.scans.iter_mut().rfind(|s| s.1.number == number) else { return };
                 self.owners.insert(id, (*at, scan.parts.len()));
-                let (state, caught, sent, taken_at) = (State::Unsent, false, Vec::new(), now);
                 self.touched.insert(*at);
-                scan.parts.push(Part { id, shard, weight, state, caught, sent, taken_at });
+                scan.parts.push(Part::new(id, shard, weight, now));
             }
             Note::Told(Event::Ended { part, dispatch, ending, took_ms, .. }) => {
                 self.ended((part, dispatch), ending, took_ms, post);
@@ -683,9 +685,8 @@
                 DESK => self.desk.note(note, &mut self.post),
                 GAUGE => self.gauge.note(note, &mut self.post),
                 _ => {
-                    let seat = &self.desk.seats[to - SRVS];
-                    let probing = self.desk.permits.probe && seat.life == Life::Ready;
-                    self.srvs[to - SRVS].note(note, &mut self.post, probing);
+                    let ready = self.desk.seats[to - SRVS].life == Life::Ready;
+                    self.srvs[to - SRVS].note(note, &mut self.post, ready, self.desk.permits.probe);
                 }
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -418,6 +418,10 @@
 }
 
 impl Part {
+    pub fn new(id: u64, shard: u32, weight: f64, taken_at: f64) -> Self {
+        Self { id, shard, weight, state: State::Unsent, caught: false, sent: Vec::new(), taken_at }
+    }
+
     pub fn proved_unrun(&self) -> bool {
         self.sent.iter().all(|s| s.1.is_some_and(Ending::never_ran))
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -40,20 +40,24 @@
 
 impl Rig {
     pub fn new(types: Vec<TableType>, budget: Option<Budget>) -> Self {
-        Self::with(types, budget, 1)
+        Self::with(types, budget, 1, true)
     }
 
     pub fn among(mixers: u32, types: Vec<TableType>) -> Self {
-        Self::with(types, None, mixers)
+        Self::with(types, None, mixers, true)
     }
 
-    fn with(types: Vec<TableType>, budget: Option<Budget>, mixers: u32) -> Self {
+    pub fn unprobed(types: Vec<TableType>) -> Self {
+        Self::with(types, None, 1, false)
+    }
+
+    fn with(types: Vec<TableType>, budget: Option<Budget>, mixers: u32, probe: bool) -> Self {
         let layout = Layout { cells: 1, reach: 1, parts_per_call: 1, call_work_ms: 0.0 };
         let (cold_from, warm_ms, tip_multiple, fall_ms) = (0.2, 10_000.0, 2.0, 1000.0);
         let guards = Guards { cold_from, warm_ms, tip_multiple, fall_ms, budget };
         let permits = Permits {
             cancel: true,
-            probe: true,
+            probe,
             second_copies: true,
             dispatches: 4,
             back_in_ms: Some(500.0),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -346,3 +346,15 @@
     (0..3).for_each(|_| rig.scan(0, 1)); // the one not heard from shares its zone's word
     assert_snapshot!(rig.trace());
 }
+
+#[test]
+fn where_nobody_may_probe_a_marked_searcher_is_tried_with_a_part() {
+    let mut rig = Rig::unprobed(vec![table_type(Repeat::Replayable, 1.0)]);
+    rig.warm(1);
+    rig.scan(0, 1);
+    rig.ends(101, 0, 1, Ending::Reset, 20.0);
+    rig.scan(0, 1); // nobody else is there
+    rig.pass(540.0);
+    rig.scan(0, 1);
+    assert_snapshot!(rig.trace());
+}
