--- a/src/logic.rs
+++ b/src/logic.rs
@@ -164,7 +164,7 @@
             }
             Note::Slice(srv, mean) => {
                 self.means.insert(srv, mean);
-                // All slow: the median moves, and nobody is marked.
+                // All slow: the median moves, and nobody is marked. Under one it stems from normals not yet learnt.
                 self.median = median(self.means.values().copied(), Searcher::FEW as usize).unwrap_or(1.0);
             }
             Note::Zone(zone, share) => {
@@ -174,7 +174,7 @@
             Note::Tick => {
                 self.zones.iter_mut().for_each(|z| *z += (1.0 - *z) * Mixer::TICK_MS / Searcher::FADE_MS);
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
-                let (limit, zones) = (Self::MULTIPLE * self.median, self.zones.clone());
+                let (limit, zones) = (Self::MULTIPLE * self.median.max(1.0), self.zones.clone());
                 let norms = Rc::new(Norms { normal, work, limit, zones });
                 post.awake.clone().into_iter().for_each(|to| post.put(to, Note::Norms(norms.clone())));
             }
