--- a/src/logic.rs
+++ b/src/logic.rs
@@ -534,7 +534,7 @@
         }
     }
 
-    /// Share of what is left to the target that our oldest part at a replica may have waited.
+    /// Share of what is left to the target that our oldest part may have waited, or a cost may come to.
     const SLOW: f64 = 0.6;
 
     /// What cannot come in time is refused at the door: too few of the replicas that it needs have room
@@ -547,7 +547,7 @@
             let Seat { tile, calls, limit, .. } = &self.seats[srv];
             let limit = if over { Door::OVER * limit } else { *limit };
             match calls {
-                0 => cost * self.norms.normal[scan.kind] <= Self::PRESSED * left,
+                0 => cost * self.norms.normal[scan.kind] <= Self::SLOW * left,
                 _ => tile.age <= Self::SLOW * left && f64::from(calls + 1) <= limit,
             }
         };
