Zones are kept by name, so that an unknown one costs nothing

Found by reading: a list line with a zone far out would have made every periodic note copy a long row.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -107,7 +107,7 @@
     /// The smoothed latency, on its way back to its zone's average: guards against a zone that is dead or
     /// slow to reach, each searcher of which is seldom heard of; harms its good ones until they are.
     fn faded(tile: &Tile, norms: &Norms, zone: usize, now: f64) -> f64 {
-        let average = norms.zones.get(zone).copied().unwrap_or(1.0);
+        let average = norms.zones.get(&zone).copied().unwrap_or(1.0);
         average + (tile.lat - average) * ((tile.lat_at - now) / Self::FADE_MS).exp()
     }
 
@@ -164,15 +164,15 @@
             }
             Note::Slice(srv, mean) => {
                 self.means.insert(srv, mean);
-                // All slow: the median moves, and nobody is marked. Under one it stems from normals not yet learnt.
+                // All slow: the median moves, nobody is marked. Under one it stems from normals not yet learnt.
                 self.median = median(self.means.values().copied(), Searcher::FEW as usize).unwrap_or(1.0);
             }
             Note::Zone(zone, share) => {
-                self.zones.resize(self.zones.len().max(zone + 1), 1.0);
-                self.zones[zone] += Self::TEN * (share - self.zones[zone]);
+                let average = self.zones.entry(zone).or_insert(1.0);
+                *average += Self::TEN * (share - *average);
             }
             Note::Tick => {
-                self.zones.iter_mut().for_each(|z| *z += (1.0 - *z) * Mixer::TICK_MS / Searcher::FADE_MS);
+                self.zones.values_mut().for_each(|z| *z += (1.0 - *z) * Mixer::TICK_MS / Searcher::FADE_MS);
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
                 let (limit, zones) = (Self::MULTIPLE * self.median.max(1.0), self.zones.clone());
                 let norms = Rc::new(Norms { normal, work, limit, zones });
@@ -204,7 +204,7 @@
     /// Time in which a customer's scans are tasted after a deadly one: some of its clients' retries.
     const DISTRUST_MS: f64 = 10_000.0;
 
-    /// Traffic over a customer's share goes first: its part of the scans seen here against that of all shares.
+    /// Traffic over a customer's share goes first: its part of the scans seen here against that of shares.
     fn over(&self, customer: usize) -> bool {
         let shares: f64 = self.customers.iter().map(|c| c.scans_per_s).sum();
         let terms = self.customers.get(customer).zip(self.counts.get(customer));
@@ -621,8 +621,8 @@
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
-        let gauge = Gauge { normal, means: BTreeMap::new(), median: 1.0, zones: Vec::new() };
-        let (limit, zones) = (Gauge::MULTIPLE, Vec::new());
+        let gauge = Gauge { normal, means: BTreeMap::new(), median: 1.0, zones: BTreeMap::new() };
+        let (limit, zones) = (Gauge::MULTIPLE, BTreeMap::new());
         let norms = Rc::new(Norms { normal: start.clone(), work: start, limit, zones });
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
         let further = Purse::of(guards.budget.unwrap_or(Purse::OWN));
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,7 +15,7 @@
     pub work: Vec<f64>,
     pub limit: f64,
     /// The average share of each zone's parts.
-    pub zones: Vec<f64>,
+    pub zones: BTreeMap<usize, f64>,
 }
 
 /// What a searcher lets the desk know of itself.
@@ -155,7 +155,7 @@
     /// Of each searcher's last slice.
     pub means: BTreeMap<usize, f64>,
     pub median: f64,
-    pub zones: Vec<f64>,
+    pub zones: BTreeMap<usize, f64>,
 }
 
 /// A budget: of further dispatches, stated or our own, and of parts caught for their own lateness.
