--- a/src/logic.rs
+++ b/src/logic.rs
@@ -164,7 +164,7 @@
             }
             Note::Slice(srv, mean) => {
                 self.means.insert(srv, mean);
-                // All slow: the median moves, nobody is marked. Under one it stems from normals not yet learnt.
+                // All slow: the median moves, nobody is marked. Under one it is of normals not yet learnt.
                 self.median = median(self.means.values().copied(), Searcher::FEW as usize).unwrap_or(1.0);
             }
             Note::Zone(zone, share) => {
