--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -319,7 +319,7 @@
     let mut rig = Rig::among(60, vec![table_type(Repeat::Replayable, 1.0)]);
     rig.warm(1);
     rig.scan(0, 1);
-    rig.ends(101, 0, 1, Ending::ConnectFailed, 1.0);
+    (0..4).for_each(|n| rig.ends(101, n, 1, Ending::ConnectFailed, 1.0));
     rig.pass(20.0);
     rig.tell(vec![Event::Probed { searcher: searcher(1), ending: Ending::Ok, took_ms: 2.0 }]);
     rig.scan(0, 1);
@@ -354,3 +354,21 @@
     rig.scan(0, 1);
     assert_snapshot!(rig.trace());
 }
+
+#[test]
+fn where_no_call_is_out_a_late_average_shuts_the_door_until_it_fades() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(1);
+    settle_in(&mut rig, 12);
+    for i in 13..=20 {
+        rig.scan(0, 1);
+        rig.ends(i * 100 + 1, 0, 1, Ending::Ok, 900.0);
+    }
+    rig.trace();
+    rig.scan(0, 1);
+    rig.pass(10_000.0);
+    rig.scan(0, 1);
+    let said = |l: &&str| l.contains("throttle") || l.contains("->");
+    let trace = rig.trace();
+    assert_snapshot!(trace.lines().filter(said).collect::<Vec<_>>().join("\n"));
+}
