--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -372,3 +372,23 @@
     let trace = rig.trace();
     assert_snapshot!(trace.lines().filter(said).collect::<Vec<_>>().join("\n"));
 }
+
+#[test]
+fn a_median_from_before_the_normals_were_known_marks_nobody() {
+    let mut rig = all_of(Repeat::Replayable);
+    rig.warm(4);
+    for (round, took) in [(0, 100.0), (1, 200.0)] {
+        for scan in 3 * round + 1..=3 * round + 3 {
+            rig.scan(0, 4);
+            let sent = rig.trace();
+            for (part, at) in sent.lines().filter_map(|l| l.split_once("part ")?.1.split_once(" -> s")) {
+                let (part, at) = (part.parse().unwrap_or(0), at.parse().unwrap_or(0));
+                assert_eq!(part / 100, scan);
+                rig.ends(part, 0, at, Ending::Ok, took);
+            }
+        }
+        rig.pass(540.0);
+    }
+    let trace = rig.trace();
+    assert_snapshot!(trace.lines().filter(|l| !l.contains("ends")).collect::<Vec<_>>().join("\n"));
+}
