--- /dev/null
+++ b/crates/mixer/src/counters.rs
@@ -0,0 +1,62 @@
+//! What a mixer has taken in, sent and answered.
+
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident,)*) => {
+        /// Counts since the start.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters { $($(#[$doc])* pub $name: u64,)* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+                $(writeln!(f, "{} {}", stringify!($name), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Scans taken, and what became of them: taken = completed + throttled + abandoned + gone + open.
+    scans_taken,
+    scans_completed,
+    /// Of the completed, those marked whole.
+    scans_whole,
+    scans_throttled,
+    /// Of the throttled, those turned away before the module, as the mixer held its full number.
+    scans_turned_away,
+    scans_abandoned,
+    /// Their client went away before the answer.
+    scans_gone,
+    scans_open,
+    /// Of the abandoned, those that were still open at their time: none, if all is well.
+    scans_overdue,
+    /// Requests that could not be used, answered with a 4xx or 5xx.
+    requests_unusable,
+    clients_accepted,
+    clients_open,
+    clients_dropped_for_room,
+    accepts_failed,
+    dispatches,
+    dispatches_further,
+    ended_ok,
+    ended_error,
+    ended_full,
+    ended_timed_out,
+    ended_connect_failed,
+    ended_reset,
+    ended_cancelled,
+    ended_moot,
+    /// Answers for parts that were over or never sent there.
+    answers_stale,
+    frames_bad,
+    probes,
+    probes_ok,
+    links_opened,
+    links_failed,
+    links_open,
+    lists,
+    list_entries_bad,
+    watches_lost,
+}
--- /dev/null
+++ b/crates/mixer/src/frame.rs
@@ -0,0 +1,93 @@
+//! Frames between mixers and searchers: a length, a letter, the rest.
+
+/// Longest frame that is taken: a client's answer may hold 64 KiB, and a part's value no more.
+const LONGEST: usize = 128 * 1024;
+
+/// How a searcher answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Ok,
+    Error,
+    Full,
+}
+
+/// What a searcher sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Frame {
+    Part {
+        id: String,
+        verdict: Verdict,
+        value: String,
+    },
+    Probe(Verdict),
+    /// It could not use the frame before, and closes the connection.
+    Unusable(String),
+}
+
+/// Reads the first frame of these bytes and how long it is; none while it is not whole.
+pub fn read(bytes: &[u8]) -> Result<Option<(Frame, usize)>, String> {
+    let Some((head, rest)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*head) as usize;
+    if !(1..=LONGEST).contains(&length) {
+        return Err(format!("a frame of {length} bytes"));
+    }
+    let Some(frame) = rest.get(..length) else { return Ok(None) };
+    let body = &frame[1..];
+    let frame = match frame[0] {
+        b'O' => part(body)?,
+        b'I' | b'U' => Frame::Probe(if body.starts_with(b"500") { Verdict::Error } else { Verdict::Ok }),
+        b'Z' => Frame::Unusable(String::from_utf8_lossy(body).chars().take(200).collect()),
+        letter => return Err(format!("a frame of letter {:?}", char::from(letter))),
+    };
+    Ok(Some((frame, 4 + length)))
+}
+
+fn part(body: &[u8]) -> Result<Frame, String> {
+    let split = body.iter().position(|b| *b == b'\n').ok_or("an answer without a line")?;
+    let line = std::str::from_utf8(&body[..split]).map_err(|_| "an answer's line is not text")?;
+    let mut words = line.split_ascii_whitespace();
+    let (Some(id), Some(end)) = (words.next(), words.next()) else {
+        return Err(format!("an answer's line is {line:?}"));
+    };
+    let verdict = match end {
+        "200" => Verdict::Ok,
+        "500" => Verdict::Error,
+        "503" => Verdict::Full,
+        other => return Err(format!("an answer that ends {other:?}")),
+    };
+    let value = std::str::from_utf8(&body[split + 1..]).map_err(|_| "a value is not text")?;
+    Ok(Frame::Part { id: id.to_owned(), verdict, value: value.to_owned() })
+}
+
+/// One part of a call.
+pub struct Piece<'a> {
+    pub id: &'a str,
+    pub shard: u32,
+    /// Whole milliseconds that the mixer will wait.
+    pub wait_ms: u64,
+    pub text: &'a str,
+}
+
+pub fn call(pieces: &[Piece]) -> Vec<u8> {
+    let mut body = Vec::new();
+    for Piece { id, shard, wait_ms, text } in pieces {
+        body.extend_from_slice(format!("{id} {shard} d={wait_ms} {}\n{text}", text.len()).as_bytes());
+    }
+    framed(b'D', &body)
+}
+
+pub fn give_up(id: &str) -> Vec<u8> {
+    framed(b'K', id.as_bytes())
+}
+
+pub fn probe() -> Vec<u8> {
+    framed(b'I', &[])
+}
+
+fn framed(letter: u8, body: &[u8]) -> Vec<u8> {
+    let mut frame = Vec::with_capacity(5 + body.len());
+    frame.extend_from_slice(&(body.len() as u32 + 1).to_be_bytes());
+    frame.push(letter);
+    frame.extend_from_slice(body);
+    frame
+}
--- /dev/null
+++ b/crates/mixer/src/lib.rs
@@ -0,0 +1,12 @@
+//! A mixer on sockets, round the decision module.
+
+pub mod buffer;
+pub mod client;
+pub mod clock;
+pub mod counters;
+pub mod discovery;
+pub mod frame;
+pub mod http;
+pub mod reducer;
+pub mod searcher;
+pub mod service;
--- /dev/null
+++ b/crates/mixer/src/service.rs
@@ -0,0 +1,176 @@
+//! The program: opens what it needs, runs the reducer on what comes in, carries out its effects, and closes.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::Builder;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use log::{info, warn};
+use pewterwharf_terms::Start;
+use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::iterator::Signals;
+
+use crate::client::{self, Say};
+use crate::clock::Clock;
+use crate::discovery;
+use crate::reducer::{Effect, Input, Phase, Reducer};
+use crate::searcher;
+
+/// What the threads tell the service.
+enum Told {
+    /// A client's connection and the way to its writer.
+    Client(f64, u64, Sender<Say>),
+    Input(f64, Input),
+}
+
+/// The way to the service, with the clock that all go by.
+#[derive(Clone)]
+pub struct Tell {
+    to: Sender<Told>,
+    clock: Clock,
+}
+
+impl Tell {
+    /// Tells of something now; false once nobody listens.
+    pub fn say(&self, input: Input) -> bool {
+        self.to.send(Told::Input(self.clock.now(), input)).is_ok()
+    }
+
+    pub fn client(&self, conn: u64, says: Sender<Say>) {
+        let _ = self.to.send(Told::Client(self.clock.now(), conn, says));
+    }
+}
+
+/// A thread with a small stack.
+pub fn spawn(name: &str, stack: usize, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    Builder::new().name(name.to_owned()).stack_size(stack).spawn(run).map(drop)
+}
+
+/// Stack of the threads of which there is one each.
+const STACK: usize = 256 * 1024;
+/// Inputs that are taken together in one turn at most, so that no burst holds up what is due.
+const TOGETHER: usize = 256;
+
+/// A mixer. Its phase is the reducer's: [`Phase::Opening`] until a list is held, `Ready`, `Draining`, `Closed`.
+pub struct Service {
+    clock: Clock,
+    reducer: Reducer,
+    heard: Receiver<Told>,
+    tell: Tell,
+    at: SocketAddrV4,
+    stop: Arc<AtomicBool>,
+    connect: Duration,
+    clients: HashMap<u64, Sender<Say>>,
+    links: HashMap<u64, Sender<Vec<u8>>>,
+}
+
+impl Service {
+    pub fn open(start: Start) -> Result<Self> {
+        let clock = Clock::start();
+        let (to, heard) = unbounded();
+        let tell = Tell { to, clock };
+        let connect = Duration::from_secs_f64(start.terms.connect_timeout_ms.max(1.0) / 1000.0);
+        if start.terms.types.iter().any(|t| t.second_step) {
+            warn!("table types with a second step are answered from the first: the protocol states no other");
+        }
+        let mut reducer = Reducer::new(start.terms, start.seed, start.sockets);
+        let mut effects = Vec::new();
+        let mut index = 0;
+        match discovery::list(&start.known) {
+            Ok(list) => {
+                index = list.index;
+                effects = reducer.cached(clock.now(), list);
+            }
+            Err(error) if !start.known.is_null() => warn!("known can't be read: {error:#}"),
+            Err(_) => {}
+        }
+        let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).context("signals")?;
+        let told = tell.clone();
+        spawn("signals", STACK, move || {
+            for signal in signals.forever() {
+                told.say(if signal == SIGUSR1 { Input::Report } else { Input::Stop });
+            }
+        })?;
+        let (told, at) = (tell.clone(), start.discovery);
+        spawn("discovery", STACK, move || discovery::watch(at, index, connect, &told))?;
+        let listener = TcpListener::bind(start.listen).with_context(|| format!("listen={}", start.listen))?;
+        let at = start.listen;
+        let stop = Arc::new(AtomicBool::new(false));
+        let (told, stopped) = (tell.clone(), stop.clone());
+        spawn("accept", STACK, move || client::accept(&listener, &stopped, &told))?;
+        info!("{} listens on {at}", start.name);
+        let (clients, links) = (HashMap::new(), HashMap::new());
+        let mut service = Self { clock, reducer, heard, tell, at, stop, connect, clients, links };
+        effects.into_iter().for_each(|effect| service.carry_out(effect));
+        Ok(service)
+    }
+
+    /// Runs until it is asked to end and all is answered.
+    pub fn run(mut self) -> Result<()> {
+        while self.reducer.phase() != Phase::Closed {
+            let first = match self.reducer.next_due().map(|at| self.clock.instant(at)) {
+                Some(due) => self.heard.recv_deadline(due),
+                None => self.heard.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            };
+            let mut inputs = Vec::new();
+            if let Ok(told) = first {
+                self.hear(told, &mut inputs);
+            }
+            while inputs.len() < TOGETHER
+                && let Ok(told) = self.heard.try_recv()
+            {
+                self.hear(told, &mut inputs);
+            }
+            let effects = self.reducer.step(self.clock.now(), inputs);
+            effects.into_iter().for_each(|effect| self.carry_out(effect));
+        }
+        eprint!("{}", self.reducer.counters());
+        Ok(())
+    }
+
+    fn hear(&mut self, told: Told, inputs: &mut Vec<(f64, Input)>) {
+        match told {
+            Told::Client(at, conn, says) => {
+                self.clients.insert(conn, says);
+                inputs.push((at, Input::ClientOpen { conn }));
+            }
+            Told::Input(at, input) => {
+                if let Input::LinkEnd { link, .. } = input {
+                    self.links.remove(&link);
+                }
+                inputs.push((at, input));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer { conn, bytes, last } => {
+                if let Some(says) = self.clients.get(&conn) {
+                    let _ = says.send(Say { bytes, last }); // who has gone needs no answer
+                }
+            }
+            Effect::DropClient { conn } => drop(self.clients.remove(&conn)),
+            Effect::Connect { link, addr } => {
+                self.links.insert(link, searcher::open(link, addr, self.connect, &self.tell));
+            }
+            Effect::Write { link, bytes } => {
+                if let Some(frames) = self.links.get(&link) {
+                    let _ = frames.send(bytes); // its end is on the way
+                }
+            }
+            Effect::CloseLink { link } => drop(self.links.remove(&link)),
+            Effect::StopListening => {
+                self.stop.store(true, Ordering::Release);
+                // Wakes the thread that accepts.
+                let _ = TcpStream::connect_timeout(&SocketAddr::V4(self.at), self.connect);
+            }
+            Effect::Print(text) => eprint!("{text}"),
+        }
+    }
+}
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -5,9 +5,9 @@
 use anyhow::{Context, Result};
 use pewterwharf::interface::{Decide, Event, Listed};
 use pewterwharf::logic::Mixer;
+use pewterwharf_terms::Terms;
 
 use crate::codec::{Batch, Knock, Record, Reply};
-use crate::terms;
 
 /// The mixers of this process, and the numbered lists that the wire shares among them.
 #[derive(Default)]
@@ -45,8 +45,8 @@
     fn record(&mut self, mixer: u32, record: Record, heard: &mut BTreeMap<u32, Vec<Event>>) -> Result<()> {
         let event = match record {
             Record::Create { seed, settings } => {
-                let opened = terms::open(&settings, seed).context("settings")?;
-                self.mixers.insert(mixer, opened);
+                let terms = Terms::of_text(&settings).context("settings")?;
+                self.mixers.insert(mixer, terms.open(seed));
                 heard.insert(mixer, Vec::new());
                 return Ok(());
             }
--- a/crates/simhost/src/lib.rs
+++ b/crates/simhost/src/lib.rs
@@ -2,4 +2,3 @@
 
 pub mod codec;
 pub mod host;
-pub mod terms;
--- /dev/null
+++ b/crates/terms/src/lib.rs
@@ -0,0 +1,237 @@
+//! The one place where configuration is read, checked and given defaults. The simulator's text and a mixer's
+//! JSON flatten to the same keys, so one code reads the settings of both.
+
+mod start;
+
+pub use start::Start;
+
+use std::collections::HashMap;
+use std::str::FromStr;
+
+use anyhow::{Context, Result, bail};
+use pewterwharf::interface::{Berth, Budget, Customer, Guards, Layout, Permits, Repeat, TableType};
+use pewterwharf::logic::Mixer;
+use serde_json::Value;
+
+/// Settings as `path=value` pairs.
+#[derive(Default)]
+struct Lines(HashMap<String, String>);
+
+impl Lines {
+    /// The simulator's form: a pair a line.
+    fn of_text(text: &str) -> Result<Self> {
+        let pairs = text.lines().filter(|line| !line.trim().is_empty());
+        let pairs = pairs.map(|line| {
+            let (key, value) = line.split_once('=').with_context(|| format!("no '=' in {line}"))?;
+            Ok((key.to_owned(), value.to_owned()))
+        });
+        Ok(Self(pairs.collect::<Result<_>>()?))
+    }
+
+    /// A mixer's form: nested JSON.
+    fn of_json(value: &Value) -> Self {
+        let mut lines = Self::default();
+        lines.flatten("", value);
+        lines
+    }
+
+    fn flatten(&mut self, path: &str, value: &Value) {
+        let at = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+        match value {
+            Value::Null => {}
+            Value::Object(map) => map.iter().for_each(|(key, inner)| self.flatten(&at(key), inner)),
+            Value::Array(items) if items.iter().any(Value::is_object) => {
+                self.0.insert(at("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(i, item)| self.flatten(&at(&i.to_string()), item));
+            }
+            Value::Array(items) => {
+                let words: Vec<String> =
+                    items.iter().map(|item| plain(item).replace([' ', ','], "_")).collect();
+                self.0.insert(path.to_owned(), words.join(","));
+            }
+            other => {
+                self.0.insert(path.to_owned(), plain(other));
+            }
+        }
+    }
+
+    fn maybe<T: FromStr>(&self, key: &str) -> Result<Option<T>> {
+        let Some(text) = self.0.get(key) else { return Ok(None) };
+        match text.parse() {
+            Ok(value) => Ok(Some(value)),
+            Err(_) => bail!("{key}={text} can't be read"),
+        }
+    }
+
+    fn must<T: FromStr>(&self, key: &str) -> Result<T> {
+        self.maybe(key)?.with_context(|| format!("{key} is missing"))
+    }
+
+    fn number(&self, key: &str) -> Result<Option<f64>> {
+        match self.maybe::<f64>(key)? {
+            Some(value) if !value.is_finite() => bail!("{key}={value} can't be read"),
+            other => Ok(other),
+        }
+    }
+
+    fn figure(&self, key: &str) -> Result<f64> {
+        self.number(key)?.with_context(|| format!("{key} is missing"))
+    }
+
+    /// The `i`th of a list of plain values, where the list is there.
+    fn nth(&self, key: &str, i: usize) -> Result<Option<f64>> {
+        let Some(text) = self.0.get(key) else { return Ok(None) };
+        let word = text.split(',').nth(i).with_context(|| format!("{key} has no value {i}"))?;
+        let value: f64 = word.parse().ok().with_context(|| format!("{key}={text} can't be read"))?;
+        Ok(Some(value))
+    }
+
+    fn words(&self, key: &str) -> Vec<String> {
+        self.0.get(key).map(|text| text.split(',').map(str::to_owned).collect()).unwrap_or_default()
+    }
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
+
+/// What a mixer goes by: the module's terms, the names that stand for its indices, the bounds of its links.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub types: Vec<TableType>,
+    pub type_names: Vec<String>,
+    pub customers: Vec<Customer>,
+    pub customer_names: Vec<String>,
+    pub layout: Layout,
+    pub shards: u32,
+    pub guards: Guards,
+    pub permits: Permits,
+    pub berth: Berth,
+    pub zones: Vec<String>,
+    /// Scans and parts that a mixer may hold.
+    pub open_cap: usize,
+    /// Calls that a connection to a searcher carries at once.
+    pub calls_per_link: usize,
+    pub connect_timeout_ms: f64,
+    /// From when on the other side may have closed an idle connection.
+    pub idle_ms: f64,
+}
+
+impl Terms {
+    pub fn of_text(text: &str) -> Result<Self> {
+        Self::read(&Lines::of_text(text)?)
+    }
+
+    pub fn of_json(settings: &Value) -> Result<Self> {
+        Self::read(&Lines::of_json(settings))
+    }
+
+    /// Starts a module on these terms.
+    pub fn open(&self, seed: u64) -> Mixer {
+        Mixer::open(
+            seed,
+            self.types.clone(),
+            self.customers.clone(),
+            self.layout.clone(),
+            self.guards.clone(),
+            self.permits.clone(),
+            self.berth.clone(),
+        )
+    }
+
+    /// Keys that are not known are passed over.
+    fn read(lines: &Lines) -> Result<Self> {
+        let kinds: usize = lines.must("services.count")?;
+        let types = (0..kinds).map(|i| table_type(lines, i)).collect::<Result<_>>()?;
+        let name = |list: &str, i: usize| lines.0.get(&format!("{list}.{i}.name")).cloned();
+        let type_names = (0..kinds).map(|i| name("services", i).unwrap_or_default()).collect();
+        let count = lines.maybe("customers.count")?.unwrap_or(0);
+        let customers = (0..count).map(|i| customer(lines, i)).collect::<Result<_>>()?;
+        let customer_names = (0..count).map(|i| name("customers", i).unwrap_or_default()).collect();
+        let layout = Layout {
+            cells: lines.must("family_info.positions")?,
+            reach: lines.must("family_info.in_a_row")?,
+            parts_per_call: lines.maybe("family_info.bundle_max")?.unwrap_or(1),
+            call_work_ms: lines.number("family_info.overhead_ms")?.unwrap_or(0.0),
+        };
+        if layout.cells == 0 {
+            bail!("family_info.positions=0 can't be read");
+        }
+        let permits = Permits {
+            cancel: lines.must("permissions.cancel")?,
+            probe: lines.must("permissions.probing")?,
+            second_copies: lines.must("permissions.parallel_tries")?,
+            dispatches: lines.must("permissions.max_attempts")?,
+            back_in_ms: match lines.must("permissions.retry_after")? {
+                true => lines.number("permissions.max_retry_after_ms")?,
+                false => None,
+            },
+            subscribe: lines.0.get("discovery").is_some_and(|how| how == "ask"),
+        };
+        let berth = Berth { mixers: lines.must("peers_total")?, zone: lines.must("zone")? };
+        Ok(Self {
+            types,
+            type_names,
+            customers,
+            customer_names,
+            layout,
+            shards: lines.maybe("family_info.ranges")?.unwrap_or(u32::MAX),
+            guards: guards(lines)?,
+            permits,
+            berth,
+            zones: lines.words("zones"),
+            open_cap: lines.maybe("permissions.open_cap")?.unwrap_or(usize::MAX),
+            calls_per_link: lines.maybe("permissions.multiplex")?.unwrap_or(1),
+            connect_timeout_ms: lines.number("permissions.connect_timeout_ms")?.unwrap_or(250.0),
+            idle_ms: lines.number("permissions.idle_close_ms")?.unwrap_or(15_000.0),
+        })
+    }
+}
+
+fn table_type(lines: &Lines, i: usize) -> Result<TableType> {
+    let key = |name: &str| format!("services.{i}.{name}");
+    let repeat = match lines.must::<String>(&key("idempotency"))?.as_str() {
+        "pure" => Repeat::Replayable,
+        "token" => Repeat::Keyed { window_ms: lines.figure(&key("key_ttl_ms"))? },
+        "side_effect" => Repeat::NonReplayable,
+        other => bail!("{}={other} can't be read", key("idempotency")),
+    };
+    let need = lines.nth("family_info.class_need", i)?.unwrap_or(1.0);
+    Ok(TableType {
+        target_ms: lines.figure(&key("slo_ms"))?,
+        query_timeout_ms: lines.figure(&key("hard_limit_ms"))?,
+        benefit: lines.figure(&key("points"))?,
+        late_share: lines.number(&key("late_worth"))?.unwrap_or(0.0),
+        target_stretch: lines.number(&key("aim_stretch"))?.unwrap_or(0.0),
+        repeat,
+        need,
+        floor: lines.nth("family_info.floor_by_class", i)?.unwrap_or(need),
+        partial_share: lines.nth("family_info.partial_earns", i)?.unwrap_or(0.0),
+        second_step: lines.nth("family_info.class_fetch", i)?.unwrap_or(0.0) > 0.0,
+    })
+}
+
+fn customer(lines: &Lines, i: usize) -> Result<Customer> {
+    Ok(Customer {
+        scans_per_s: lines.figure(&format!("customers.{i}.quota_per_s"))?,
+        over_share: lines.number("over_share_worth")?.unwrap_or(1.0),
+    })
+}
+
+fn guards(lines: &Lines) -> Result<Guards> {
+    let budget = match lines.number("rules.repeat_ratio")? {
+        Some(share) => Some(Budget {
+            free: lines.number("rules.free_resends")?.unwrap_or(0.0),
+            share,
+            window_ms: lines.figure("rules.extra_window_ms")?,
+        }),
+        None => None,
+    };
+    Ok(Guards {
+        cold_from: lines.figure("rules.cold_from")?,
+        warm_ms: lines.figure("rules.warm_after_ms")?,
+        tip_multiple: lines.figure("rules.tip_multiple")?,
+        fall_ms: lines.figure("rules.fall_ms")?,
+        budget,
+    })
+}
--- /dev/null
+++ b/crates/terms/src/start.rs
@@ -0,0 +1,58 @@
+//! What a mixer on sockets is told at its start: the file named by `ROUTER_CONFIG`.
+
+use std::net::SocketAddrV4;
+
+use anyhow::{Context, Result, ensure};
+use serde_json::Value;
+
+use crate::{Lines, Terms};
+
+/// A mixer's name, addresses, limits and terms.
+#[derive(Debug)]
+pub struct Start {
+    pub name: String,
+    pub listen: SocketAddrV4,
+    pub discovery: SocketAddrV4,
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The searcher list as last held, in discovery's form.
+    pub known: Value,
+    pub terms: Terms,
+}
+
+impl Start {
+    /// Where no limit on sockets is stated: what a process is commonly given.
+    const SOCKETS: usize = 1024;
+    /// Fewer leave no room for clients, searchers and discovery together.
+    const FEWEST: usize = 32;
+
+    /// Reads the file's text; `said` looks up a variable of the environment, which goes before the file.
+    pub fn read(text: &str, said: impl Fn(&str) -> Option<String>) -> Result<Self> {
+        let mut all: Value = serde_json::from_str(text).context("the file is not JSON")?;
+        let known = all.as_object_mut().context("the file holds no object")?.remove("known");
+        let settings = all.as_object_mut().and_then(|map| map.remove("settings"));
+        let mut lines = Lines::of_json(&all);
+        for (key, variable) in
+            [("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"), ("discovery", "ROUTER_DISCOVERY")]
+        {
+            if let Some(value) = said(variable).filter(|v| !v.is_empty()) {
+                lines.0.insert(key.to_owned(), value);
+            }
+        }
+        let seed: String = lines.must("seed")?;
+        let sockets = lines.maybe("limits.sockets")?.unwrap_or(Self::SOCKETS);
+        ensure!(sockets >= Self::FEWEST, "limits.sockets={sockets} is under {}", Self::FEWEST);
+        Ok(Self {
+            name: lines.must("name")?,
+            listen: lines.must("listen")?,
+            discovery: lines.must("discovery")?,
+            seed: u64::from_str_radix(&seed, 16)
+                .ok()
+                .with_context(|| format!("seed={seed} can't be read"))?,
+            sockets,
+            known: known.unwrap_or_default(),
+            terms: Terms::of_json(&settings.context("settings is missing")?).context("settings")?,
+        })
+    }
+}
