--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -1,16 +1,16 @@
 //! Connections of clients: a thread that accepts, and for each connection one that reads and one that writes.
 
-use std::io::Write;
+use std::io::{self, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, unbounded};
-use log::{debug, warn};
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use log::debug;
 
 use crate::buffer::Buffer;
-use crate::http;
+use crate::http::{self, Request};
 use crate::reducer::Input;
 use crate::service::{Tell, spawn};
 
@@ -19,8 +19,6 @@
 const WRITE_STACK: usize = 32 * 1024;
 /// A client that takes no bytes for so long is given up.
 const STUCK: Duration = Duration::from_secs(5);
-/// So long a client may go on sending after the last answer of a connection.
-const LINGER: Duration = Duration::from_secs(1);
 /// After a failed accept (no descriptors left, say) the next one waits so long.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -30,18 +28,41 @@
     pub last: bool,
 }
 
-/// Accepts until told to stop; a last connection of our own wakes it for that.
-pub fn accept(listener: &TcpListener, stop: &AtomicBool, tell: &Tell) {
+/// A client's connection, as the service holds it. All halves share one descriptor.
+pub struct Line {
+    pub says: Sender<Say>,
+    stream: Arc<TcpStream>,
+}
+
+impl Line {
+    /// Wakes the reader once it has read what has come.
+    pub fn hang_up(&self) {
+        let _ = self.stream.shutdown(Shutdown::Read); // it may be gone already
+    }
+}
+
+/// Accepts until told to stop; a last connection of our own wakes it for that. Each connection takes one of
+/// the `places` until it has ended, so that accepting never outruns the limit on descriptors.
+pub fn accept(listener: &TcpListener, places: usize, stop: &AtomicBool, tell: &Tell) {
+    let (leave, place) = bounded(places);
+    for _ in 0..places {
+        let _ = leave.send(()); // it has room for all
+    }
     let mut next = 0;
-    while !stop.load(Ordering::Acquire) {
+    while !stop.load(Ordering::Acquire) && place.recv().is_ok() {
         match listener.accept() {
             Ok(_) if stop.load(Ordering::Acquire) => return,
             Ok((stream, _)) => {
                 next += 1;
-                serve(next, stream, tell);
+                let owed = Owed { conn: next, leave: leave.clone(), tell: tell.clone() };
+                if let Err(error) = serve(stream, owed) {
+                    debug!("a client could not be served: {error}");
+                    tell.say(Input::AcceptFailed);
+                }
             }
             Err(error) => {
                 debug!("accept: {error}");
+                let _ = leave.send(());
                 tell.say(Input::AcceptFailed);
                 std::thread::sleep(PAUSE);
             }
@@ -49,21 +70,16 @@
     }
 }
 
-fn serve(conn: u64, stream: TcpStream, tell: &Tell) {
+fn serve(stream: TcpStream, owed: Owed) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    stream.set_write_timeout(Some(STUCK))?;
     let stream = Arc::new(stream);
     let (says, said) = unbounded();
-    if stream.set_nodelay(true).is_err() || stream.set_write_timeout(Some(STUCK)).is_err() {
-        return;
-    }
-    let (out, into, told) = (stream.clone(), stream, tell.clone());
     // The service knows the connection before its reader can tell of it.
-    tell.client(conn, says);
-    let writer = spawn("client-out", WRITE_STACK, move || write(&out, &said));
-    let reader = spawn("client-in", READ_STACK, move || read(conn, &into, &told));
-    if let Err(error) = writer.and(reader) {
-        warn!("no thread for a client: {error}");
-        tell.say(Input::ClientEnd { conn });
-    }
+    owed.tell.client(owed.conn, Line { says, stream: stream.clone() });
+    let out = stream.clone();
+    spawn("client-out", WRITE_STACK, move || write(&out, &said))?;
+    spawn("client-in", READ_STACK, move || read(&stream, &owed))
 }
 
 fn write(mut stream: &TcpStream, said: &Receiver<Say>) {
@@ -73,7 +89,6 @@
         }
         if last {
             // The reader goes on until the client has closed, so that no reset overtakes the answer.
-            let _ = stream.set_read_timeout(Some(LINGER));
             let _ = stream.shutdown(Shutdown::Write);
             return;
         }
@@ -81,27 +96,32 @@
     let _ = stream.shutdown(Shutdown::Both);
 }
 
-/// Tells of a connection's end however its thread ends, a panic included.
-struct Owed<'a>(u64, &'a Tell);
+/// Tells of a connection's end and leaves its place however its thread ends, a panic included.
+struct Owed {
+    conn: u64,
+    leave: Sender<()>,
+    tell: Tell,
+}
 
-impl Drop for Owed<'_> {
+impl Drop for Owed {
     fn drop(&mut self) {
-        self.1.say(Input::ClientEnd { conn: self.0 });
+        let _ = self.leave.send(()); // nobody accepts any more
+        self.tell.say(Input::ClientEnd { conn: self.conn });
     }
 }
 
-fn read(conn: u64, mut stream: &TcpStream, tell: &Tell) {
-    let _owed = Owed(conn, tell);
+fn read(mut stream: &TcpStream, owed: &Owed) {
     let mut buffer = Buffer::default();
     let mut over = false;
     while let Ok(1..) = buffer.fill(&mut stream) {
         while let Some(request) = http::request(buffer.bytes()).filter(|_| !over) {
             buffer.used(request.used);
             over = request.close;
-            tell.say(Input::Asked { conn, ask: request.ask, close: request.close });
+            let Request { ask, close, .. } = request;
+            owed.tell.say(Input::Asked { conn: owed.conn, ask, close });
         }
         if over {
-            buffer.used(usize::MAX);
+            buffer.used(usize::MAX); // nothing that follows the last request counts
         }
     }
 }
--- a/crates/mixer/src/clock.rs
+++ b/crates/mixer/src/clock.rs
@@ -19,9 +19,8 @@
         self.unix_ms + self.origin.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// The instant of a time; times long past or far off are held within a day.
-    pub fn instant(&self, at: f64) -> Instant {
-        let ms = (at - self.unix_ms).clamp(0.0, 86_400_000.0 + (self.now() - self.unix_ms));
-        self.origin + Duration::from_secs_f64(ms / 1000.0)
+    /// How long it is until a time, a day at most.
+    pub fn until(&self, at: f64) -> Duration {
+        Duration::from_secs_f64(((at - self.now()) / 1000.0).clamp(0.0, 86_400.0))
     }
 }
--- a/crates/mixer/src/frame.rs
+++ b/crates/mixer/src/frame.rs
@@ -1,7 +1,7 @@
 //! Frames between mixers and searchers: a length, a letter, the rest.
 
-/// Longest frame that is taken: a client's answer may hold 64 KiB, and a part's value no more.
-const LONGEST: usize = 128 * 1024;
+/// Longest frame that is taken: a client's answer may hold 64 KiB and a part's value no more, with a line.
+const LONGEST: usize = 68 * 1024;
 
 /// How a searcher answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/mixer/src/http.rs
+++ b/crates/mixer/src/http.rs
@@ -169,8 +169,8 @@
     let close = says("close") || head.version == Some(0) && !says("keep-alive");
     let path = path.split('?').next().unwrap_or_default();
     let ask = match (method, path) {
-        ("GET" | "HEAD", "/-/ready") => Ask::Ready,
-        ("GET" | "HEAD", "/-/healthy") => Ask::Healthy,
+        ("GET", "/-/ready") => Ask::Ready,
+        ("GET", "/-/healthy") => Ask::Healthy,
         ("GET", "/-/counters") => Ask::Counters,
         (_, path) if path.starts_with("/-/") => Ask::Unusable(404, format!("no page {path}")),
         ("POST", path) => {
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -62,11 +62,30 @@
 /// What is to be done outside, in this order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    Answer { conn: u64, bytes: Vec<u8>, last: bool },
-    DropClient { conn: u64 },
-    Connect { link: u64, addr: SocketAddrV4 },
-    Write { link: u64, bytes: Vec<u8> },
-    CloseLink { link: u64 },
+    Answer {
+        conn: u64,
+        bytes: Vec<u8>,
+        last: bool,
+    },
+    /// Reads no further from a client than to what it has sent.
+    HangUp {
+        conn: u64,
+    },
+    /// Lets go of a connection once all answers are written.
+    DropClient {
+        conn: u64,
+    },
+    Connect {
+        link: u64,
+        addr: SocketAddrV4,
+    },
+    Write {
+        link: u64,
+        bytes: Vec<u8>,
+    },
+    CloseLink {
+        link: u64,
+    },
     StopListening,
     Print(String),
 }
@@ -97,6 +116,10 @@
     close: bool,
     /// Its last answer has been given.
     over: bool,
+    /// Told to send no more; what it had sent is still answered.
+    hung: bool,
+    /// Nothing more comes from it.
+    ended: bool,
     idle_since: f64,
 }
 
@@ -147,6 +170,8 @@
     out: HashMap<String, Option<Leg>>,
     probes: VecDeque<Probe>,
     idle_since: f64,
+    /// A due time for its idleness is set.
+    watched: bool,
 }
 
 enum Queued {
@@ -183,7 +208,11 @@
     },
     /// Its client's time is up.
     Overdue(u64),
+    /// A link may have been idle for long.
     Idle(u64),
+    /// A client has had its time to close.
+    Linger(u64),
+    /// Something of draining is to be looked at.
     Drained,
 }
 
@@ -193,8 +222,12 @@
 const LISTEN_MS: f64 = 600.0;
 /// Clients get so long to close after their last answer before the program ends.
 const LINGER_MS: f64 = 300.0;
+/// After a warning, further ones are told at the debug level for so long.
+const QUIET_MS: f64 = 1000.0;
 /// Requests that a client may send ahead on one connection.
 const AHEAD: usize = 16;
+/// Connections of clients that may come while others are on their way out.
+const CHANGING: usize = 16;
 /// Descriptors for everything but clients and searchers: the listener, discovery, standard streams, files.
 const OTHERS: usize = 24;
 
@@ -215,6 +248,7 @@
     due: BTreeSet<(u64, Due)>,
     ids: u64,
     scan_number: u32,
+    quiet_until: f64,
     events: Vec<Event>,
     effects: Vec<Effect>,
     counters: Counters,
@@ -222,7 +256,7 @@
 
 impl Reducer {
     pub fn new(terms: Terms, seed: u64, sockets: usize) -> Self {
-        let half = sockets.saturating_sub(OTHERS) / 2;
+        let half = sockets.saturating_sub(OTHERS + CHANGING) / 2;
         let mut terms = terms;
         for kind in &mut terms.types {
             // How a second step travels on sockets is not stated, so none is opened.
@@ -244,6 +278,7 @@
             due: BTreeSet::new(),
             ids: 0,
             scan_number: 0,
+            quiet_until: 0.0,
             events: Vec::new(),
             effects: Vec::new(),
             counters: Counters::default(),
@@ -259,6 +294,11 @@
         self.due.first().map(|d| f64::from_bits(d.0))
     }
 
+    /// Connections of clients that there can be: a few more than are kept, as the idle leave for others.
+    pub fn client_places(&self) -> usize {
+        self.clients_cap + CHANGING
+    }
+
     /// The counts, with what is open now.
     pub fn counters(&self) -> Counters {
         Counters {
@@ -284,20 +324,38 @@
         for (at, input) in lists.into_iter().chain(others) {
             self.take(at.min(now), input);
         }
-        while let Some((_, due)) = self.due.pop_first().filter(|d| {
-            let ripe = f64::from_bits(d.0) <= now;
-            if !ripe {
-                self.due.insert(*d);
+        let mut overdue = Vec::new();
+        while self.due.first().is_some_and(|d| f64::from_bits(d.0) <= now)
+            && let Some((_, due)) = self.due.pop_first()
+        {
+            match due {
+                Due::Overdue(scan) => overdue.push(scan),
+                due => self.fall_due(now, due),
             }
-            ripe
-        }) {
-            self.fall_due(now, due);
+        }
+        self.turns(now);
+        // The module ends its scans before their time; after a pause of the machine that is now.
+        for scan in overdue.into_iter().filter(|scan| self.scans.contains_key(scan)).collect::<Vec<_>>() {
+            self.warn(now, "a scan was still open at its time");
+            self.counters.scans_overdue += 1;
+            self.counters.scans_abandoned += 1;
+            self.events.push(Event::ClientGone { scan });
+            self.answer_scan(now, scan, 504, None, b"the time is up\n");
         }
         self.turns(now);
         self.end_drain(now);
         std::mem::take(&mut self.effects)
     }
 
+    /// Warns at most once in a while, so that a flood outside is none in the log.
+    fn warn(&mut self, now: f64, line: &str) {
+        if now < self.quiet_until {
+            return debug!("{line}");
+        }
+        self.quiet_until = now + QUIET_MS;
+        warn!("{line}");
+    }
+
     fn add_due(&mut self, at: f64, due: Due) {
         self.due.insert((at.max(0.0).to_bits(), due));
     }
@@ -317,10 +375,10 @@
                 self.make_room();
             }
             Input::LinkUp { link } => self.link_up(now, link),
-            Input::LinkBroken { link } => self.close_link(link),
+            Input::LinkBroken { link } => self.close_link(link, "broken"),
             Input::LinkEnd { link, written } => self.link_end(now, link, written),
             Input::Frame { link, frame } => self.frame(now, link, frame),
-            Input::BadFrame { link, why } => self.bad_frame(link, &why),
+            Input::BadFrame { link, why } => self.bad_frame(now, link, &why),
             Input::List(list) => {
                 let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
                 self.listed(now, list, kind);
@@ -347,30 +405,28 @@
                     return;
                 };
                 probe.over = true;
+                // No connection in time is told as that, whichever of the two clocks rings first.
+                let ending = if probe.frame.is_some() { Ending::TimedOut } else { Ending::ConnectFailed };
                 let (searcher, took_ms) = (at.srv, now - probe.sent_at);
-                self.events.push(Event::Probed { searcher, ending: Ending::TimedOut, took_ms });
-            }
-            Due::Overdue(scan) => {
-                if self.scans.contains_key(&scan) {
-                    warn!("a scan was still open at its time");
-                    self.counters.scans_overdue += 1;
-                    self.counters.scans_abandoned += 1;
-                    self.events.push(Event::ClientGone { scan });
-                    self.answer_scan(now, scan, 504, None, b"the time is up\n");
-                }
+                self.events.push(Event::Probed { searcher, ending, took_ms });
             }
             Due::Idle(link) => {
-                let Some(at) = self.links.get(&link) else { return };
+                let Some(at) = self.links.get_mut(&link) else { return };
+                (at.watched, at.idle_since) = (false, at.idle_since.min(now));
                 let until = at.idle_since + IDLE * self.terms.idle_ms;
-                if !at.calls.is_empty() || !at.probes.is_empty() {
-                    // The end of the last call sets the next due time.
-                } else if now >= until {
-                    self.close_link(link);
-                } else {
+                if at.idle() && now >= until {
+                    self.close_link(link, "idle");
+                } else if at.idle() {
+                    at.watched = true;
                     self.add_due(until, Due::Idle(link));
                 }
             }
-            Due::Drained => {}
+            Due::Linger(conn) => {
+                if self.clients.contains_key(&conn) {
+                    self.effects.push(Effect::HangUp { conn });
+                }
+            }
+            Due::Overdue(_) | Due::Drained => {}
         }
     }
 
@@ -420,7 +476,7 @@
                 let links = self.srvs.get(&searcher).map(|s| s.links.clone()).unwrap_or_default();
                 for link in links {
                     if self.links.get(&link).is_some_and(Link::idle) {
-                        self.close_link(link);
+                        self.close_link(link, "hung up on");
                     }
                 }
             }
@@ -434,11 +490,7 @@
 
     fn client_open(&mut self, now: f64, conn: u64) {
         self.counters.clients_accepted += 1;
-        #[rustfmt::skip]
-        let client = Client {
-            scan: None, ahead: VecDeque::new(), close: false, over: false, idle_since: now,
-        };
-        self.clients.insert(conn, client);
+        self.clients.insert(conn, Client::new(now));
         if self.clients.len() > self.clients_cap {
             self.make_room();
         }
@@ -446,29 +498,46 @@
 
     /// Gives up the client that has been idle for longest.
     fn make_room(&mut self) {
-        let idle = self.clients.iter().filter(|c| c.1.scan.is_none());
+        let idle = self.clients.iter().filter(|c| c.1.idle());
         let longest = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|c| *c.0);
         if let Some(conn) = longest {
             self.counters.clients_dropped_for_room += 1;
-            self.drop_client(conn);
+            self.hang_up(conn);
         }
     }
 
-    fn drop_client(&mut self, conn: u64) {
-        self.clients.remove(&conn);
-        self.effects.push(Effect::DropClient { conn });
+    fn hang_up_idle(&mut self) {
+        let idle: Vec<u64> = self.clients.iter().filter(|c| c.1.idle()).map(|c| *c.0).collect();
+        idle.into_iter().for_each(|conn| self.hang_up(conn));
+    }
+
+    /// Takes no more from an idle client. What it has sent by then is still read, and answered as the last.
+    fn hang_up(&mut self, conn: u64) {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        (client.hung, client.close) = (true, true);
+        self.effects.push(Effect::HangUp { conn });
     }
 
     fn client_end(&mut self, conn: u64) {
-        let Some(client) = self.clients.remove(&conn) else { return };
-        self.effects.push(Effect::DropClient { conn });
-        if let Some(scan) = client.scan {
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        if client.hung && client.scan.is_some() {
+            client.ended = true; // by us: it still waits
+            return;
+        }
+        let scan = client.scan;
+        self.drop_client(conn);
+        if let Some(scan) = scan {
             self.counters.scans_gone += 1;
             self.forget(scan);
             self.events.push(Event::ClientGone { scan });
         }
     }
 
+    fn drop_client(&mut self, conn: u64) {
+        self.clients.remove(&conn);
+        self.effects.push(Effect::DropClient { conn });
+    }
+
     fn asked(&mut self, now: f64, conn: u64, ask: Ask, close: bool) {
         let Some(client) = self.clients.get_mut(&conn).filter(|c| !c.over) else { return };
         if client.scan.is_none() {
@@ -579,9 +648,14 @@
         (client.scan, client.idle_since) = (None, now);
         client.close |= matches!(self.phase, Phase::Draining { .. } | Phase::Closed);
         client.over = client.close;
-        let (last, next) = (client.close, client.ahead.pop_front());
+        let (last, ended, next) = (client.close, client.ended, client.ahead.pop_front());
         let bytes = http::answer(status, back_in_ms, body, last);
         self.effects.push(Effect::Answer { conn, bytes, last });
+        if ended {
+            self.drop_client(conn);
+        } else if last {
+            self.add_due(now + LINGER_MS, Due::Linger(conn));
+        }
         if let Some((at, ask, close)) = next.filter(|_| !last) {
             self.ask(at, conn, ask, close);
         }
@@ -591,7 +665,7 @@
 
     fn dispatch(&mut self, now: f64, part: u64, srv: SocketAddrV4, patience_ms: f64) -> Option<Leg> {
         let Some(held) = self.parts.get_mut(&part) else {
-            warn!("a part that is over was dispatched");
+            self.warn(now, "a part that is over was dispatched");
             return None;
         };
         let leg = (part, held.sent);
@@ -754,16 +828,17 @@
                 }
                 self.rest(now, id);
             }
-            Frame::Unusable(why) => self.bad_frame(id, &format!("Z: {why}")),
+            Frame::Unusable(why) => self.bad_frame(now, id, &format!("Z: {why}")),
         }
     }
 
-    fn bad_frame(&mut self, link: u64, why: &str) {
+    fn bad_frame(&mut self, now: f64, link: u64, why: &str) {
         self.counters.frames_bad += 1;
         if let Some(at) = self.links.get(&link) {
-            warn!("{} is closed after {why}", at.srv);
+            let line = format!("a link to {} is closed after {why}", at.addr);
+            self.warn(now, &line);
         }
-        self.close_link(link);
+        self.close_link(link, "unusable");
     }
 
     fn probe(&mut self, now: f64, srv: SocketAddrV4) {
@@ -795,7 +870,7 @@
         let addr = self.srvs.get(&srv)?.addr;
         if self.links.len() >= self.links_cap {
             let idle = self.links.iter().find(|l| l.1.idle()).map(|l| *l.0);
-            self.close_link(idle?);
+            self.close_link(idle?, "for room");
         }
         let id = self.id();
         let link = Link {
@@ -808,9 +883,11 @@
             out: HashMap::new(),
             probes: VecDeque::new(),
             idle_since: now,
+            watched: false,
         };
         self.links.insert(id, link);
         self.srvs.get_mut(&srv)?.links.push(id);
+        debug!("link {id} to {addr}: opened, one of {}", self.srvs.get(&srv)?.links.len());
         self.effects.push(Effect::Connect { link: id, addr });
         Some(id)
     }
@@ -830,23 +907,27 @@
         let Some(link) = self.links.get_mut(&id).filter(|l| l.idle()) else { return };
         link.idle_since = now;
         if self.srvs.get(&link.srv).is_none_or(|s| s.addr != link.addr) {
-            return self.close_link(id);
+            self.close_link(id, "moved");
+        } else if !link.watched {
+            link.watched = true;
+            self.add_due(now + IDLE * self.terms.idle_ms, Due::Idle(id));
         }
-        self.add_due(now + IDLE * self.terms.idle_ms, Due::Idle(id));
     }
 
-    fn close_link(&mut self, id: u64) {
+    fn close_link(&mut self, id: u64, why: &str) {
         if let Some(link) = self.links.get_mut(&id).filter(|l| l.standing != Standing::Closing) {
             link.standing = Standing::Closing;
+            debug!("link {id} to {}: closed, {why}", link.addr);
             self.effects.push(Effect::CloseLink { link: id });
         }
     }
 
     /// What was out on a link ends with it: it may have run only if its frame was written whole.
     fn link_end(&mut self, now: f64, id: u64, written: u64) {
-        self.close_link(id);
+        let failed = self.links.get(&id).is_some_and(|l| l.standing == Standing::Opening);
+        self.counters.links_failed += u64::from(failed);
+        self.close_link(id, "ended");
         let Some(link) = self.links.remove(&id) else { return };
-        self.counters.links_failed += u64::from(link.frames == 0);
         if let Some(srv) = self.srvs.get_mut(&link.srv) {
             srv.links.retain(|l| *l != id);
         }
@@ -871,7 +952,7 @@
     fn listed(&mut self, now: f64, list: List, kind: ListKind) {
         self.counters.lists += 1;
         self.counters.list_entries_bad += list.bad.len() as u64;
-        list.bad.iter().for_each(|why| warn!("discovery: {why}"));
+        list.bad.iter().for_each(|why| self.warn(now, &format!("discovery: {why}")));
         if kind != ListKind::Changes {
             self.srvs.values_mut().for_each(|s| s.life = Life::Gone);
         }
@@ -886,8 +967,12 @@
             self.end_flight(now, leg, Ending::Moot);
         }
         self.events.push(Event::List { kind, lines });
+        // Who is gone and has nothing open is forgotten, as releases bring new ones.
+        self.srvs.retain(|_, s| s.life != Life::Gone || !s.links.is_empty());
+        self.names.retain(|_, key| self.srvs.contains_key(key));
         if self.phase == Phase::Opening && self.srvs.values().any(|s| s.life == Life::Ready) {
             self.phase = Phase::Ready;
+            info!("ready");
         }
     }
 
@@ -910,6 +995,9 @@
         };
         let zone = self.terms.zones.iter().position(|z| *z == zone).unwrap_or(self.terms.zones.len()) as u16;
         let srv = self.srvs.get_mut(&key)?;
+        if srv.life == Life::Ready && life != Life::Ready {
+            info!("{} {}", srv.name, if life == Life::Gone { "is gone" } else { "drains" });
+        }
         srv.life = life;
         if srv.addr != addr && life != Life::Gone {
             info!("{} has moved from {} to {addr}", srv.name, srv.addr);
@@ -917,7 +1005,7 @@
             // Links to where it was take nothing new, and close once nothing is out on them.
             for link in srv.links.clone() {
                 if self.links.get(&link).is_some_and(Link::idle) {
-                    self.close_link(link);
+                    self.close_link(link, "moved");
                 }
             }
         }
@@ -941,10 +1029,7 @@
                 info!("draining");
                 self.phase = Phase::Draining { listen_until: now + LISTEN_MS, listening: true };
                 self.add_due(now + LISTEN_MS, Due::Drained);
-                let idle = self.clients.iter().filter(|c| c.1.scan.is_none() && !c.1.over);
-                for conn in idle.map(|c| *c.0).collect::<Vec<_>>() {
-                    self.drop_client(conn);
-                }
+                self.hang_up_idle();
             }
         }
     }
@@ -958,15 +1043,13 @@
         if listening {
             self.phase = Phase::Draining { listen_until, listening: false };
             self.effects.push(Effect::StopListening);
-            let idle = self.clients.iter().filter(|c| c.1.scan.is_none() && !c.1.over);
-            for conn in idle.map(|c| *c.0).collect::<Vec<_>>() {
-                self.drop_client(conn);
-            }
+            self.hang_up_idle();
         }
         if !self.scans.is_empty() {
             return;
         }
-        let lingers = self.clients.values().map(|c| c.idle_since + LINGER_MS).fold(now, f64::max);
+        let lingers = self.clients.values().map(|c| c.idle_since + LINGER_MS);
+        let lingers = lingers.fold(listen_until + LINGER_MS, f64::max);
         if self.clients.is_empty() || lingers <= now {
             self.phase = Phase::Closed;
         } else {
@@ -975,6 +1058,17 @@
     }
 }
 
+impl Client {
+    fn new(now: f64) -> Self {
+        let (scan, ahead, idle_since) = (None, VecDeque::new(), now);
+        Self { scan, ahead, close: false, over: false, hung: false, ended: false, idle_since }
+    }
+
+    fn idle(&self) -> bool {
+        self.scan.is_none() && !self.over && !self.hung
+    }
+}
+
 impl Link {
     fn idle(&self) -> bool {
         self.standing == Standing::Up && self.calls.is_empty() && self.probes.is_empty()
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::Builder;
@@ -15,7 +15,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
-use crate::client::{self, Say};
+use crate::client::{self, Line, Say};
 use crate::clock::Clock;
 use crate::discovery;
 use crate::reducer::{Effect, Input, Phase, Reducer};
@@ -23,8 +23,8 @@
 
 /// What the threads tell the service.
 enum Told {
-    /// A client's connection and the way to its writer.
-    Client(f64, u64, Sender<Say>),
+    /// A client's connection.
+    Client(f64, u64, Line),
     Input(f64, Input),
 }
 
@@ -41,8 +41,8 @@
         self.to.send(Told::Input(self.clock.now(), input)).is_ok()
     }
 
-    pub fn client(&self, conn: u64, says: Sender<Say>) {
-        let _ = self.to.send(Told::Client(self.clock.now(), conn, says));
+    pub fn client(&self, conn: u64, line: Line) {
+        let _ = self.to.send(Told::Client(self.clock.now(), conn, line)); // or the program has ended
     }
 }
 
@@ -51,6 +51,11 @@
     Builder::new().name(name.to_owned()).stack_size(stack).spawn(run).map(drop)
 }
 
+/// The address that a listener has got, where its port was left open.
+fn local(listener: &TcpListener) -> Result<SocketAddr> {
+    listener.local_addr().context("the listener's address")
+}
+
 /// Stack of the threads of which there is one each.
 const STACK: usize = 256 * 1024;
 /// Inputs that are taken together in one turn at most, so that no burst holds up what is due.
@@ -62,10 +67,10 @@
     reducer: Reducer,
     heard: Receiver<Told>,
     tell: Tell,
-    at: SocketAddrV4,
+    at: SocketAddr,
     stop: Arc<AtomicBool>,
     connect: Duration,
-    clients: HashMap<u64, Sender<Say>>,
+    clients: HashMap<u64, Line>,
     links: HashMap<u64, Sender<Vec<u8>>>,
 }
 
@@ -99,10 +104,10 @@
         let (told, at) = (tell.clone(), start.discovery);
         spawn("discovery", STACK, move || discovery::watch(at, index, connect, &told))?;
         let listener = TcpListener::bind(start.listen).with_context(|| format!("listen={}", start.listen))?;
-        let at = start.listen;
+        let (at, places) = (local(&listener)?, reducer.client_places());
         let stop = Arc::new(AtomicBool::new(false));
         let (told, stopped) = (tell.clone(), stop.clone());
-        spawn("accept", STACK, move || client::accept(&listener, &stopped, &told))?;
+        spawn("accept", STACK, move || client::accept(&listener, places, &stopped, &told))?;
         info!("{} listens on {at}", start.name);
         let (clients, links) = (HashMap::new(), HashMap::new());
         let mut service = Self { clock, reducer, heard, tell, at, stop, connect, clients, links };
@@ -113,8 +118,8 @@
     /// Runs until it is asked to end and all is answered.
     pub fn run(mut self) -> Result<()> {
         while self.reducer.phase() != Phase::Closed {
-            let first = match self.reducer.next_due().map(|at| self.clock.instant(at)) {
-                Some(due) => self.heard.recv_deadline(due),
+            let first = match self.reducer.next_due().map(|at| self.clock.until(at)) {
+                Some(wait) => self.heard.recv_timeout(wait),
                 None => self.heard.recv().map_err(|_| RecvTimeoutError::Disconnected),
             };
             let mut inputs = Vec::new();
@@ -135,8 +140,8 @@
 
     fn hear(&mut self, told: Told, inputs: &mut Vec<(f64, Input)>) {
         match told {
-            Told::Client(at, conn, says) => {
-                self.clients.insert(conn, says);
+            Told::Client(at, conn, line) => {
+                self.clients.insert(conn, line);
                 inputs.push((at, Input::ClientOpen { conn }));
             }
             Told::Input(at, input) => {
@@ -151,8 +156,13 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Answer { conn, bytes, last } => {
-                if let Some(says) = self.clients.get(&conn) {
-                    let _ = says.send(Say { bytes, last }); // who has gone needs no answer
+                if let Some(line) = self.clients.get(&conn) {
+                    let _ = line.says.send(Say { bytes, last }); // who has gone needs no answer
+                }
+            }
+            Effect::HangUp { conn } => {
+                if let Some(line) = self.clients.get(&conn) {
+                    line.hang_up();
                 }
             }
             Effect::DropClient { conn } => drop(self.clients.remove(&conn)),
@@ -168,7 +178,7 @@
             Effect::StopListening => {
                 self.stop.store(true, Ordering::Release);
                 // Wakes the thread that accepts.
-                let _ = TcpStream::connect_timeout(&SocketAddr::V4(self.at), self.connect);
+                let _ = TcpStream::connect_timeout(&self.at, self.connect);
             }
             Effect::Print(text) => eprint!("{text}"),
         }
--- /dev/null
+++ b/crates/mixer/tests/loopback.rs
@@ -0,0 +1,190 @@
+//! The whole program on loopback, with the example's searchers and discovery.
+
+#[path = "../../../examples/toy.rs"]
+mod toy;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::mpsc::{self, Receiver, Sender};
+
+use serde_json::Value;
+use toy::Manner;
+
+struct Mixer {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    addr: SocketAddr,
+    lists: Sender<Value>,
+    /// What searchers were sent.
+    heard: Receiver<String>,
+    searchers: Vec<(SocketAddr, &'static str)>,
+}
+
+/// Starts a mixer and its searchers, and waits until it is ready.
+fn start(manners: &[Manner]) -> Mixer {
+    let port = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (says, heard) = mpsc::channel();
+    let searchers = manners.iter().map(|manner| {
+        let listener = port();
+        let addr = listener.local_addr().expect("an address");
+        toy::searcher(listener, *manner, says.clone());
+        (addr, "up")
+    });
+    let searchers: Vec<_> = searchers.collect();
+    let listener = port();
+    let discovery = listener.local_addr().expect("an address").to_string();
+    let (lists, told) = mpsc::channel();
+    toy::discovery(listener, told);
+    lists.send(toy::list(1, true, &searchers)).expect("discovery listens");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pewterwharf-mixer"))
+        .env("ROUTER_CONFIG", concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/mixer.json"))
+        .env("ROUTER_LISTEN", "127.0.0.1:0")
+        .env("ROUTER_DISCOVERY", discovery)
+        .env("RUST_LOG", "info")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the mixer starts");
+    let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
+    let line = wait(&mut log, "listens on ");
+    let addr = line.rsplit(' ').next().and_then(|a| a.trim().parse().ok()).expect("an address");
+    wait(&mut log, "ready");
+    Mixer { child, log, addr, lists, heard, searchers }
+}
+
+/// The first line that holds these words.
+fn wait(log: &mut impl BufRead, words: &str) -> String {
+    let mut line = String::new();
+    while !line.contains(words) {
+        line.clear();
+        assert!(log.read_line(&mut line).expect("a line") > 0, "the log ended before {words:?}");
+    }
+    line
+}
+
+impl Mixer {
+    fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.addr).expect("the mixer accepts")
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+    }
+
+    /// The exit status, and the counters that it printed and that are not zero.
+    fn end(mut self) -> (Option<i32>, String) {
+        let status = self.child.wait().expect("it ends").code();
+        let mut rest = String::new();
+        self.log.read_to_string(&mut rest).expect("its last lines");
+        let counts = rest.lines().filter(|l| l.starts_with("scans_") && !l.ends_with(" 0"));
+        (status, counts.collect::<Vec<_>>().join(", "))
+    }
+}
+
+fn scan(table_type: &str, parts: u32) -> String {
+    let parts: Vec<Value> =
+        (0..parts).map(|shard| serde_json::json!({"id": shard, "w": 1.0 / f64::from(parts)})).collect();
+    let body = serde_json::json!({"parts": parts, "expr": "find"}).to_string();
+    format!(
+        "POST /{table_type} HTTP/1.1\r\nHost: app.svc\r\nReq-Id: q1\r\nReq-Owner: acme\r\n\
+         Req-Deadline-Ms: 1000\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The status line, what it says of the connection and of coming back, and the body.
+fn answer(stream: &TcpStream) -> String {
+    let mut input = BufReader::new(stream);
+    let (mut seen, mut length) = (Vec::new(), 0);
+    loop {
+        let mut line = String::new();
+        input.read_line(&mut line).expect("a line");
+        match line.trim_end().split_once(": ") {
+            Some(("Content-Length", n)) => length = n.parse().expect("a length"),
+            Some(("Content-Type", _)) => {}
+            _ if line.trim_end().is_empty() => break,
+            _ => seen.push(line.trim_end().to_owned()),
+        }
+    }
+    let mut body = vec![0; length];
+    input.read_exact(&mut body).expect("a body");
+    seen.push(String::from_utf8_lossy(&body).trim_end().to_owned());
+    seen.join(" | ")
+}
+
+#[test]
+fn scans_are_served_on_one_connection_until_the_mixer_is_asked_to_end() {
+    let mixer = start(&[Manner::Answers, Manner::Answers]);
+    let mut client = mixer.connect();
+    let mut said = Vec::new();
+    for byte in scan("entry", 2).as_bytes() {
+        client.write_all(&[*byte]).expect("it takes bytes");
+    }
+    said.push(answer(&client));
+    for request in [scan("nothing", 1), "GET /-/ready HTTP/1.1\r\n\r\n".to_owned()] {
+        client.write_all(request.as_bytes()).expect("it takes bytes");
+        said.push(answer(&client));
+    }
+    mixer.signal("TERM");
+    assert_eq!(client.read(&mut [0]).expect("an end"), 0);
+    let mut late = mixer.connect();
+    late.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
+    said.push(answer(&late));
+    let (status, counts) = mixer.end();
+    insta::assert_snapshot!(format!("{}\n{status:?} {counts}", said.join("\n")));
+}
+
+#[test]
+fn a_hung_and_a_dying_searcher_are_read_around() {
+    let mixer = start(&[Manner::Hangs, Manner::Dies, Manner::Answers]);
+    let mut client = mixer.connect();
+    let mut said = Vec::new();
+    for _ in 0..3 {
+        client.write_all(scan("lookup", 5).as_bytes()).expect("it takes bytes");
+        said.push(answer(&client).split(" | ").next().map(str::to_owned).unwrap_or_default());
+    }
+    mixer.signal("INT");
+    let (status, counts) = mixer.end();
+    insta::assert_snapshot!(format!("{}\n{status:?} {counts}", said.join("\n")));
+}
+
+#[test]
+fn what_is_out_at_a_hung_searcher_is_answered_in_time_though_the_mixer_is_asked_to_end() {
+    let mixer = start(&[Manner::Hangs]);
+    let mut client = mixer.connect();
+    client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
+    assert!(mixer.heard.recv().expect("a frame").starts_with("D q1.0 0 d="));
+    mixer.signal("TERM");
+    let said = answer(&client);
+    let (status, counts) = mixer.end();
+    insta::assert_snapshot!(format!("{said}\n{status:?} {counts}"));
+}
+
+#[test]
+fn a_searcher_that_drains_gets_nothing_more() {
+    let mut mixer = start(&[Manner::Answers]);
+    mixer.searchers[0].1 = "draining";
+    mixer.lists.send(toy::list(2, false, &mixer.searchers)).expect("discovery listens");
+    wait(&mut mixer.log, "drains");
+    let mut client = mixer.connect();
+    client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
+    let said = answer(&client);
+    mixer.signal("TERM");
+    assert!(mixer.heard.try_recv().is_err());
+    let (status, counts) = mixer.end();
+    insta::assert_snapshot!(format!("{said}\n{status:?} {counts}"));
+}
+
+#[test]
+fn a_start_that_can_t_be_made_says_why() {
+    let run = |config: Option<&str>| {
+        let mut mixer = Command::new(env!("CARGO_BIN_EXE_pewterwharf-mixer"));
+        mixer.env_clear().envs(config.map(|path| ("ROUTER_CONFIG", path)));
+        let output = mixer.output().expect("it runs");
+        let log = String::from_utf8_lossy(&output.stderr);
+        let words = log.split("] ").nth(1).unwrap_or_default().trim_end().to_owned();
+        format!("{:?} {words}", output.status.code())
+    };
+    insta::assert_snapshot!(format!("{}\n{}", run(None), run(Some("/nowhere"))));
+}
--- /dev/null
+++ b/crates/mixer/tests/reducer.rs
@@ -0,0 +1,388 @@
+//! Traces of the reducer: what a mixer is told and what it does about it, without a socket.
+
+use std::fmt::Write;
+
+use insta::assert_snapshot;
+use pewterwharf::interface::Life;
+use pewterwharf_mixer::discovery::{Entry, List};
+use pewterwharf_mixer::frame::{Frame, Verdict};
+use pewterwharf_mixer::http::{Ask, PartAsk, ScanAsk};
+use pewterwharf_mixer::reducer::{Effect, Input, Phase, Reducer};
+use pewterwharf_terms::Terms;
+use serde_json::json;
+
+const START: f64 = 1_700_000_000_000.0;
+
+struct Rig {
+    reducer: Reducer,
+    now: f64,
+    trace: String,
+}
+
+/// Table types: `all` needs every part, `most` half of them, `once` may not run twice.
+fn settings() -> serde_json::Value {
+    let kind = |name: &str, repeat: &str| {
+        json!({"name": name, "idempotency": repeat, "points": 1.0, "slo_ms": 800.0, "hard_limit_ms": 2000.0,
+               "late_worth": 0.3})
+    };
+    json!({
+        "services": [kind("all", "pure"), kind("most", "pure"), kind("once", "side_effect")],
+        "customers": [{"name": "acme", "quota_per_s": 50.0}],
+        "family_info": {"positions": 1, "in_a_row": 1, "ranges": 8, "class_need": [1.0, 0.5, 1.0]},
+        "permissions": {"cancel": true, "probing": true, "parallel_tries": true, "max_attempts": 3,
+            "retry_after": true, "max_retry_after_ms": 1000.0, "open_cap": 20, "multiplex": 2},
+        "rules": {"cold_from": 0.2, "warm_after_ms": 10_000.0, "tip_multiple": 2.0, "fall_ms": 1000.0},
+        "peers_total": 1, "zone": 0, "zones": ["hall"],
+    })
+}
+
+fn entry(n: u8, life: Life, since: f64) -> Entry {
+    let addr = std::net::SocketAddrV4::new([10, 0, 0, n].into(), 80);
+    Entry { name: format!("s{n}"), addr, zone: "hall".into(), cell: 0, since, life }
+}
+
+impl Rig {
+    /// With so many warm searchers, and one client.
+    fn new(searchers: u8) -> Self {
+        Self::on(&settings(), searchers, 256)
+    }
+
+    fn on(settings: &serde_json::Value, searchers: u8, sockets: usize) -> Self {
+        let terms = Terms::of_json(settings).expect("good settings");
+        let mut rig = Self { reducer: Reducer::new(terms, 7, sockets), now: START, trace: String::new() };
+        rig.list(true, (1..=searchers).map(|n| entry(n, Life::Ready, 0.0)).collect());
+        rig.tell(Input::ClientOpen { conn: 1 });
+        rig
+    }
+
+    fn list(&mut self, whole: bool, entries: Vec<Entry>) {
+        self.tell(Input::List(List { index: 1, whole, entries, bad: Vec::new() }));
+    }
+
+    fn tell(&mut self, input: Input) {
+        for effect in self.reducer.step(self.now, vec![(self.now, input)]) {
+            let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).replace("\r\n", " ").replace('\n', " ");
+            let line = match effect {
+                Effect::Answer { conn, bytes, last } => {
+                    let bytes = text(&bytes).replace("HTTP/1.1 ", "").replace("Content-", "");
+                    format!("client {conn}: {}{}", bytes.trim_end(), if last { " (last)" } else { "" })
+                }
+                Effect::HangUp { conn } => format!("client {conn}: hang up"),
+                Effect::DropClient { conn } => format!("client {conn}: let go"),
+                Effect::Connect { link, addr } => format!("link {link}: connect to {addr}"),
+                Effect::Write { link, bytes } => format!("link {link}: {}", text(&bytes[4..])),
+                Effect::CloseLink { link } => format!("link {link}: close"),
+                Effect::StopListening => "stop listening".to_owned(),
+                Effect::Print(text) => text,
+            };
+            writeln!(self.trace, "{:>5} {line}", self.now - START).expect("a string takes all");
+        }
+    }
+
+    /// Lets time pass, one due time after the other.
+    fn pass(&mut self, ms: f64) {
+        let end = self.now + ms;
+        while let Some(due) = self.reducer.next_due().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            self.tell(Input::Due);
+        }
+        self.now = end;
+    }
+
+    fn asks(&mut self, conn: u64, table_type: &str, id: &str, parts: u32) {
+        let weight = 1.0 / f64::from(parts);
+        let ask = ScanAsk {
+            id: id.to_owned(),
+            table_type: table_type.to_owned(),
+            customer: Some("acme".to_owned()),
+            wait_ms: 2000.0,
+            retry: false,
+            text: "find".to_owned(),
+            parts: (0..parts).map(|shard| PartAsk { shard, weight, work_ms: None }).collect(),
+        };
+        self.tell(Input::Asked { conn, ask: Ask::Scan(ask), close: false });
+    }
+
+    fn answers(&mut self, link: u64, id: &str, verdict: Verdict, value: &str) {
+        let frame = Frame::Part { id: id.to_owned(), verdict, value: value.to_owned() };
+        self.tell(Input::Frame { link, frame });
+    }
+
+    /// The trace since the last call, with the counters that are not zero.
+    fn counted(&mut self) -> String {
+        let counters = self.reducer.counters().to_string();
+        let counted: Vec<&str> = counters.lines().filter(|l| !l.ends_with(" 0")).collect();
+        format!("{}{}", std::mem::take(&mut self.trace), counted.join(", "))
+    }
+}
+
+#[test]
+fn a_scan_is_read_answered_and_counted() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 2);
+    rig.tell(Input::LinkUp { link: 4 });
+    rig.answers(4, "q1.1", Verdict::Ok, "b\"1");
+    rig.answers(4, "q1.0", Verdict::Ok, "a0");
+    rig.answers(4, "q1.0", Verdict::Ok, "again");
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn a_further_link_is_opened_only_when_the_others_are_full() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 3);
+    rig.tell(Input::LinkUp { link: 5 });
+    rig.tell(Input::ClientOpen { conn: 2 });
+    rig.answers(5, "q1.0", Verdict::Ok, "a");
+    rig.asks(2, "all", "q2", 1);
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn a_part_that_failed_goes_again_and_the_next_answer_is_the_later_dispatch_s() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.answers(3, "q1.0", Verdict::Error, "");
+    rig.answers(3, "q1.0", Verdict::Ok, "a");
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn parts_of_one_name_never_share_a_link() {
+    // Nothing but its name tells an answer's part: two clients that ask by one id must not get each other's.
+    let mut rig = Rig::new(1);
+    rig.tell(Input::ClientOpen { conn: 2 });
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.asks(2, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 7 });
+    rig.answers(7, "q1.0", Verdict::Ok, "the second");
+    rig.answers(3, "q1.0", Verdict::Ok, "the first");
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn an_answer_after_the_end_of_its_scan_is_dropped() {
+    let mut settings = settings();
+    settings["services"][0]["late_worth"] = json!(0.0);
+    let mut rig = Rig::on(&settings, 2, 256);
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.pass(2000.0);
+    rig.answers(3, "q1.0", Verdict::Ok, "late");
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn rule_1_a_scan_that_nobody_answers_ends_before_its_time() {
+    let mut rig = Rig::new(2);
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.pass(2100.0);
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn rule_1_a_machine_that_stood_still_answers_all_it_holds_at_once() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "once", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.now += 5000.0;
+    rig.tell(Input::Due);
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn rule_2_what_may_have_run_is_told_by_what_was_written() {
+    // The frame was written whole: the part may have run, and is not sent again.
+    let mut rig = Rig::new(2);
+    rig.asks(1, "once", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.tell(Input::LinkBroken { link: 3 });
+    rig.tell(Input::LinkEnd { link: 3, written: 1 });
+    let mut trace = rig.counted();
+    // It was not: another searcher gets it, and a connection that never came up is no other case.
+    let mut rig = Rig::new(3);
+    rig.asks(1, "once", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.tell(Input::LinkEnd { link: 3, written: 0 });
+    rig.tell(Input::LinkEnd { link: 4, written: 0 });
+    write!(trace, "\n\n{}", rig.counted()).expect("a string takes all");
+    assert_snapshot!(trace);
+}
+
+#[test]
+fn rule_3_what_waits_for_a_connection_is_not_sent_once_its_searcher_drains() {
+    let mut rig = Rig::new(2);
+    rig.asks(1, "all", "q1", 1);
+    rig.list(false, vec![entry(1, Life::Draining, 0.0), entry(2, Life::Draining, 0.0)]);
+    rig.tell(Input::LinkUp { link: 3 });
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn rule_4_a_cold_searcher_gets_its_allowance() {
+    let mut rig = Rig::new(0);
+    rig.list(true, vec![entry(1, Life::Ready, START - 100.0)]);
+    rig.tell(Input::ClientOpen { conn: 2 });
+    rig.asks(1, "all", "q1", 3);
+    rig.asks(2, "all", "q2", 3);
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn rule_5_an_answer_holds_what_came_and_is_whole_only_with_what_it_needs() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "most", "q1", 3);
+    rig.tell(Input::LinkUp { link: 5 });
+    rig.answers(5, "q1.7", Verdict::Ok, "of no part");
+    rig.answers(5, "q1.0", Verdict::Full, "");
+    rig.answers(5, "q1.1", Verdict::Ok, "b");
+    rig.pass(1.0);
+    rig.answers(5, "q1.2", Verdict::Ok, "c");
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn rule_6_further_dispatches_stay_within_the_stated_budget() {
+    let mut settings = settings();
+    settings["rules"]["repeat_ratio"] = json!(0.0);
+    settings["rules"]["free_resends"] = json!(1);
+    settings["rules"]["extra_window_ms"] = json!(2000.0);
+    let mut rig = Rig::on(&settings, 3, 256);
+    rig.asks(1, "all", "q1", 2);
+    for (link, id) in [(4, "q1.1"), (6, "q1.0")] {
+        rig.tell(Input::LinkUp { link });
+        rig.answers(link, id, Verdict::Full, "");
+    }
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn a_client_that_leaves_is_told_and_its_parts_are_given_up() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 2);
+    rig.tell(Input::LinkUp { link: 4 });
+    rig.tell(Input::ClientEnd { conn: 1 });
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn a_probe_that_meets_no_connection_in_time_says_so() {
+    // Whichever clock rings first: the module takes who refuses connections for cold once it is back.
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkEnd { link: 3, written: 0 });
+    rig.pass(260.0);
+    rig.tell(Input::LinkEnd { link: 5, written: 0 });
+    rig.pass(300.0);
+    rig.tell(Input::LinkUp { link: 8 });
+    rig.tell(Input::Frame { link: 8, frame: Frame::Probe(Verdict::Ok) });
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn a_frame_that_can_t_be_used_ends_its_link_and_resets_its_parts() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.tell(Input::Frame { link: 3, frame: Frame::Unusable("no such shard".to_owned()) });
+    rig.tell(Input::LinkEnd { link: 3, written: 1 });
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn an_idle_link_is_closed_before_the_searcher_closes_it() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.answers(3, "q1.0", Verdict::Ok, "a");
+    rig.pass(15_000.0);
+    rig.tell(Input::LinkEnd { link: 3, written: 1 });
+    rig.asks(1, "all", "q2", 1);
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn a_searcher_is_known_by_its_name_wherever_it_moves() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.answers(3, "q1.0", Verdict::Ok, "a");
+    let mut moved = entry(1, Life::Ready, 0.0);
+    moved.addr.set_port(81);
+    rig.list(false, vec![moved]);
+    rig.tell(Input::LinkEnd { link: 3, written: 1 });
+    rig.asks(1, "all", "q2", 1);
+    rig.list(true, Vec::new());
+    rig.asks(1, "all", "q3", 1);
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn what_cannot_be_asked_is_answered_and_nothing_is_dispatched() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "none", "q1", 1);
+    rig.asks(1, "all", "q2", 9);
+    rig.tell(Input::Asked { conn: 1, ask: Ask::Unusable(400, "no parts".to_owned()), close: true });
+    rig.tell(Input::ClientOpen { conn: 2 });
+    rig.asks(2, "all", "q3", 8);
+    rig.tell(Input::ClientOpen { conn: 3 });
+    rig.asks(3, "all", "q4", 8);
+    rig.tell(Input::ClientOpen { conn: 4 });
+    rig.asks(4, "all", "q5", 8);
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn idle_clients_make_room_and_one_that_has_just_asked_is_answered_all_the_same() {
+    let mut rig = Rig::on(&settings(), 1, 44);
+    rig.pass(1.0);
+    rig.tell(Input::ClientOpen { conn: 2 });
+    rig.tell(Input::ClientOpen { conn: 3 });
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::ClientEnd { conn: 1 });
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.answers(3, "q1.0", Verdict::Ok, "a");
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn draining_answers_all_that_was_taken_and_then_closes() {
+    let mut rig = Rig::new(1);
+    rig.tell(Input::ClientOpen { conn: 2 });
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
+    rig.tell(Input::Stop);
+    rig.tell(Input::ClientEnd { conn: 2 });
+    rig.tell(Input::ClientOpen { conn: 3 });
+    rig.asks(3, "all", "q2", 1);
+    rig.answers(3, "q2.0", Verdict::Ok, "b");
+    rig.tell(Input::ClientEnd { conn: 3 });
+    rig.pass(700.0);
+    assert!(matches!(rig.reducer.phase(), Phase::Draining { .. }));
+    rig.answers(3, "q1.0", Verdict::Ok, "a");
+    rig.tell(Input::ClientEnd { conn: 1 });
+    assert_eq!(rig.reducer.phase(), Phase::Closed);
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn asked_twice_to_end_it_gives_up_what_is_open() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::Stop);
+    rig.tell(Input::Stop);
+    assert_eq!(rig.reducer.phase(), Phase::Closed);
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn it_is_ready_once_a_searcher_is() {
+    let mut rig = Rig::new(0);
+    rig.tell(Input::Asked { conn: 1, ask: Ask::Ready, close: false });
+    rig.list(false, vec![entry(1, Life::Ready, 0.0)]);
+    rig.tell(Input::Asked { conn: 1, ask: Ask::Ready, close: false });
+    assert_snapshot!(rig.counted());
+}
