--- a/crates/mixer/tests/codecs.rs
+++ b/crates/mixer/tests/codecs.rs
@@ -102,6 +102,24 @@
     assert_snapshot!(format!("{good:#?}\n{}\n{long}\n{}", bad.join("\n"), sent.join("\n")));
 }
 
+#[test]
+fn whatever_a_byte_turns_into_no_more_is_used_than_came() {
+    let frame = frame::call(&[Piece { id: "9b1f.3", shard: 3, wait_ms: 240, text: "c41e77d0" }]);
+    let answer = [&[0, 0, 0, 16], b"Oa.3 200 1 -\nval".as_slice()].concat();
+    for whole in [by_length(BODY).into_bytes(), chunked(BODY).into_bytes(), frame, answer] {
+        for at in 0..whole.len() {
+            for byte in [0, b'\n', b' ', b'0', b'9', b'f', b'{', 0x7f, 0xff] {
+                let mut bytes = whole.clone();
+                bytes[at] = byte;
+                assert!(http::request(&bytes).is_none_or(|r| r.used <= bytes.len()));
+                assert!(!matches!(frame::read(&bytes), Ok(Some((_, used))) if used > bytes.len()));
+                assert!(!matches!(http::chunk(&bytes), Ok(Some((_, used))) if used > bytes.len()));
+                assert!(!matches!(http::response(&bytes), Ok(Some((.., used))) if used > bytes.len()));
+            }
+        }
+    }
+}
+
 #[test]
 fn a_bad_entry_of_a_list_does_not_take_the_others_with_it() {
     let entry = json!({"name": "s1", "address": "10.1.0.18:8081", "zone": "a", "type": "m2", "group": 3,
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -37,6 +37,13 @@
     let (lists, told) = mpsc::channel();
     toy::discovery(listener, told);
     lists.send(toy::list(1, true, &searchers)).expect("discovery listens");
+    let (child, mut log, addr) = launch(discovery);
+    wait(&mut log, "ready");
+    Mixer { child, log, addr, lists, heard, searchers }
+}
+
+/// Starts the program, and waits until it listens.
+fn launch(discovery: String) -> (Child, BufReader<ChildStderr>, SocketAddr) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_pewterwharf-mixer"))
         .env("ROUTER_CONFIG", concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/mixer.json"))
         .env("ROUTER_LISTEN", "127.0.0.1:0")
@@ -48,8 +55,7 @@
     let mut log = BufReader::new(child.stderr.take().expect("a pipe"));
     let line = wait(&mut log, "listens on ");
     let addr = line.rsplit(' ').next().and_then(|a| a.trim().parse().ok()).expect("an address");
-    wait(&mut log, "ready");
-    Mixer { child, log, addr, lists, heard, searchers }
+    (child, log, addr)
 }
 
 /// The first line that holds these words.
@@ -176,6 +182,32 @@
     insta::assert_snapshot!(format!("{said}\n{status:?} {counts}"));
 }
 
+#[test]
+fn the_watch_is_resumed_by_version_and_outlives_what_can_t_be_read() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let (mut child, mut log, _) = launch(listener.local_addr().expect("an address").to_string());
+    let mut asked = String::new();
+    let searcher = toy::list(7, true, &[("127.0.0.1:9".parse().expect("an address"), "up")]).to_string();
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for said in [
+        format!("{head}1\r\n\n\r\n{:x}\r\n{searcher}\n\r\n", searcher.len() + 1),
+        format!("{head}4\r\n{{{{{{\n\r\n"),
+        "HTTP/1.1 500 Down\r\n\r\n".to_owned(),
+        String::new(),
+    ] {
+        let (mut stream, _) = listener.accept().expect("a watch");
+        BufReader::new(&stream).read_line(&mut asked).expect("a line");
+        stream.write_all(said.as_bytes()).expect("it takes bytes");
+        // What came is read before the connection's end is seen.
+        stream.shutdown(std::net::Shutdown::Write).expect("an end");
+    }
+    wait(&mut log, "ready");
+    wait(&mut log, "can't be read");
+    child.kill().expect("it runs");
+    child.wait().expect("it ends");
+    insta::assert_snapshot!(asked);
+}
+
 #[test]
 fn a_start_that_can_t_be_made_says_why() {
     let run = |config: Option<&str>| {
