Descriptors are held to the system's limit; the toy's watch outlives a restart of the mixer

Seen with the toy: a second start of the mixer got no list, as the toy told each list once; under a system's limit of 60 descriptors and a stated one of 200, accepts failed 50 times with 100 clients (none lost, scans served).

--- a/crates/mixer/src/main.rs
+++ b/crates/mixer/src/main.rs
@@ -10,7 +10,8 @@
     let said = |variable: &str| std::env::var(variable).ok();
     let path = said("ROUTER_CONFIG").context("ROUTER_CONFIG is not set")?;
     let text = std::fs::read_to_string(&path).with_context(|| format!("reading {path}"))?;
-    let start = Start::read(&text, said).with_context(|| format!("in {path}"))?;
+    let mut start = Start::read(&text, said).with_context(|| format!("in {path}"))?;
+    start.hold_to(&std::fs::read_to_string("/proc/self/limits").unwrap_or_default());
     Service::open(start)?.run()
 }
 
--- a/crates/mixer/tests/codecs.rs
+++ b/crates/mixer/tests/codecs.rs
@@ -149,7 +149,11 @@
     let of = |text: &str, listen: &'static str| {
         let said = |name: &str| (name == "ROUTER_LISTEN").then(|| listen.to_owned());
         match Start::read(text, said) {
-            Ok(start) => format!("{} on {} of {:?}", start.name, start.listen, start.terms.type_names),
+            Ok(mut start) => {
+                start.hold_to("Limit  Soft Limit  Hard Limit\nMax open files   512    4096    files\n");
+                let Start { name, listen, sockets, terms, .. } = start;
+                format!("{name} on {listen} with {sockets} sockets: {:?}", terms.type_names)
+            }
             Err(error) => format!("{error:#}"),
         }
     };
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -6,7 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, Stdio};
-use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::mpsc::{self, Receiver};
 
 use serde_json::Value;
 use toy::Manner;
@@ -15,7 +15,7 @@
     child: Child,
     log: BufReader<ChildStderr>,
     addr: SocketAddr,
-    lists: Sender<Value>,
+    lists: toy::Lists,
     /// What searchers were sent.
     heard: Receiver<String>,
     searchers: Vec<(SocketAddr, &'static str)>,
@@ -34,9 +34,9 @@
     let searchers: Vec<_> = searchers.collect();
     let listener = port();
     let discovery = listener.local_addr().expect("an address").to_string();
-    let (lists, told) = mpsc::channel();
-    toy::discovery(listener, told);
-    lists.send(toy::list(1, true, &searchers)).expect("discovery listens");
+    let lists = toy::Lists::default();
+    lists.serve(listener);
+    lists.tell(toy::list(1, true, &searchers));
     let (child, mut log, addr) = launch(discovery);
     wait(&mut log, "ready");
     Mixer { child, log, addr, lists, heard, searchers }
@@ -171,7 +171,7 @@
 fn a_searcher_that_drains_gets_nothing_more() {
     let mut mixer = start(&[Manner::Answers]);
     mixer.searchers[0].1 = "draining";
-    mixer.lists.send(toy::list(2, false, &mixer.searchers)).expect("discovery listens");
+    mixer.lists.tell(toy::list(2, false, &mixer.searchers));
     wait(&mut mixer.log, "drains");
     let mut client = mixer.connect();
     client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
--- a/crates/terms/src/start.rs
+++ b/crates/terms/src/start.rs
@@ -27,6 +27,13 @@
     /// Fewer leave no room for clients, searchers and discovery together.
     const FEWEST: usize = 32;
 
+    /// Holds the number of descriptors to what the system allows, by its page of a process's limits.
+    pub fn hold_to(&mut self, limits: &str) {
+        let files = limits.lines().find_map(|line| line.strip_prefix("Max open files"));
+        let soft = files.and_then(|figures| figures.split_whitespace().next()?.parse().ok());
+        self.sockets = self.sockets.min(soft.unwrap_or(usize::MAX));
+    }
+
     /// Reads the file's text; `said` looks up a variable of the environment, which goes before the file.
     pub fn read(text: &str, said: impl Fn(&str) -> Option<String>) -> Result<Self> {
         let mut all: Value = serde_json::from_str(text).context("the file is not JSON")?;
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -4,8 +4,10 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::mpsc::{self, Sender};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
+use std::time::Duration;
 
 use serde_json::{Value, json};
 
@@ -79,28 +81,62 @@
     json!({"index": index, "snapshot": whole, "endpoints": entries})
 }
 
-/// Answers every watch with these lists, one after the other, and leaves it open.
-pub fn discovery(listener: TcpListener, lists: Receiver<Value>) {
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            let mut head = String::new();
-            let mut input = BufReader::new(&stream);
-            while !head.ends_with("\r\n\r\n") && input.read_line(&mut head).unwrap_or(0) > 0 {}
-            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-            for list in &lists {
-                let line = format!("{list}\n");
-                if write!(stream, "{:x}\r\n{line}\r\n", line.len()).is_err() {
-                    break;
-                }
+/// The lists told so far; every watch gets those after the version that it holds, then what is told later.
+#[derive(Clone, Default)]
+pub struct Lists(Arc<(Mutex<Vec<Value>>, Condvar)>);
+
+impl Lists {
+    pub fn tell(&self, list: Value) {
+        self.0.0.lock().expect("no holder fails").push(list);
+        self.0.1.notify_all();
+    }
+
+    /// Answers watches for as long as the listener lives.
+    pub fn serve(&self, listener: TcpListener) {
+        let lists = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let lists = lists.clone();
+                thread::spawn(move || drop(lists.watch(stream)));
+            }
+        });
+    }
+
+    fn watch(&self, mut stream: TcpStream) -> io::Result<()> {
+        let mut input = BufReader::new(stream.try_clone()?);
+        let (mut request, mut line) = (String::new(), String::new());
+        input.read_line(&mut request)?;
+        while input.read_line(&mut line)? > 2 {
+            line.clear();
+        }
+        let after = request.split("after=").nth(1).and_then(|a| a.split(' ').next()?.parse().ok());
+        let after: u64 = after.unwrap_or(0);
+        stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+        let mut sent = 0;
+        loop {
+            let (told, changed) = &*self.0;
+            let told = told.lock().expect("no holder fails");
+            let (told, _) = changed
+                .wait_timeout_while(told, Duration::from_secs(2), |told| told.len() == sent)
+                .expect("no holder fails");
+            let new = told[sent..].iter().filter(|l| l["index"].as_u64() > Some(after));
+            let mut lines: Vec<String> = new.map(|list| format!("{list}\n")).collect();
+            sent = told.len();
+            drop(told);
+            if lines.is_empty() {
+                lines.push("\n".to_owned());
+            }
+            for line in lines {
+                write!(stream, "{:x}\r\n{line}\r\n", line.len())?;
             }
         }
-    });
+    }
 }
 
 #[allow(dead_code)] // the tests use the rest of this file
 fn main() -> io::Result<()> {
-    let (told, lists) = mpsc::channel();
-    discovery(TcpListener::bind("127.0.0.1:8500")?, lists);
+    let lists = Lists::default();
+    lists.serve(TcpListener::bind("127.0.0.1:8500")?);
     let (heard, frames) = mpsc::channel();
     let mut searchers = Vec::new();
     for _ in 0..4 {
@@ -108,7 +144,7 @@
         searchers.push((listener.local_addr()?, "up"));
         searcher(listener, Manner::Answers, heard.clone());
     }
-    let _ = told.send(list(1, true, &searchers));
+    lists.tell(list(1, true, &searchers));
     println!("discovery at 127.0.0.1:8500, searchers at {searchers:?}");
     for frame in frames {
         println!("{frame}");
