The reducer's parts for clients and for searchers stand in files of their own

Nothing decided or done otherwise but one thing: asked twice to end, the program lets the answers it gives up be written before it ends (0.3 s at most); before, the exit could overtake them.

--- /dev/null
+++ b/crates/mixer/src/reducer/links.rs
@@ -0,0 +1,487 @@
+//! The reducer's part for searchers: dispatches, probes, the links they go out on, and the list.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddrV4;
+
+use log::{debug, info};
+use pewterwharf::interface::{Ending, Event, Life, ListKind, Listed};
+
+use super::{Due, Effect, Leg, Part, Phase, Reducer};
+use crate::discovery::{Entry, List};
+use crate::frame::{self, Frame, Piece, Verdict};
+
+/// Part of the searchers' idle time after which a link is closed here, so that no dispatch meets a close.
+const IDLE: f64 = 0.8;
+
+pub(super) struct Searcher {
+    name: String,
+    addr: SocketAddrV4,
+    life: Life,
+    links: Vec<u64>,
+}
+
+#[derive(PartialEq)]
+enum Standing {
+    Opening,
+    Up,
+    /// Nothing new goes on it, and its end is awaited.
+    Closing,
+}
+
+pub(super) struct Link {
+    srv: SocketAddrV4,
+    /// Where it leads: the searcher may have moved since.
+    addr: SocketAddrV4,
+    standing: Standing,
+    /// Calls and probes that wait for the connection.
+    queue: VecDeque<Queued>,
+    /// Frames handed over for writing.
+    frames: u64,
+    /// Calls out, and how many parts of each.
+    calls: BTreeMap<u64, usize>,
+    /// Parts that an answer may come for: none once the dispatch is over.
+    out: HashMap<String, Option<Leg>>,
+    probes: VecDeque<Probe>,
+    idle_since: f64,
+    /// A due time for its idleness is set.
+    watched: bool,
+}
+
+enum Queued {
+    Call(u64, Vec<Leg>),
+    Probe,
+}
+
+struct Probe {
+    number: u64,
+    sent_at: f64,
+    /// The number of its frame, once handed over.
+    frame: Option<u64>,
+    /// Its ending was told.
+    over: bool,
+}
+
+pub(super) struct Flight {
+    link: u64,
+    call: u64,
+    srv: SocketAddrV4,
+    sent_at: f64,
+    until: f64,
+    /// The number of its frame, once handed over.
+    frame: Option<u64>,
+}
+
+impl Link {
+    pub(super) fn idle(&self) -> bool {
+        self.standing == Standing::Up && self.calls.is_empty() && self.probes.is_empty()
+    }
+
+    /// The name under which a dispatch is out.
+    fn name_of(&self, leg: Leg) -> Option<String> {
+        self.out.iter().find(|(_, l)| **l == Some(leg)).map(|(name, _)| name.clone())
+    }
+}
+
+impl Reducer {
+    pub(super) fn dispatch(
+        &mut self,
+        now: f64,
+        part: u64,
+        srv: SocketAddrV4,
+        patience_ms: f64,
+    ) -> Option<Leg> {
+        let Some(held) = self.parts.get_mut(&part) else {
+            self.warn(now, "a part that is over was dispatched");
+            return None;
+        };
+        let leg = (part, held.sent);
+        held.sent = held.sent.saturating_add(1);
+        self.counters.dispatches += 1;
+        self.counters.dispatches_further += u64::from(leg.1 > 0);
+        let until = now + patience_ms;
+        self.flights.insert(leg, Flight { link: 0, call: 0, srv, sent_at: now, until, frame: None });
+        if u32::from(leg.1) >= self.terms.permits.dispatches {
+            self.end_flight(now, leg, Ending::Moot);
+            return None;
+        }
+        self.add_due(until, Due::TimedOut(leg));
+        Some(leg)
+    }
+
+    /// Sends a call on the first link with room, or on a new one.
+    pub(super) fn send(&mut self, now: f64, srv: SocketAddrV4, legs: &[Leg]) {
+        let names: Vec<&str> =
+            legs.iter().filter_map(|l| Some(self.parts.get(&l.0)?.name.as_str())).collect();
+        let links = self.links_to(srv);
+        let fits = |id: &&u64| {
+            self.links.get(id).is_some_and(|link| {
+                link.calls.len() < self.terms.calls_per_link
+                    // An answer to an earlier dispatch of a part must not be taken for this one's.
+                    && !names.iter().any(|name| link.out.contains_key(*name))
+            })
+        };
+        let link = links.iter().find(fits).copied().or_else(|| self.connect(now, srv));
+        let Some(id) = link else {
+            legs.iter().for_each(|leg| self.end_flight(now, *leg, Ending::ConnectFailed));
+            return;
+        };
+        let call = self.id();
+        for leg in legs {
+            let (Some(flight), Some(part)) = (self.flights.get_mut(leg), self.parts.get_mut(&leg.0)) else {
+                continue;
+            };
+            (flight.link, flight.call) = (id, call);
+            part.links.push(id);
+            if let Some(link) = self.links.get_mut(&id) {
+                *link.calls.entry(call).or_default() += 1;
+                link.out.insert(part.name.clone(), Some(*leg));
+            }
+        }
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.queue.push_back(Queued::Call(call, legs.to_vec()));
+        if link.standing == Standing::Up {
+            self.flush(now, id);
+        }
+    }
+
+    /// Hands over for writing what waits for a link.
+    fn flush(&mut self, now: f64, id: u64) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        while let Some(queued) = link.queue.pop_front() {
+            let bytes = match queued {
+                Queued::Probe => {
+                    let Some(probe) = link.probes.iter_mut().find(|p| p.frame.is_none()) else { continue };
+                    probe.frame = Some(link.frames);
+                    frame::probe()
+                }
+                Queued::Call(call, legs) => {
+                    let mut pieces = Vec::new();
+                    for leg in &legs {
+                        let flight = self.flights.get_mut(leg).filter(|f| f.call == call);
+                        let part = self.parts.get(&leg.0);
+                        let scan = part.and_then(|p| self.scans.get(&p.scan));
+                        let (Some(flight), Some(part), Some(scan)) = (flight, part, scan) else { continue };
+                        flight.frame = Some(link.frames);
+                        let wait_ms = (flight.until - now).max(1.0) as u64;
+                        pieces.push(Piece { id: &part.name, shard: part.shard, wait_ms, text: &scan.text });
+                    }
+                    if pieces.is_empty() {
+                        continue;
+                    }
+                    frame::call(&pieces)
+                }
+            };
+            link.frames += 1;
+            self.effects.push(Effect::Write { link: id, bytes });
+        }
+    }
+
+    pub(super) fn time_out(&mut self, now: f64, leg: Leg) {
+        let Some(flight) = self.flights.get(&leg) else { return };
+        // What still waits for its connection was never sent.
+        let ending = if flight.frame.is_some() { Ending::TimedOut } else { Ending::Moot };
+        self.give_up(now, leg, ending);
+    }
+
+    /// Stops waiting for a dispatch, and tells its searcher where that may be done.
+    pub(super) fn give_up(&mut self, now: f64, leg: Leg, ending: Ending) {
+        let Some(flight) = self.flights.get(&leg) else { return };
+        if flight.frame.is_some()
+            && self.terms.permits.cancel
+            && let Some(link) = self.links.get_mut(&flight.link)
+            && link.standing == Standing::Up
+            && let Some(name) = link.name_of(leg)
+        {
+            link.frames += 1;
+            self.effects.push(Effect::Write { link: flight.link, bytes: frame::give_up(&name) });
+        }
+        self.end_flight(now, leg, ending);
+    }
+
+    /// The one ending of a dispatch.
+    fn end_flight(&mut self, now: f64, leg: Leg, ending: Ending) {
+        let Some(flight) = self.flights.remove(&leg) else { return };
+        let count = match ending {
+            Ending::Ok => &mut self.counters.ended_ok,
+            Ending::Error => &mut self.counters.ended_error,
+            Ending::Full => &mut self.counters.ended_full,
+            Ending::TimedOut => &mut self.counters.ended_timed_out,
+            Ending::ConnectFailed => &mut self.counters.ended_connect_failed,
+            Ending::Reset => &mut self.counters.ended_reset,
+            Ending::Cancelled => &mut self.counters.ended_cancelled,
+            Ending::Moot => &mut self.counters.ended_moot,
+        };
+        *count += 1;
+        let took_ms = now - flight.sent_at;
+        if let Some(link) = self.links.get_mut(&flight.link) {
+            // While its scan is open, a late answer may still come and must be told from a later dispatch's.
+            let open = flight.frame.is_some() && self.parts.contains_key(&leg.0);
+            if let Some(name) = link.name_of(leg) {
+                match open {
+                    true => drop(link.out.insert(name, None)),
+                    false => drop(link.out.remove(&name)),
+                }
+            }
+            if let Some(left) = link.calls.get_mut(&flight.call) {
+                *left -= 1;
+                if *left == 0 {
+                    link.calls.remove(&flight.call);
+                }
+            }
+            self.rest(now, flight.link);
+        }
+        let (part, dispatch) = leg;
+        self.events.push(Event::Ended { part, dispatch, searcher: flight.srv, ending, took_ms });
+    }
+
+    pub(super) fn frame(&mut self, now: f64, id: u64, frame: Frame) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        match frame {
+            Frame::Part { id: name, verdict, value } => match link.out.remove(&name) {
+                Some(Some(leg)) => {
+                    let ending = match verdict {
+                        Verdict::Ok => Ending::Ok,
+                        Verdict::Error => Ending::Error,
+                        Verdict::Full => Ending::Full,
+                    };
+                    if let Some(part) = self.parts.get_mut(&leg.0).filter(|_| ending == Ending::Ok) {
+                        part.value.get_or_insert(value);
+                    }
+                    self.end_flight(now, leg, ending);
+                }
+                _ => self.counters.answers_stale += 1,
+            },
+            Frame::Probe(verdict) => {
+                let Some(probe) = link.probes.pop_front() else { return };
+                if !probe.over {
+                    let ending = if verdict == Verdict::Ok { Ending::Ok } else { Ending::Error };
+                    self.counters.probes_ok += u64::from(ending == Ending::Ok);
+                    let (searcher, took_ms) = (link.srv, now - probe.sent_at);
+                    self.events.push(Event::Probed { searcher, ending, took_ms });
+                }
+                self.rest(now, id);
+            }
+            Frame::Unusable(why) => self.bad_frame(now, id, &format!("Z: {why}")),
+        }
+    }
+
+    pub(super) fn bad_frame(&mut self, now: f64, link: u64, why: &str) {
+        self.counters.frames_bad += 1;
+        if let Some(at) = self.links.get(&link) {
+            let line = format!("a link to {} is closed after {why}", at.addr);
+            self.warn(now, &line);
+        }
+        self.close_link(link, "unusable");
+    }
+
+    pub(super) fn probe(&mut self, now: f64, srv: SocketAddrV4) {
+        self.counters.probes += 1;
+        let Some(id) = self.links_to(srv).first().copied().or_else(|| self.connect(now, srv)) else {
+            let ending = Ending::ConnectFailed;
+            return self.events.push(Event::Probed { searcher: srv, ending, took_ms: 0.0 });
+        };
+        let number = self.id();
+        self.add_due(now + self.terms.connect_timeout_ms, Due::ProbeTimedOut { link: id, number });
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.probes.push_back(Probe { number, sent_at: now, frame: None, over: false });
+        link.queue.push_back(Queued::Probe);
+        if link.standing == Standing::Up {
+            self.flush(now, id);
+        }
+    }
+
+    // Links.
+
+    pub(super) fn time_out_probe(&mut self, now: f64, link: u64, number: u64) {
+        let Some(at) = self.links.get_mut(&link) else { return };
+        let Some(probe) = at.probes.iter_mut().find(|p| p.number == number && !p.over) else { return };
+        probe.over = true;
+        // No connection in time is told as that, whichever of the two clocks rings first.
+        let ending = if probe.frame.is_some() { Ending::TimedOut } else { Ending::ConnectFailed };
+        let (searcher, took_ms) = (at.srv, now - probe.sent_at);
+        self.events.push(Event::Probed { searcher, ending, took_ms });
+    }
+
+    /// Closes the idle links to a searcher.
+    pub(super) fn hang_up_links(&mut self, srv: SocketAddrV4) {
+        for link in self.links_to(srv) {
+            if self.links.get(&link).is_some_and(Link::idle) {
+                self.close_link(link, "hung up on");
+            }
+        }
+    }
+
+    /// Answers to a part that is over need not be told from others any more.
+    pub(super) fn forget_part(&mut self, part: Part) {
+        for link in part.links {
+            if let Some(link) = self.links.get_mut(&link) {
+                link.out.retain(|name, leg| leg.is_some() || *name != part.name);
+            }
+        }
+    }
+
+    /// The links that new calls and probes to a searcher may go on.
+    fn links_to(&self, srv: SocketAddrV4) -> Vec<u64> {
+        let Some(srv) = self.srvs.get(&srv) else { return Vec::new() };
+        let leads = |l: &Link| l.standing != Standing::Closing && l.addr == srv.addr;
+        srv.links.iter().copied().filter(|id| self.links.get(id).is_some_and(leads)).collect()
+    }
+
+    fn connect(&mut self, now: f64, srv: SocketAddrV4) -> Option<u64> {
+        let addr = self.srvs.get(&srv)?.addr;
+        if self.links.len() >= self.links_cap {
+            let idle = self.links.iter().find(|l| l.1.idle()).map(|l| *l.0);
+            self.close_link(idle?, "for room");
+        }
+        let id = self.id();
+        let link = Link {
+            srv,
+            addr,
+            standing: Standing::Opening,
+            queue: VecDeque::new(),
+            frames: 0,
+            calls: BTreeMap::new(),
+            out: HashMap::new(),
+            probes: VecDeque::new(),
+            idle_since: now,
+            watched: false,
+        };
+        self.links.insert(id, link);
+        self.srvs.get_mut(&srv)?.links.push(id);
+        debug!("link {id} to {addr}: opened, one of {}", self.srvs.get(&srv)?.links.len());
+        self.effects.push(Effect::Connect { link: id, addr });
+        Some(id)
+    }
+
+    pub(super) fn link_up(&mut self, now: f64, id: u64) {
+        self.counters.links_opened += 1;
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if link.standing == Standing::Opening {
+            link.standing = Standing::Up;
+            self.flush(now, id);
+            self.rest(now, id);
+        }
+    }
+
+    /// Notes when a link came to rest, and sets the time at which it is closed for that.
+    fn rest(&mut self, now: f64, id: u64) {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.idle()) else { return };
+        link.idle_since = now;
+        if self.srvs.get(&link.srv).is_none_or(|s| s.addr != link.addr) {
+            self.close_link(id, "moved");
+        } else if !link.watched {
+            link.watched = true;
+            self.add_due(now + IDLE * self.terms.idle_ms, Due::Idle(id));
+        }
+    }
+
+    pub(super) fn close_idle(&mut self, now: f64, id: u64) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.watched = false;
+        let until = link.idle_since + IDLE * self.terms.idle_ms;
+        if link.idle() && now >= until {
+            self.close_link(id, "idle");
+        } else if link.idle() {
+            link.watched = true;
+            self.add_due(until, Due::Idle(id));
+        }
+    }
+
+    pub(super) fn close_link(&mut self, id: u64, why: &str) {
+        if let Some(link) = self.links.get_mut(&id).filter(|l| l.standing != Standing::Closing) {
+            link.standing = Standing::Closing;
+            debug!("link {id} to {}: closed, {why}", link.addr);
+            self.effects.push(Effect::CloseLink { link: id });
+        }
+    }
+
+    /// What was out on a link ends with it: it may have run only if its frame was written whole.
+    pub(super) fn link_end(&mut self, now: f64, id: u64, written: u64) {
+        let failed = self.links.get(&id).is_some_and(|l| l.standing == Standing::Opening);
+        self.counters.links_failed += u64::from(failed);
+        self.close_link(id, "ended");
+        let Some(link) = self.links.remove(&id) else { return };
+        if let Some(srv) = self.srvs.get_mut(&link.srv) {
+            srv.links.retain(|l| *l != id);
+        }
+        let told = |frame: Option<u64>| match frame {
+            Some(frame) if frame < written => Ending::Reset,
+            _ => Ending::ConnectFailed,
+        };
+        for probe in link.probes.iter().filter(|p| !p.over) {
+            let (searcher, ending, took_ms) = (link.srv, told(probe.frame), now - probe.sent_at);
+            self.events.push(Event::Probed { searcher, ending, took_ms });
+        }
+        let mut legs: Vec<Leg> = link.out.into_values().flatten().collect();
+        legs.sort_unstable();
+        for leg in legs {
+            let ending = told(self.flights.get(&leg).and_then(|f| f.frame));
+            self.end_flight(now, leg, ending);
+        }
+    }
+
+    // The list.
+
+    pub(super) fn listed(&mut self, now: f64, list: List, kind: ListKind) {
+        self.counters.lists += 1;
+        self.counters.list_entries_bad += list.bad.len() as u64;
+        list.bad.iter().for_each(|why| self.warn(now, &format!("discovery: {why}")));
+        if kind != ListKind::Changes {
+            self.srvs.values_mut().for_each(|s| s.life = Life::Gone);
+        }
+        let mut lines = Vec::with_capacity(list.entries.len());
+        for entry in list.entries {
+            lines.extend(self.entry(entry));
+        }
+        // What waits for a connection to one that takes nothing new is not sent.
+        let unsent = self.flights.iter().filter(|(_, f)| f.frame.is_none());
+        let off = unsent.filter(|(_, f)| self.srvs.get(&f.srv).is_none_or(|s| s.life != Life::Ready));
+        for leg in off.map(|f| *f.0).collect::<Vec<_>>() {
+            self.end_flight(now, leg, Ending::Moot);
+        }
+        self.events.push(Event::List { kind, lines });
+        // Who is gone and has nothing open is forgotten, as releases bring new ones.
+        self.srvs.retain(|_, s| s.life != Life::Gone || !s.links.is_empty());
+        self.names.retain(|_, key| self.srvs.contains_key(key));
+        if self.phase == Phase::Opening && self.srvs.values().any(|s| s.life == Life::Ready) {
+            self.phase = Phase::Ready;
+            info!("ready");
+        }
+    }
+
+    /// A searcher is known by its name; the module knows it by the first address under which it was listed.
+    pub(super) fn entry(&mut self, entry: Entry) -> Option<Listed> {
+        let Entry { name, addr, zone, cell, since, life } = entry;
+        let key = match self.names.get(&name) {
+            Some(key) => *key,
+            None if life == Life::Gone => return None,
+            None => {
+                let mut key = addr;
+                while self.srvs.contains_key(&key) {
+                    key.set_port(key.port().wrapping_add(1));
+                }
+                self.names.insert(name.clone(), key);
+                let srv = Searcher { name, addr, life, links: Vec::new() };
+                self.srvs.insert(key, srv);
+                key
+            }
+        };
+        let zone = self.terms.zones.iter().position(|z| *z == zone).unwrap_or(self.terms.zones.len()) as u16;
+        let srv = self.srvs.get_mut(&key)?;
+        if srv.life == Life::Ready && life != Life::Ready {
+            info!("{} {}", srv.name, if life == Life::Gone { "is gone" } else { "drains" });
+        }
+        srv.life = life;
+        if srv.addr != addr && life != Life::Gone {
+            info!("{} has moved from {} to {addr}", srv.name, srv.addr);
+            srv.addr = addr;
+            // Links to where it was take nothing new, and close once nothing is out on them.
+            for link in srv.links.clone() {
+                if self.links.get(&link).is_some_and(Link::idle) {
+                    self.close_link(link, "moved");
+                }
+            }
+        }
+        Some(Listed { searcher: key, cell, zone, since, life })
+    }
+}
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -374,6 +374,7 @@
     rig.asks(1, "all", "q1", 1);
     rig.tell(Input::Stop);
     rig.tell(Input::Stop);
+    rig.pass(400.0);
     assert_eq!(rig.reducer.phase(), Phase::Closed);
     assert_snapshot!(rig.counted());
 }
