Asked twice to end, the module is told of the scans given up; lists are bounded

Read, not seen: the module kept scans that the second signal had answered, and could have dispatched for them; a watch could grow a line without end.

--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -77,6 +77,9 @@
 /// A watch that says nothing for so long is begun anew: it sends an empty line every 2 s.
 const SILENT: Duration = Duration::from_secs(7);
 
+/// Longest line that is taken: thousands of searchers.
+const LONGEST: usize = 4 << 20;
+
 /// Watches for as long as the program runs; `index` is the version held.
 pub fn watch(at: SocketAddrV4, mut index: u64, connect: Duration, tell: &Tell) {
     let mut wait = WAITS.0;
@@ -126,6 +129,7 @@
             }
             buffer.used(used);
         }
+        ensure!(line.len() + buffer.bytes().len() <= LONGEST, "a line over {LONGEST} bytes");
         if buffer.fill(&mut stream)? == 0 {
             return Ok(());
         }
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -228,6 +228,7 @@
                 // Asked twice: whoever asks does not want to wait.
                 for scan in self.scans.keys().copied().collect::<Vec<_>>() {
                     self.counters.scans_abandoned += 1;
+                    self.events.push(Event::ClientGone { scan });
                     self.answer_scan(now, scan, 504, None, b"the mixer ends\n");
                 }
                 self.phase = Phase::Draining { listen_until: now, listening: true };
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -372,6 +372,7 @@
 fn asked_twice_to_end_it_gives_up_what_is_open() {
     let mut rig = Rig::new(1);
     rig.asks(1, "all", "q1", 1);
+    rig.tell(Input::LinkUp { link: 3 });
     rig.tell(Input::Stop);
     rig.tell(Input::Stop);
     rig.pass(400.0);
