A link on which nothing comes after a time-out is not used again

Read in the code, then shown by a trace: a connection cut off without a word kept being chosen for every probe, so its searcher stayed marked until the system gave the connection up; its idle closing never came either, as a probe was pending on it. Now a time-out with nothing heard since its sending closes the link once no call is out on it. Could harm: a handshake for each probe to a hung or very slow searcher.

--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -42,6 +42,10 @@
     /// Parts that an answer may come for: none once the dispatch is over.
     out: HashMap<String, Option<Leg>>,
     probes: VecDeque<Probe>,
+    /// When anything last came on it.
+    heard_at: f64,
+    /// What was sent on it timed out and nothing at all has come since: nothing new goes on it.
+    silent: bool,
     idle_since: f64,
     /// A due time for its idleness is set.
     watched: bool,
@@ -150,6 +154,7 @@
         while let Some(queued) = link.queue.pop_front() {
             let bytes = match queued {
                 Queued::Probe => {
+                    link.probes.retain(|p| p.frame.is_some() || !p.over); // nobody waits for it any more
                     let Some(probe) = link.probes.iter_mut().find(|p| p.frame.is_none()) else { continue };
                     probe.frame = Some(link.frames);
                     frame::probe()
@@ -180,7 +185,9 @@
         let Some(flight) = self.flights.get(&leg) else { return };
         // What still waits for its connection was never sent.
         let ending = if flight.frame.is_some() { Ending::TimedOut } else { Ending::Moot };
+        let (link, sent_at) = (flight.link, flight.sent_at);
         self.give_up(now, leg, ending);
+        self.doubt(link, sent_at);
     }
 
     /// Stops waiting for a dispatch, and tells its searcher where that may be done.
@@ -236,6 +243,7 @@
 
     pub(super) fn frame(&mut self, now: f64, id: u64, frame: Frame) {
         let Some(link) = self.links.get_mut(&id) else { return };
+        (link.heard_at, link.silent) = (now, false);
         match frame {
             Frame::Part { id: name, verdict, value } => match link.out.remove(&name) {
                 Some(Some(leg)) => {
@@ -298,8 +306,19 @@
         probe.over = true;
         // No connection in time is told as that, whichever of the two clocks rings first.
         let ending = if probe.frame.is_some() { Ending::TimedOut } else { Ending::ConnectFailed };
-        let (searcher, took_ms) = (at.srv, now - probe.sent_at);
+        let (searcher, sent_at, took_ms) = (at.srv, probe.sent_at, now - probe.sent_at);
         self.events.push(Event::Probed { searcher, ending, took_ms });
+        self.doubt(link, sent_at);
+    }
+
+    /// A link on which nothing has come since a time-out's sending may be cut off without a word, and would
+    /// stay so for as long as the system tries. Others are opened; it closes once nothing is out on it.
+    fn doubt(&mut self, id: u64, sent_at: f64) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.silent |= link.standing == Standing::Up && link.heard_at < sent_at;
+        if link.silent && link.calls.is_empty() {
+            self.close_link(id, "silent");
+        }
     }
 
     /// Closes the idle links to a searcher.
@@ -323,7 +342,7 @@
     /// The links that new calls and probes to a searcher may go on.
     fn links_to(&self, srv: SocketAddrV4) -> Vec<u64> {
         let Some(srv) = self.srvs.get(&srv) else { return Vec::new() };
-        let leads = |l: &Link| l.standing != Standing::Closing && l.addr == srv.addr;
+        let leads = |l: &Link| l.standing != Standing::Closing && !l.silent && l.addr == srv.addr;
         srv.links.iter().copied().filter(|id| self.links.get(id).is_some_and(leads)).collect()
     }
 
@@ -343,6 +362,8 @@
             calls: BTreeMap::new(),
             out: HashMap::new(),
             probes: VecDeque::new(),
+            heard_at: now,
+            silent: false,
             idle_since: now,
             watched: false,
         };
@@ -357,7 +378,7 @@
         self.counters.links_opened += 1;
         let Some(link) = self.links.get_mut(&id) else { return };
         if link.standing == Standing::Opening {
-            link.standing = Standing::Up;
+            (link.standing, link.heard_at) = (Standing::Up, now);
             self.flush(now, id);
             self.rest(now, id);
         }
@@ -365,7 +386,13 @@
 
     /// Notes when a link came to rest, and sets the time at which it is closed for that.
     fn rest(&mut self, now: f64, id: u64) {
-        let Some(link) = self.links.get_mut(&id).filter(|l| l.idle()) else { return };
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.calls.is_empty()) else { return };
+        if link.silent {
+            return self.close_link(id, "silent");
+        }
+        if !link.idle() {
+            return;
+        }
         link.idle_since = now;
         if self.srvs.get(&link.srv).is_none_or(|s| s.addr != link.addr) {
             self.close_link(id, "moved");
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -282,6 +282,21 @@
     assert_snapshot!(rig.counted());
 }
 
+#[test]
+fn a_link_cut_off_without_a_word_is_not_used_again() {
+    // Its searcher is marked for late parts; a probe on it times out, and the next takes a new link.
+    let mut settings = settings();
+    settings["permissions"]["multiplex"] = json!(3);
+    let mut rig = Rig::on(&settings, 1, 256);
+    rig.asks(1, "all", "q1", 3);
+    rig.tell(Input::LinkUp { link: 5 });
+    rig.pass(1700.0);
+    rig.tell(Input::LinkUp { link: 10 });
+    rig.tell(Input::Frame { link: 10, frame: Frame::Probe(Verdict::Ok) });
+    rig.pass(300.0);
+    assert_snapshot!(rig.counted());
+}
+
 #[test]
 fn a_frame_that_can_t_be_used_ends_its_link_and_resets_its_parts() {
     let mut rig = Rig::new(1);
