Inputs and unanswered requests are bounded: whoever sends too fast waits

Seen with a small probe: twenty clients asking without end and reading no answer held a scan of another client for five seconds, memory grew by 18 MB a second, and the program did not end within 20 s of SIGTERM. Lines at fault: the unbounded channel to the service and the reader that parsed on however many answers were owed. Now a connection has 16 requests under way and all threads together 4,096 inputs; the one thread that takes them sends none, so it cannot wait for itself. Also: waking the accepting thread no longer connects from the deciding one.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -19,6 +19,8 @@
 const WRITE_STACK: usize = 32 * 1024;
 /// A client that takes no bytes for so long is given up.
 const STUCK: Duration = Duration::from_secs(5);
+/// Requests of a connection that may wait for their answers: more than a client that waits for each ever sends.
+const AHEAD: usize = 16;
 /// After a failed accept (no descriptors left, say) the next one waits so long.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -75,18 +77,23 @@
     stream.set_write_timeout(Some(STUCK))?;
     let stream = Arc::new(stream);
     let (says, said) = unbounded();
+    let (answered, owing) = bounded(AHEAD);
+    for _ in 0..AHEAD {
+        let _ = answered.send(()); // it has room for all
+    }
     // The service knows the connection before its reader can tell of it.
     owed.tell.client(owed.conn, Line { says, stream: stream.clone() });
     let out = stream.clone();
-    spawn("client-out", WRITE_STACK, move || write(&out, &said))?;
-    spawn("client-in", READ_STACK, move || read(&stream, &owed))
+    spawn("client-out", WRITE_STACK, move || write(&out, &said, &answered))?;
+    spawn("client-in", READ_STACK, move || read(&stream, &owing, &owed))
 }
 
-fn write(mut stream: &TcpStream, said: &Receiver<Say>) {
+fn write(mut stream: &TcpStream, said: &Receiver<Say>, answered: &Sender<()>) {
     for Say { bytes, last } in said {
         if stream.write_all(&bytes).is_err() {
             break;
         }
+        let _ = answered.send(()); // the reader may have ended
         if last {
             // The reader goes on until the client has closed, so that no reset overtakes the answer.
             let _ = stream.shutdown(Shutdown::Write);
@@ -110,11 +117,15 @@
     }
 }
 
-fn read(mut stream: &TcpStream, owed: &Owed) {
+/// Reads on only while few answers are owed, so that a client which takes none is none the larger for it.
+fn read(mut stream: &TcpStream, owing: &Receiver<()>, owed: &Owed) {
     let mut buffer = Buffer::default();
     let mut over = false;
     while let Ok(1..) = buffer.fill(&mut stream) {
         while let Some(request) = http::request(buffer.bytes()).filter(|_| !over) {
+            if owing.recv().is_err() {
+                return; // nothing can be written any more
+            }
             buffer.used(request.used);
             over = request.close;
             let Request { ask, close, .. } = request;
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -12,8 +12,6 @@
 const LISTEN_MS: f64 = 600.0;
 /// Clients get so long to close after their last answer before the program ends.
 const LINGER_MS: f64 = 300.0;
-/// Requests that a client may send ahead on one connection.
-const AHEAD: usize = 16;
 
 pub(super) struct Client {
     /// The scan it waits for.
@@ -99,9 +97,6 @@
             return self.ask(now, conn, ask, close);
         }
         client.ahead.push_back((now, ask, close));
-        if client.ahead.len() > AHEAD {
-            self.client_end(conn);
-        }
     }
 
     fn ask(&mut self, now: f64, conn: u64, ask: Ask, close: bool) {
--- a/crates/mixer/src/searcher.rs
+++ b/crates/mixer/src/searcher.rs
@@ -1,6 +1,6 @@
 //! Connections to searchers: for each a thread that connects and writes, and one that reads.
 
-use std::io::Write;
+use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, SocketAddrV4, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,15 +16,12 @@
 const STACK: usize = 64 * 1024;
 
 /// Opens a link in threads of its own. Each frame sent to it is written; when the sender is dropped, the link
-/// ends. Its end is told once, with the number of frames that were written whole.
-pub fn open(link: u64, addr: SocketAddrV4, connect: Duration, tell: &Tell) -> Sender<Vec<u8>> {
+/// ends. Its end is told once, with the number of frames that were written whole; not where it could not start.
+pub fn open(link: u64, addr: SocketAddrV4, connect: Duration, tell: &Tell) -> io::Result<Sender<Vec<u8>>> {
     let (frames, queue) = unbounded();
     let told = tell.clone();
-    if let Err(error) = spawn("searcher-out", STACK, move || run(link, addr, connect, &queue, &told)) {
-        debug!("no thread for {addr}: {error}");
-        tell.say(Input::LinkEnd { link, written: 0 });
-    }
-    frames
+    spawn("searcher-out", STACK, move || run(link, addr, connect, &queue, &told))?;
+    Ok(frames)
 }
 
 /// Tells of a link's end however its thread ends, a panic included.
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
-use log::{info, warn};
+use crossbeam_channel::{Receiver, Sender, bounded};
+use log::{debug, info, warn};
 use pewterwharf_terms::Start;
 use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
@@ -58,6 +58,9 @@
 
 /// Stack of the threads of which there is one each.
 const STACK: usize = 256 * 1024;
+/// Inputs that may wait to be heard: whoever sends more, faster than they are taken, waits. The one thread that
+/// takes them sends none.
+const WAITING: usize = 4096;
 /// Inputs that are taken together in one turn at most, so that no burst holds up what is due.
 const TOGETHER: usize = 256;
 
@@ -72,12 +75,14 @@
     connect: Duration,
     clients: HashMap<u64, Line>,
     links: HashMap<u64, Sender<Vec<u8>>>,
+    /// What the service itself has met and the reducer is still to hear.
+    met: Vec<(f64, Input)>,
 }
 
 impl Service {
     pub fn open(start: Start) -> Result<Self> {
         let clock = Clock::start();
-        let (to, heard) = unbounded();
+        let (to, heard) = bounded(WAITING);
         let tell = Tell { to, clock };
         let connect = Duration::from_secs_f64(start.terms.connect_timeout_ms.max(1.0) / 1000.0);
         if start.terms.types.iter().any(|t| t.second_step) {
@@ -109,8 +114,8 @@
         let (told, stopped) = (tell.clone(), stop.clone());
         spawn("accept", STACK, move || client::accept(&listener, places, &stopped, &told))?;
         info!("{} listens on {at}", start.name);
-        let (clients, links) = (HashMap::new(), HashMap::new());
-        let mut service = Self { clock, reducer, heard, tell, at, stop, connect, clients, links };
+        let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
+        let mut service = Self { clock, reducer, heard, tell, at, stop, connect, clients, links, met };
         effects.into_iter().for_each(|effect| service.carry_out(effect));
         Ok(service)
     }
@@ -118,12 +123,10 @@
     /// Runs until it is asked to end and all is answered.
     pub fn run(mut self) -> Result<()> {
         while self.reducer.phase() != Phase::Closed {
-            let first = match self.reducer.next_due().map(|at| self.clock.until(at)) {
-                Some(wait) => self.heard.recv_timeout(wait),
-                None => self.heard.recv().map_err(|_| RecvTimeoutError::Disconnected),
-            };
-            let mut inputs = Vec::new();
-            if let Ok(told) = first {
+            let mut inputs = std::mem::take(&mut self.met);
+            let due = if inputs.is_empty() { self.reducer.next_due() } else { Some(0.0) };
+            let wait = due.map_or(Duration::MAX, |at| self.clock.until(at));
+            if let Ok(told) = self.heard.recv_timeout(wait) {
                 self.hear(told, &mut inputs);
             }
             while inputs.len() < TOGETHER
@@ -166,9 +169,13 @@
                 }
             }
             Effect::DropClient { conn } => drop(self.clients.remove(&conn)),
-            Effect::Connect { link, addr } => {
-                self.links.insert(link, searcher::open(link, addr, self.connect, &self.tell));
-            }
+            Effect::Connect { link, addr } => match searcher::open(link, addr, self.connect, &self.tell) {
+                Ok(frames) => drop(self.links.insert(link, frames)),
+                Err(error) => {
+                    debug!("no thread for {addr}: {error}");
+                    self.met.push((self.clock.now(), Input::LinkEnd { link, written: 0 }));
+                }
+            },
             Effect::Write { link, bytes } => {
                 if let Some(frames) = self.links.get(&link) {
                     let _ = frames.send(bytes); // its end is on the way
@@ -178,7 +185,8 @@
             Effect::StopListening => {
                 self.stop.store(true, Ordering::Release);
                 // Wakes the thread that accepts.
-                let _ = TcpStream::connect_timeout(&self.at, self.connect);
+                let (at, wait) = (self.at, self.connect);
+                let _ = spawn("wake", STACK, move || drop(TcpStream::connect_timeout(&at, wait)));
             }
             Effect::Print(text) => eprint!("{text}"),
         }
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -101,7 +101,10 @@
 
 /// The status line, what it says of the connection and of coming back, and the body.
 fn answer(stream: &TcpStream) -> String {
-    let mut input = BufReader::new(stream);
+    next_answer(&mut BufReader::new(stream))
+}
+
+fn next_answer(input: &mut impl BufRead) -> String {
     let (mut seen, mut length) = (Vec::new(), 0);
     loop {
         let mut line = String::new();
@@ -167,6 +170,25 @@
     insta::assert_snapshot!(format!("{said}\n{status:?} {counts}"));
 }
 
+#[test]
+fn a_client_that_takes_no_answers_holds_up_nobody_and_gets_them_once_it_does() {
+    const ASKS: usize = 5000;
+    let mixer = start(&[Manner::Answers]);
+    let greedy = mixer.connect();
+    let mut asks = greedy.try_clone().expect("a second handle");
+    let all = "GET /-/counters HTTP/1.1\r\n\r\n".repeat(ASKS);
+    let asking = std::thread::spawn(move || asks.write_all(all.as_bytes()));
+    let mut client = mixer.connect();
+    client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
+    assert!(answer(&client).starts_with("HTTP/1.1 200 OK"));
+    let mut answers = BufReader::new(&greedy);
+    let good = (0..ASKS).filter(|_| next_answer(&mut answers).starts_with("HTTP/1.1 200 OK")).count();
+    assert_eq!(good, ASKS);
+    asking.join().expect("no panic").expect("it takes bytes");
+    mixer.signal("TERM");
+    assert_eq!(mixer.end().0, Some(0));
+}
+
 #[test]
 fn a_searcher_that_drains_gets_nothing_more() {
     let mut mixer = start(&[Manner::Answers]);
