--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -150,9 +150,9 @@
 /// After a warning, further ones are told at the debug level for so long.
 const QUIET_MS: f64 = 1000.0;
 /// Connections of clients that may come while others are on their way out.
-const CHANGING: usize = 16;
-/// Descriptors for everything but clients and searchers: the listener, discovery, standard streams, files.
-const OTHERS: usize = 24;
+const CHANGING: usize = 8;
+/// Descriptors for everything but clients and searchers: seven once started, a few more while connecting anew.
+const OTHERS: usize = 16;
 
 pub struct Reducer {
     module: Mixer,
