--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,6 @@
 //! What a mixer's decisions are told and what they answer: types and one trait, no wire, no decision.
 //!
-//! A host (the bench adapter today, a daemon or a client-side plug-in later) turns its own protocol into
+//! A host (the bench adapter, the mixer on sockets, a client-side plug-in later) turns its own protocol into
 //! [`Event`]s and carries out the [`Action`]s that come back. Clock and seed are handed in.
 
 use std::net::SocketAddrV4;
