--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -60,8 +60,6 @@
     Stop,
     /// Asked for the counters.
     Report,
-    /// A due time may have come.
-    Due,
 }
 
 /// What is to be done outside, in this order.
@@ -309,7 +307,6 @@
             Input::WatchLost => self.counters.watches_lost += 1,
             Input::Stop => self.stop(now),
             Input::Report => self.effects.push(Effect::Print(self.counters().to_string())),
-            Input::Due => {}
         }
     }
 
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -60,7 +60,11 @@
     }
 
     fn tell(&mut self, input: Input) {
-        for effect in self.reducer.step(self.now, vec![(self.now, input)]) {
+        self.step(vec![(self.now, input)]);
+    }
+
+    fn step(&mut self, inputs: Vec<(f64, Input)>) {
+        for effect in self.reducer.step(self.now, inputs) {
             let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).replace("\r\n", " ").replace('\n', " ");
             let line = match effect {
                 Effect::Answer { conn, bytes, last } => {
@@ -84,7 +88,7 @@
         let end = self.now + ms;
         while let Some(due) = self.reducer.next_due().filter(|due| *due <= end) {
             self.now = self.now.max(due);
-            self.tell(Input::Due);
+            self.step(Vec::new());
         }
         self.now = end;
     }
@@ -189,7 +193,7 @@
     rig.asks(1, "once", "q1", 1);
     rig.tell(Input::LinkUp { link: 3 });
     rig.now += 5000.0;
-    rig.tell(Input::Due);
+    rig.step(Vec::new());
     assert_snapshot!(rig.counted());
 }
 
