--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -81,6 +81,7 @@
         self.drop_client(conn);
         if let Some(scan) = scan {
             self.counters.scans_gone += 1;
+            debug!("client {conn} left scan {scan}");
             self.forget(scan);
             self.events.push(Event::ClientGone { scan });
         }
@@ -184,6 +185,7 @@
         body: &[u8],
     ) {
         let Some(conn) = self.scans.get(&scan).map(|s| s.conn) else { return };
+        debug!("scan {scan} of client {conn} is answered {status}");
         self.forget(scan);
         self.answer(now, conn, status, back_in_ms, body);
     }
