SIGHUP reads the configuration anew and moves the watch to a new discovery

Seen: on reload a mixer exited with 129 and its requests were lost; no handler stood for SIGHUP (service.rs, Service::open). Now signals are caught before anything else is opened, the file is read and checked as at the start, and its discovery counts over ROUTER_DISCOVERY. The new watch asks for the whole list first, as versions of another place mean nothing; the list held stays in use until it speaks, late lists of an old watch are counted and dropped. Tests: the reducer's trace of watches that take turns, the program on loopback with a faulty and a good file, both without effect on the old code (it ends).

--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -59,4 +59,9 @@
     lists,
     list_entries_bad,
     watches_lost,
+    /// Lists of a watch that a newer one has replaced.
+    lists_late,
+    /// New configurations that were taken, and files that could not be used.
+    reloads,
+    reloads_failed,
 }
--- a/crates/mixer/src/http.rs
+++ b/crates/mixer/src/http.rs
@@ -268,15 +268,24 @@
     serde_json::json!({"exact": whole, "rows": rows}).to_string().into_bytes()
 }
 
-/// The head of discovery's answer: its status, whether its body is chunked, how many bytes it took.
-pub fn response(bytes: &[u8]) -> Result<Option<(u16, bool, usize)>, String> {
+/// How the body of discovery's answer is told.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Body {
+    Length(usize),
+    Chunked,
+}
+
+/// The head of discovery's answer: its status, its body, how many bytes it took.
+pub fn response(bytes: &[u8]) -> Result<Option<(u16, Body, usize)>, String> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut head = httparse::Response::new(&mut headers);
     match head.parse(bytes) {
         Ok(httparse::Status::Complete(used)) => {
-            let chunked =
-                header(head.headers, "Transfer-Encoding").is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
-            Ok(Some((head.code.unwrap_or_default(), chunked, used)))
+            let said = |name| header(head.headers, name);
+            let chunked = said("Transfer-Encoding").is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
+            let length = said("Content-Length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            let body = if chunked { Body::Chunked } else { Body::Length(length) };
+            Ok(Some((head.code.unwrap_or_default(), body, used)))
         }
         Ok(httparse::Status::Partial) if bytes.len() > HEAD => Err("a head without end".into()),
         Ok(httparse::Status::Partial) => Ok(None),
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -10,7 +10,7 @@
 use log::{debug, info, warn};
 use pewterwharf::interface::{Action, Decide, Ending, Event, ListKind};
 use pewterwharf::logic::Mixer;
-use pewterwharf_terms::Terms;
+use pewterwharf_terms::{Change, Terms};
 
 use crate::counters::Counters;
 use crate::discovery::List;
@@ -54,7 +54,13 @@
         link: u64,
         why: String,
     },
-    List(List),
+    /// What a watch told, by its number.
+    List {
+        watch: u64,
+        list: List,
+    },
+    /// The configuration was read anew; why it can't be used.
+    Reloaded(Result<Change, String>),
     WatchLost,
     /// Asked to end.
     Stop,
@@ -90,6 +96,15 @@
         link: u64,
     },
     StopListening,
+    /// Begins a further watch of that number.
+    Watch {
+        number: u64,
+        at: SocketAddrV4,
+    },
+    /// Lists of this watch are gone by from now on.
+    Heard {
+        watch: u64,
+    },
     Print(String),
 }
 
@@ -166,6 +181,11 @@
     srvs: BTreeMap<SocketAddrV4, Searcher>,
     names: HashMap<String, SocketAddrV4>,
     links: BTreeMap<u64, Link>,
+    /// The watch whose lists are gone by, and the newest.
+    watch: u64,
+    watch_wanted: u64,
+    /// Where the newest watch leads.
+    discovery: Option<SocketAddrV4>,
     due: BTreeSet<(u64, Due)>,
     ids: u64,
     scan_number: u32,
@@ -196,6 +216,9 @@
             srvs: BTreeMap::new(),
             names: HashMap::new(),
             links: BTreeMap::new(),
+            watch: 0,
+            watch_wanted: 0,
+            discovery: None,
             due: BTreeSet::new(),
             ids: 0,
             scan_number: 0,
@@ -230,6 +253,11 @@
         }
     }
 
+    /// Where the first watch leads; it has the number 0.
+    pub fn watches(&mut self, at: SocketAddrV4) {
+        self.discovery = Some(at);
+    }
+
     /// The list as it was held before the start.
     pub fn cached(&mut self, now: f64, list: List) -> Vec<Effect> {
         self.listed(now, list, ListKind::Cached);
@@ -241,7 +269,7 @@
     /// before all else: drains count from their telling.
     pub fn step(&mut self, now: f64, inputs: Vec<(f64, Input)>) -> Vec<Effect> {
         let (lists, others): (Vec<_>, Vec<_>) =
-            inputs.into_iter().partition(|i| matches!(i.1, Input::List(_)));
+            inputs.into_iter().partition(|i| matches!(i.1, Input::List { .. }));
         for (at, input) in lists.into_iter().chain(others) {
             self.take(at.min(now), input);
         }
@@ -300,10 +328,8 @@
             Input::LinkEnd { link, written } => self.link_end(now, link, written),
             Input::Frame { link, frame } => self.frame(now, link, frame),
             Input::BadFrame { link, why } => self.bad_frame(now, link, &why),
-            Input::List(list) => {
-                let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
-                self.listed(now, list, kind);
-            }
+            Input::List { watch, list } => self.watched(now, watch, list),
+            Input::Reloaded(change) => self.reloaded(now, change),
             Input::WatchLost => self.counters.watches_lost += 1,
             Input::Stop => self.stop(now),
             Input::Report => self.effects.push(Effect::Print(self.counters().to_string())),
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -5,6 +5,7 @@
 
 use log::{debug, info};
 use pewterwharf::interface::{Ending, Event, Life, ListKind, Listed};
+use pewterwharf_terms::Change;
 
 use super::{Due, Effect, Leg, Part, Phase, Reducer};
 use crate::discovery::{Entry, List};
@@ -449,6 +450,43 @@
 
     // The list.
 
+    /// A list counts unless a newer watch has spoken (that one may number its versions differently), or one
+    /// that never spoke has been replaced since.
+    pub(super) fn watched(&mut self, now: f64, watch: u64, list: List) {
+        if watch != self.watch && watch != self.watch_wanted {
+            self.counters.lists_late += 1;
+            return;
+        }
+        if watch > self.watch {
+            self.watch = watch;
+            info!("watch {watch} has spoken");
+            self.effects.push(Effect::Heard { watch });
+        }
+        let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
+        self.listed(now, list, kind);
+    }
+
+    /// A new configuration moves the watch; what else it changes counts from the next start.
+    pub(super) fn reloaded(&mut self, now: f64, change: Result<Change, String>) {
+        let change = match change {
+            Ok(change) => change,
+            Err(why) => {
+                self.counters.reloads_failed += 1;
+                return self.warn(now, &format!("the configuration stays as it is: {why}"));
+            }
+        };
+        self.counters.reloads += 1;
+        info!("the configuration was read anew, discovery is at {}", change.discovery);
+        if !change.at_restart.is_empty() {
+            let keys = change.at_restart.join(", ");
+            self.warn(now, &format!("{keys} changed in the configuration: they count from the next start"));
+        }
+        if self.discovery.replace(change.discovery) != Some(change.discovery) {
+            self.watch_wanted += 1;
+            self.effects.push(Effect::Watch { number: self.watch_wanted, at: change.discovery });
+        }
+    }
+
     pub(super) fn listed(&mut self, now: f64, list: List, kind: ListKind) {
         self.counters.lists += 1;
         self.counters.list_entries_bad += list.bad.len() as u64;
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -11,13 +11,13 @@
 use anyhow::{Context, Result};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use log::{debug, info, warn};
-use pewterwharf_terms::Start;
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use pewterwharf_terms::{Change, Start};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
 use crate::client::{self, Line, Say};
 use crate::clock::Clock;
-use crate::discovery;
+use crate::discovery::{self, Watch, Watches};
 use crate::reducer::{Effect, Input, Phase, Reducer};
 use crate::searcher;
 
@@ -75,12 +75,22 @@
     connect: Duration,
     clients: HashMap<u64, Line>,
     links: HashMap<u64, Sender<Vec<u8>>>,
+    watches: Arc<Watches>,
     /// What the service itself has met and the reducer is still to hear.
     met: Vec<(f64, Input)>,
 }
 
+/// Reads the configuration anew, for a mixer that was started on this one.
+pub type Again = fn(&Start) -> Result<Change>;
+
+/// Catches the signals that a mixer goes by.
+pub fn signals() -> Result<Signals> {
+    Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).context("signals")
+}
+
 impl Service {
-    pub fn open(start: Start) -> Result<Self> {
+    /// Opens what it needs; the signals it goes by must be caught before, so that none ends it meanwhile.
+    pub fn open(start: Start, mut signals: Signals, again: Again) -> Result<Self> {
         let clock = Clock::start();
         let (to, heard) = bounded(WAITING);
         let tell = Tell { to, clock };
@@ -88,7 +98,7 @@
         if start.terms.types.iter().any(|t| t.second_step) {
             warn!("table types with a second step are answered from the first: the protocol states no other");
         }
-        let mut reducer = Reducer::new(start.terms, start.seed, start.sockets);
+        let mut reducer = Reducer::new(start.terms.clone(), start.seed, start.sockets);
         let mut effects = Vec::new();
         let mut index = 0;
         match discovery::list(&start.known) {
@@ -99,23 +109,30 @@
             Err(error) if !start.known.is_null() => warn!("known can't be read: {error:#}"),
             Err(_) => {}
         }
-        let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1]).context("signals")?;
-        let told = tell.clone();
-        spawn("signals", STACK, move || {
-            for signal in signals.forever() {
-                told.say(if signal == SIGUSR1 { Input::Report } else { Input::Stop });
-            }
-        })?;
-        let (told, at) = (tell.clone(), start.discovery);
-        spawn("discovery", STACK, move || discovery::watch(at, index, connect, &told))?;
+        reducer.watches(start.discovery);
+        let watches = Arc::new(Watches::default());
+        let first = Watch { number: 0, at: start.discovery, index: Some(index) };
+        let (told, counted) = (tell.clone(), watches.clone());
+        spawn("discovery", STACK, move || first.run(connect, &counted, &told))?;
         let listener = TcpListener::bind(start.listen).with_context(|| format!("listen={}", start.listen))?;
         let (at, places) = (local(&listener)?, reducer.client_places());
         let stop = Arc::new(AtomicBool::new(false));
         let (told, stopped) = (tell.clone(), stop.clone());
         spawn("accept", STACK, move || client::accept(&listener, places, &stopped, &told))?;
         info!("{} listens on {at}", start.name);
+        let told = tell.clone();
+        spawn("signals", STACK, move || {
+            for signal in signals.forever() {
+                told.say(match signal {
+                    SIGUSR1 => Input::Report,
+                    SIGHUP => Input::Reloaded(again(&start).map_err(|error| format!("{error:#}"))),
+                    _ => Input::Stop,
+                });
+            }
+        })?;
         let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
-        let mut service = Self { clock, reducer, heard, tell, at, stop, connect, clients, links, met };
+        let mut service =
+            Self { clock, reducer, heard, tell, at, stop, connect, clients, links, watches, met };
         effects.into_iter().for_each(|effect| service.carry_out(effect));
         Ok(service)
     }
@@ -188,6 +205,15 @@
                 let (at, wait) = (self.at, self.connect);
                 let _ = spawn("wake", STACK, move || drop(TcpStream::connect_timeout(&at, wait)));
             }
+            Effect::Watch { number, at } => {
+                self.watches.wanted.store(number, Ordering::Release);
+                let (watch, connect) = (Watch { number, at, index: None }, self.connect);
+                let (told, watches) = (self.tell.clone(), self.watches.clone());
+                if let Err(error) = spawn("discovery", STACK, move || watch.run(connect, &watches, &told)) {
+                    warn!("no thread for a watch: {error}");
+                }
+            }
+            Effect::Heard { watch } => self.watches.heard.store(watch, Ordering::Release),
             Effect::Print(text) => eprint!("{text}"),
         }
     }
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -21,9 +21,12 @@
     searchers: Vec<(SocketAddr, &'static str)>,
 }
 
+fn port() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
 /// Starts a mixer and its searchers, and waits until it is ready.
 fn start(manners: &[Manner]) -> Mixer {
-    let port = || TcpListener::bind("127.0.0.1:0").expect("a free port");
     let (says, heard) = mpsc::channel();
     let searchers = manners.iter().map(|manner| {
         let listener = port();
@@ -37,15 +40,17 @@
     let lists = toy::Lists::default();
     lists.serve(listener);
     lists.tell(toy::list(1, true, &searchers));
-    let (child, mut log, addr) = launch(discovery);
+    let (child, mut log, addr) = launch(discovery, EXAMPLE);
     wait(&mut log, "ready");
     Mixer { child, log, addr, lists, heard, searchers }
 }
 
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/mixer.json");
+
 /// Starts the program, and waits until it listens.
-fn launch(discovery: String) -> (Child, BufReader<ChildStderr>, SocketAddr) {
+fn launch(discovery: String, config: &str) -> (Child, BufReader<ChildStderr>, SocketAddr) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_pewterwharf-mixer"))
-        .env("ROUTER_CONFIG", concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/mixer.json"))
+        .env("ROUTER_CONFIG", config)
         .env("ROUTER_LISTEN", "127.0.0.1:0")
         .env("ROUTER_DISCOVERY", discovery)
         .env("RUST_LOG", "info")
@@ -206,8 +211,8 @@
 
 #[test]
 fn the_watch_is_resumed_by_version_and_outlives_what_can_t_be_read() {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let (mut child, mut log, _) = launch(listener.local_addr().expect("an address").to_string());
+    let listener = port();
+    let (mut child, mut log, _) = launch(listener.local_addr().expect("an address").to_string(), EXAMPLE);
     let mut asked = String::new();
     let searcher = toy::list(7, true, &[("127.0.0.1:9".parse().expect("an address"), "up")]).to_string();
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -242,3 +247,48 @@
     };
     insta::assert_snapshot!(format!("{}\n{}", run(None), run(Some("/nowhere"))));
 }
+
+#[test]
+fn at_a_hang_up_the_watch_moves_and_a_faulty_file_changes_nothing() {
+    let config = concat!(env!("CARGO_TARGET_TMPDIR"), "/replaced.json");
+    let text = std::fs::read_to_string(EXAMPLE).expect("the example");
+    let (says, heard) = mpsc::channel();
+    let place = |shown: &str| {
+        let (searchers, discovery) = (port(), port());
+        let addr = searchers.local_addr().expect("an address");
+        toy::searcher(searchers, Manner::Answers, says.clone());
+        let at = discovery.local_addr().expect("an address").to_string();
+        let lists = toy::Lists::default();
+        lists.serve(discovery);
+        lists.tell(toy::list(9, true, &[(addr, shown)]));
+        (at, lists)
+    };
+    let ((old, old_lists), (new, _)) = (place("up"), place("up"));
+    std::fs::write(config, &text).expect("it can be written");
+    let (child, mut log, addr) = launch(old, config);
+    wait(&mut log, "ready");
+    let mut mixer = Mixer { child, log, addr, lists: old_lists, heard, searchers: Vec::new() };
+    let mut said = Vec::new();
+    let mut replace = |mixer: &mut Mixer, text: &str, words: &str| {
+        std::fs::write(config, text).expect("it can be written");
+        mixer.signal("HUP");
+        let line = wait(&mut mixer.log, words);
+        said.push(line.split("] ").nth(1).unwrap_or_default().replace(config, "FILE").replace(&new, "NEW"));
+    };
+    replace(&mut mixer, "{", "stays as it is");
+    let moved = text.replace("127.0.0.1:8500", &new);
+    replace(&mut mixer, &moved.replace("1024", "512"), "read anew");
+    wait(&mut mixer.log, "watch 1 has spoken");
+    let mut client = mixer.connect();
+    client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
+    said.push(answer(&client));
+    // What the old one still says is no more heard, and its watch has ended.
+    mixer.lists.tell(toy::list(99, true, &[]));
+    mixer.signal("HUP");
+    wait(&mut mixer.log, "read anew");
+    client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
+    said.push(answer(&client));
+    mixer.signal("TERM");
+    let (status, counts) = mixer.end();
+    insta::assert_snapshot!(format!("{}\n{status:?} {counts}", said.join("\n")));
+}
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -8,7 +8,7 @@
 use pewterwharf_mixer::frame::{Frame, Verdict};
 use pewterwharf_mixer::http::{Ask, PartAsk, ScanAsk};
 use pewterwharf_mixer::reducer::{Effect, Input, Phase, Reducer};
-use pewterwharf_terms::Terms;
+use pewterwharf_terms::{Change, Terms};
 use serde_json::json;
 
 const START: f64 = 1_700_000_000_000.0;
@@ -56,7 +56,11 @@
     }
 
     fn list(&mut self, whole: bool, entries: Vec<Entry>) {
-        self.tell(Input::List(List { index: 1, whole, entries, bad: Vec::new() }));
+        self.watch(0, whole, entries);
+    }
+
+    fn watch(&mut self, watch: u64, whole: bool, entries: Vec<Entry>) {
+        self.tell(Input::List { watch, list: List { index: 1, whole, entries, bad: Vec::new() } });
     }
 
     fn tell(&mut self, input: Input) {
@@ -77,6 +81,8 @@
                 Effect::Write { link, bytes } => format!("link {link}: {}", text(&bytes[4..])),
                 Effect::CloseLink { link } => format!("link {link}: close"),
                 Effect::StopListening => "stop listening".to_owned(),
+                Effect::Watch { number, at } => format!("watch {number} at {at}"),
+                Effect::Heard { watch } => format!("watch {watch} is gone by"),
                 Effect::Print(text) => text,
             };
             writeln!(self.trace, "{:>5} {line}", self.now - START).expect("a string takes all");
@@ -424,3 +430,24 @@
     rig.tell(Input::Asked { conn: 1, ask: Ask::Ready, close: false });
     assert_snapshot!(rig.counted());
 }
+
+#[test]
+fn a_new_configuration_moves_the_watch_and_the_old_list_holds_until_the_new_one_speaks() {
+    let mut rig = Rig::new(1);
+    let moved = |port| {
+        let discovery = std::net::SocketAddrV4::new([10, 9, 9, 9].into(), port);
+        Input::Reloaded(Ok(Change { discovery, at_restart: vec!["settings"] }))
+    };
+    rig.tell(moved(1));
+    rig.tell(moved(1)); // nothing new
+    rig.tell(Input::Reloaded(Err("discovery=nowhere can't be read".to_owned())));
+    rig.asks(1, "all", "q1", 1); // by the old list
+    rig.tell(moved(2));
+    rig.watch(1, true, Vec::new()); // it never spoke while it counted
+    rig.watch(0, true, vec![entry(2, Life::Ready, 0.0)]);
+    rig.watch(2, true, vec![entry(3, Life::Ready, 0.0)]);
+    rig.watch(0, true, vec![entry(4, Life::Ready, 0.0)]); // late
+    rig.tell(Input::ClientOpen { conn: 2 });
+    rig.asks(2, "all", "q2", 1);
+    assert_snapshot!(rig.counted());
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -3,7 +3,7 @@
 
 mod start;
 
-pub use start::Start;
+pub use start::{Change, Start};
 
 use std::collections::HashMap;
 use std::str::FromStr;
@@ -96,7 +96,7 @@
 }
 
 /// What a mixer goes by: the module's terms, the names that stand for its indices, the bounds of its links.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
     pub types: Vec<TableType>,
     pub type_names: Vec<String>,
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -2,6 +2,7 @@
 //!
 //!     cargo run -p pewterwharf-mixer --example toy
 
+use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Sender};
@@ -102,12 +103,36 @@
         });
     }
 
+    /// All that was told, in one list.
+    fn whole(&self) -> Value {
+        let (mut index, mut entries) = (Value::from(0), BTreeMap::new());
+        for list in self.0.0.lock().expect("no holder fails").iter() {
+            index = list["index"].clone();
+            if list["snapshot"] == true {
+                entries.clear();
+            }
+            for entry in list["endpoints"].as_array().into_iter().flatten() {
+                entries.insert(entry["name"].to_string(), entry.clone());
+            }
+        }
+        entries.retain(|_, entry| entry["status"] != "removed");
+        json!({"index": index, "snapshot": true, "endpoints": entries.into_values().collect::<Vec<_>>()})
+    }
+
     fn watch(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut input = BufReader::new(stream.try_clone()?);
         let (mut request, mut line) = (String::new(), String::new());
-        input.read_line(&mut request)?;
-        while input.read_line(&mut line)? > 2 {
-            line.clear();
+        loop {
+            request.clear();
+            input.read_line(&mut request)?;
+            while input.read_line(&mut line)? > 2 {
+                line.clear();
+            }
+            if request.contains("watch=1") {
+                break;
+            }
+            let whole = self.whole().to_string();
+            write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len())?;
         }
         let after = request.split("after=").nth(1).and_then(|a| a.split(' ').next()?.parse().ok());
         let after: u64 = after.unwrap_or(0);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -17,7 +17,7 @@
 }
 
 /// A table type as agreed with the customers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TableType {
     pub target_ms: f64,
     pub query_timeout_ms: f64,
@@ -38,7 +38,7 @@
 }
 
 /// A customer and its share of the fleet.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Customer {
     pub scans_per_s: f64,
     /// What a scan beyond the share is worth, as a share of its benefit.
@@ -46,7 +46,7 @@
 }
 
 /// Where shards lie and how parts travel.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Layout {
     pub cells: u32,
     /// A shard is held by this many cells in a row.
@@ -56,7 +56,7 @@
 }
 
 /// At most `free` further dispatches, plus `share` of what was taken, in any `window_ms`.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     pub free: f64,
     pub share: f64,
@@ -64,7 +64,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Guards {
     pub cold_from: f64,
     pub warm_ms: f64,
@@ -74,7 +74,7 @@
 }
 
 /// What the deployment allows.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Permits {
     pub cancel: bool,
     pub probe: bool,
@@ -87,7 +87,7 @@
 }
 
 /// This mixer among its peers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Berth {
     pub mixers: u32,
     pub zone: u16,
