Clients that never ask are ended, room is made by who matters least, one thread a connection

The profile (cpu-clock) showed a quarter of that in waking threads that had nothing to do, as a halted process wakes all of its threads, 7% in copying bodies that were refused already. Ruled out: the module (throttled scans fall with the CPU), accept errors. At fault: client.rs accept (waits for a place), clients.rs make_room (longest idle first, no end for who never asks), client.rs read (reads on after the last answer without bound), two threads a connection in client.rs and searcher.rs.

Now: no whole request in 2 s is answered 408; room is made of answered, silent, resting clients in this order; the resting leave after 2 s once half of the places are taken; three faults in a row end a connection; the service writes answers and frames itself, with a thread only for a client that does not take them; threads are used again; after a last answer 64 KiB are passed over at most; buffers have a bound in sum on either side; one request a connection is held at a time. Refused: an id that is open (409), weights whose sum is not 1, headers given twice, a time of 0, Transfer-Encoding in HTTP/1.0.

--- a/crates/mixer/src/buffer.rs
+++ b/crates/mixer/src/buffer.rs
@@ -1,41 +1,73 @@
 //! A connection's one buffer: grown as needed, compacted in place.
 
 use std::io::{self, Read};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// What many buffers may grow by in sum, beyond the first room that each has for itself.
+#[derive(Clone)]
+pub struct Room(Arc<AtomicUsize>);
+
+impl Room {
+    pub fn of(bytes: usize) -> Self {
+        Self(Arc::new(AtomicUsize::new(bytes)))
+    }
+
+    /// What is left.
+    pub fn left(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn take(&self, bytes: usize) -> bool {
+        let less = |left: usize| left.checked_sub(bytes);
+        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less).is_ok()
+    }
+
+    fn give(&self, bytes: usize) {
+        self.0.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
 
-#[derive(Default)]
 pub struct Buffer {
     data: Vec<u8>,
     /// Bytes before this one are used up.
     from: usize,
     /// Bytes from this one on are not yet filled.
     to: usize,
+    room: Room,
 }
 
 impl Buffer {
-    /// Room that a read finds at least: most messages come whole in it.
+    /// Room that a read finds at least: most messages come whole in it. Every buffer has this much.
     const ROOM: usize = 2048;
-    /// A buffer that has grown past this is given back once it is empty.
-    const KEEP: usize = 16 * 1024;
+
+    pub fn new(room: &Room) -> Self {
+        Self { data: Vec::new(), from: 0, to: 0, room: room.clone() }
+    }
 
     /// What has come and is not used up.
     pub fn bytes(&self) -> &[u8] {
         &self.data[self.from..self.to]
     }
 
-    /// Reads once; the number of bytes that came, zero at the end.
+    /// Reads once; the number of bytes that came, zero at the end. Out of memory if all have grown too much.
     pub fn fill(&mut self, input: &mut impl Read) -> io::Result<usize> {
         if self.from == self.to {
             (self.from, self.to) = (0, 0);
-            if self.data.len() > Self::KEEP {
-                self.data = Vec::new();
+            if self.data.len() > Self::ROOM {
+                self.shrink();
             }
         }
         if self.data.len() - self.to < Self::ROOM && self.from > 0 {
             self.data.copy_within(self.from..self.to, 0);
             (self.from, self.to) = (0, self.to - self.from);
         }
-        if self.data.len() - self.to < Self::ROOM {
-            self.data.resize((2 * self.data.len()).max(self.to + Self::ROOM), 0);
+        if self.data.len() - self.to < Self::ROOM / 2 {
+            let size = (2 * self.data.len()).max(Self::ROOM);
+            if size > Self::ROOM && !self.room.take(size - self.data.len()) {
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
+            self.data.resize(size, 0);
         }
         let read = loop {
             match input.read(&mut self.data[self.to..]) {
@@ -51,4 +83,15 @@
     pub fn used(&mut self, count: usize) {
         self.from = self.from.saturating_add(count).min(self.to);
     }
+
+    fn shrink(&mut self) {
+        self.room.give(self.data.len().saturating_sub(Self::ROOM));
+        self.data = Vec::new();
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.shrink();
+    }
 }
--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -37,6 +37,8 @@
     clients_accepted,
     clients_open,
     clients_dropped_for_room,
+    /// They sent no whole request in time.
+    clients_slow,
     accepts_failed,
     dispatches,
     dispatches_further,
--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -10,7 +10,7 @@
 use pewterwharf::interface::Life;
 use serde_json::Value;
 
-use crate::buffer::Buffer;
+use crate::buffer::{Buffer, Room};
 use crate::http::{self, Body};
 use crate::reducer::Input;
 use crate::service::Tell;
@@ -127,7 +127,12 @@
         stream.set_read_timeout(Some(LOOK))?;
         stream.set_write_timeout(Some(SILENT))?;
         stream.set_nodelay(true)?;
-        let mut input = Incoming { buffer: Buffer::default(), stream: &stream, number: self.number, watches };
+        let mut input = Incoming {
+            buffer: Buffer::new(&Room::of(2 * LONGEST)),
+            stream: &stream,
+            number: self.number,
+            watches,
+        };
         if self.index.is_none() {
             // Versions held are another place's: the whole list first, whatever it is numbered.
             (&stream)
--- a/crates/mixer/src/http.rs
+++ b/crates/mixer/src/http.rs
@@ -57,56 +57,161 @@
     Chunked,
 }
 
-fn header<'a>(headers: &'a [httparse::Header], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
-    std::str::from_utf8(found.value).ok().map(str::trim)
+fn all<'a>(headers: &'a [httparse::Header], name: &str) -> impl Iterator<Item = &'a [u8]> {
+    headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
+}
+
+/// A header that must be single.
+fn header<'a>(headers: &'a [httparse::Header], name: &str) -> Result<Option<&'a str>, String> {
+    let mut found = all(headers, name);
+    let Some(value) = found.next() else { return Ok(None) };
+    if found.next().is_some() {
+        return Err(format!("{name} is given twice"));
+    }
+    let text = std::str::from_utf8(value).map_err(|_| format!("{name} is not text"))?;
+    Ok(Some(text.trim()))
+}
+
+fn must<'a>(headers: &'a [httparse::Header], name: &str) -> Result<&'a str, String> {
+    header(headers, name)?.ok_or_else(|| format!("{name} is missing"))
+}
+
+/// A whole number of digits alone.
+fn digits<T: std::str::FromStr>(text: &str) -> Option<T> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
 }
 
 fn framing(headers: &[httparse::Header]) -> Result<Option<Framing>, Fault> {
-    let chunked = match header(headers, "Transfer-Encoding") {
-        None => false,
-        Some(coding) if coding.eq_ignore_ascii_case("chunked") => true,
-        Some(coding) => return Err((501, format!("Transfer-Encoding {coding}"))),
-    };
-    let mut lengths = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("Content-Length"));
-    let length = match lengths.next() {
-        None => return Ok(chunked.then_some(Framing::Chunked)),
-        Some(_) if chunked || lengths.next().is_some() => {
-            return Err((400, "the length of the body is told twice".to_owned()));
+    let bad = |why| (400, why);
+    let length = header(headers, "Content-Length").map_err(bad)?;
+    match (header(headers, "Transfer-Encoding").map_err(bad)?, length) {
+        (Some(_), Some(_)) => Err(bad("the length of the body is told twice".to_owned())),
+        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Some(Framing::Chunked)),
+        (Some(coding), None) => Err((501, format!("Transfer-Encoding {coding}"))),
+        (None, None) => Ok(None),
+        (None, Some(length)) if length.is_empty() || !length.bytes().all(|b| b.is_ascii_digit()) => {
+            Err(bad("Content-Length can't be read".to_owned()))
         }
-        Some(length) => std::str::from_utf8(length.value).ok().map(str::trim),
-    };
-    let digits = length.filter(|l| !l.is_empty() && l.bytes().all(|b| b.is_ascii_digit()));
-    match digits.map(|l| l.parse().unwrap_or(usize::MAX)) {
-        Some(length) if length > BODY => Err((413, format!("a body over {BODY} bytes"))),
-        Some(length) => Ok(Some(Framing::Length(length))),
-        None => Err((400, "Content-Length can't be read".to_owned())),
+        (None, Some(length)) => match length.parse().unwrap_or(usize::MAX) {
+            length if length > BODY => Err((413, format!("a body over {BODY} bytes"))),
+            length => Ok(Some(Framing::Length(length))),
+        },
     }
 }
 
-/// A body and how many bytes it took; none while it is not whole.
-fn body(bytes: &[u8], framing: Framing) -> Result<Option<(Vec<u8>, usize)>, Fault> {
-    let Framing::Chunked = framing else {
-        let Framing::Length(length) = framing else { return Ok(None) };
-        return Ok(bytes.get(..length).map(|b| (b.to_vec(), length)));
-    };
-    let (mut whole, mut at) = (Vec::new(), 0);
-    loop {
-        match chunk(&bytes[at..]).map_err(|why| (400, why))? {
-            None if bytes.len() - at > HEAD + BODY => return Err((413, format!("a body over {BODY} bytes"))),
-            None => return Ok(None),
-            Some((data, used)) => {
-                at += used;
-                if data.is_empty() {
-                    return Ok(Some((whole, at)));
-                }
-                whole.extend_from_slice(data);
-                if whole.len() > BODY {
-                    return Err((413, format!("a body over {BODY} bytes")));
+/// How far the reading of a request has come, so that its bytes are not read again at each piece.
+#[derive(Default)]
+pub struct Progress {
+    /// Of these bytes nothing can come yet.
+    seen: usize,
+    /// Nor of fewer than these.
+    wanted: usize,
+    /// Chunks taken so far, and where the next begins in the body.
+    whole: Vec<u8>,
+    at: usize,
+}
+
+impl Progress {
+    /// Reads the first request of these bytes; none while it is not whole. To be asked with the same bytes and
+    /// more until it is, then with what follows it.
+    pub fn request(&mut self, bytes: &[u8]) -> Option<Request> {
+        // Lines end heads and chunk sizes; a body told by length ends where it says.
+        let idle = bytes.len() <= HEAD && !bytes.get(self.seen..).is_some_and(|new| new.contains(&b'\n'));
+        if bytes.is_empty() || bytes.len() < self.wanted || self.wanted == 0 && self.seen > 0 && idle {
+            self.seen = self.seen.max(bytes.len());
+            return None;
+        }
+        let request = self.read(bytes);
+        self.seen = bytes.len();
+        if request.is_some() {
+            *self = Self::default();
+        }
+        request
+    }
+
+    /// A body and how many bytes it took; none while it is not whole.
+    fn body(
+        &mut self,
+        bytes: &[u8],
+        from: usize,
+        framing: Framing,
+    ) -> Result<Option<(Vec<u8>, usize)>, Fault> {
+        let bytes = &bytes[from..];
+        if let Framing::Length(length) = framing {
+            self.wanted = from + length;
+            return Ok(bytes.get(..length).map(|b| (b.to_vec(), length)));
+        }
+        self.wanted = from + self.at + 1;
+        let long = || (413, format!("a body over {BODY} bytes"));
+        loop {
+            match chunk(&bytes[self.at..]).map_err(|why| (400, why))? {
+                _ if self.at > HEAD + BODY => return Err(long()),
+                None if bytes.len() - self.at > HEAD + BODY => return Err(long()),
+                None => return Ok(None),
+                Some(([], used)) => return Ok(Some((std::mem::take(&mut self.whole), self.at + used))),
+                Some((data, used)) => {
+                    self.at += used;
+                    self.whole.extend_from_slice(data);
+                    if self.whole.len() > BODY {
+                        return Err(long());
+                    }
                 }
             }
         }
     }
+    fn read(&mut self, bytes: &[u8]) -> Option<Request> {
+        let unusable = |status: u16, why: String, used: usize, close: bool| {
+            Some(Request { ask: Ask::Unusable(status, why), close, used })
+        };
+        // Whatever breaks the framing uses up all that came, and ends the connection.
+        let lost = |status: u16, why: String| unusable(status, why, bytes.len(), true);
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+        let mut head = httparse::Request::new(&mut headers);
+        let from = match head.parse(bytes) {
+            Ok(httparse::Status::Complete(from)) if from > HEAD => {
+                return lost(431, "a head too long".into());
+            }
+            Ok(httparse::Status::Complete(from)) => from,
+            Ok(httparse::Status::Partial) if bytes.len() > HEAD => {
+                return lost(431, "a head without end".into());
+            }
+            Ok(httparse::Status::Partial) => return None,
+            Err(httparse::Error::TooManyHeaders) => return lost(431, "too many headers".into()),
+            Err(error) => return lost(400, error.to_string()),
+        };
+        if head.version == Some(0) && all(head.headers, "Transfer-Encoding").next().is_some() {
+            return lost(400, "HTTP/1.0 knows no Transfer-Encoding".into());
+        }
+        let (method, path) = (head.method.unwrap_or_default(), head.path.unwrap_or_default());
+        let headers = &*head.headers;
+        let (body, used) = match framing(headers) {
+            Err((status, why)) => return lost(status, why),
+            Ok(None) => (Vec::new(), from),
+            Ok(Some(framing)) => match self.body(bytes, from, framing) {
+                Err((status, why)) => return lost(status, why),
+                Ok(None) => return None,
+                Ok(Some((body, used))) => (body, from + used),
+            },
+        };
+        let says = |word: &str| {
+            let mut words = all(headers, "Connection").flat_map(|v| v.split(|b| *b == b','));
+            words.any(|w| w.trim_ascii().eq_ignore_ascii_case(word.as_bytes()))
+        };
+        let close = says("close") || head.version == Some(0) && !says("keep-alive");
+        let path = path.split('?').next().unwrap_or_default();
+        let ask = match (method, path) {
+            ("GET", "/-/ready") => Ask::Ready,
+            ("GET", "/-/healthy") => Ask::Healthy,
+            ("GET", "/-/counters") => Ask::Counters,
+            (_, path) if path.starts_with("/-/") => Ask::Unusable(404, format!("no page {path}")),
+            ("POST", path) => {
+                let table_type = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+                scan(table_type, headers, &body).unwrap_or_else(|why| Ask::Unusable(400, why))
+            }
+            (method, _) => Ask::Unusable(405, format!("{method} is not for scans")),
+        };
+        Some(Request { ask, close, used })
+    }
 }
 
 /// The next chunk and how many bytes it took; the last one, which is empty, with its trailers.
@@ -136,62 +241,25 @@
     }
 }
 
-/// Reads the first request of these bytes; none while it is not whole.
+/// Reads the first request of these bytes at one go; none while it is not whole.
 pub fn request(bytes: &[u8]) -> Option<Request> {
-    let unusable = |status: u16, why: String, used: usize, close: bool| {
-        Some(Request { ask: Ask::Unusable(status, why), close, used })
-    };
-    // Whatever breaks the framing uses up all that came, and ends the connection.
-    let lost = |status: u16, why: String| unusable(status, why, bytes.len(), true);
-    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
-    let mut head = httparse::Request::new(&mut headers);
-    let from = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(from)) if from > HEAD => return lost(431, "a head too long".into()),
-        Ok(httparse::Status::Complete(from)) => from,
-        Ok(httparse::Status::Partial) if bytes.len() > HEAD => return lost(431, "a head without end".into()),
-        Ok(httparse::Status::Partial) => return None,
-        Err(httparse::Error::TooManyHeaders) => return lost(431, "too many headers".into()),
-        Err(error) => return lost(400, error.to_string()),
-    };
-    let (method, path) = (head.method.unwrap_or_default(), head.path.unwrap_or_default());
-    let headers = &*head.headers;
-    let (body, used) = match framing(headers) {
-        Err((status, why)) => return lost(status, why),
-        Ok(None) => (Vec::new(), from),
-        Ok(Some(framing)) => match body(&bytes[from..], framing) {
-            Err((status, why)) => return lost(status, why),
-            Ok(None) => return None,
-            Ok(Some((body, used))) => (body, from + used),
-        },
-    };
-    let said = header(headers, "Connection").unwrap_or_default();
-    let says = |word: &str| said.split(',').any(|w| w.trim().eq_ignore_ascii_case(word));
-    let close = says("close") || head.version == Some(0) && !says("keep-alive");
-    let path = path.split('?').next().unwrap_or_default();
-    let ask = match (method, path) {
-        ("GET", "/-/ready") => Ask::Ready,
-        ("GET", "/-/healthy") => Ask::Healthy,
-        ("GET", "/-/counters") => Ask::Counters,
-        (_, path) if path.starts_with("/-/") => Ask::Unusable(404, format!("no page {path}")),
-        ("POST", path) => {
-            let table_type = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-            scan(table_type, headers, &body).unwrap_or_else(|why| Ask::Unusable(400, why))
-        }
-        (method, _) => Ask::Unusable(405, format!("{method} is not for scans")),
-    };
-    Some(Request { ask, close, used })
+    Progress::default().request(bytes)
 }
 
 /// Longest id of a request that is taken.
 const ID: usize = 128;
+/// Weights come rounded, so that a sum of many may be off by so much.
+const ROUNDING: f64 = 1e-3;
 
 fn scan(table_type: &str, headers: &[httparse::Header], body: &[u8]) -> Result<Ask, String> {
-    let id = header(headers, "Req-Id").ok_or("Req-Id is missing")?;
+    let id = must(headers, "Req-Id")?;
     if id.is_empty() || id.len() > ID || !id.bytes().all(|b| b.is_ascii_graphic()) {
         return Err(format!("Req-Id {id:?} can't be used"));
     }
-    let wait = header(headers, "Req-Deadline-Ms").ok_or("Req-Deadline-Ms is missing")?;
-    let wait: u32 = wait.parse().map_err(|_| format!("Req-Deadline-Ms {wait:?} can't be read"))?;
+    let wait = must(headers, "Req-Deadline-Ms")?;
+    let wait: u32 = digits(wait)
+        .filter(|wait| *wait > 0)
+        .ok_or_else(|| format!("Req-Deadline-Ms {wait:?} can't be used"))?;
     let body: Value = serde_json::from_slice(body).map_err(|error| format!("the body: {error}"))?;
     let text = body["expr"].as_str().ok_or("expr is missing")?;
     let parts = body["parts"].as_array().ok_or("parts is missing")?;
@@ -204,12 +272,16 @@
     if shards.windows(2).any(|pair| pair[0] == pair[1]) {
         return Err("a part twice".to_owned());
     }
+    let sum: f64 = parts.iter().map(|p| p.weight).sum();
+    if (sum - 1.0).abs() > ROUNDING {
+        return Err(format!("weights come to {sum}"));
+    }
     Ok(Ask::Scan(ScanAsk {
         id: id.to_owned(),
         table_type: table_type.to_owned(),
-        customer: header(headers, "Req-Owner").map(str::to_owned),
+        customer: header(headers, "Req-Owner")?.map(str::to_owned),
         wait_ms: f64::from(wait),
-        retry: header(headers, "Req-Retry") == Some("1"),
+        retry: header(headers, "Req-Retry")? == Some("1"),
         text: text.to_owned(),
         parts,
     }))
@@ -217,7 +289,7 @@
 
 fn part(part: &Value) -> Result<PartAsk, String> {
     let shard = part["id"].as_u64().and_then(|id| u32::try_from(id).ok());
-    let weight = part["w"].as_f64().filter(|w| w.is_finite() && *w >= 0.0);
+    let weight = part["w"].as_f64().filter(|w| (0.0..=1.0).contains(w));
     let hint = &part["hint"];
     match (shard, weight) {
         _ if !hint.is_null() && !hint.is_number() => Err(format!("a part's hint is {hint}")),
@@ -236,6 +308,8 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
         501 => "Not Implemented",
@@ -282,8 +356,8 @@
     match head.parse(bytes) {
         Ok(httparse::Status::Complete(used)) => {
             let said = |name| header(head.headers, name);
-            let chunked = said("Transfer-Encoding").is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
-            let length = said("Content-Length").and_then(|l| l.parse().ok()).unwrap_or(0);
+            let chunked = said("Transfer-Encoding")?.is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
+            let length = said("Content-Length")?.and_then(digits).unwrap_or(0);
             let body = if chunked { Body::Chunked } else { Body::Length(length) };
             Ok(Some((head.code.unwrap_or_default(), body, used)))
         }
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -4,7 +4,7 @@
 mod clients;
 mod links;
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
 
 use log::{debug, info, warn};
@@ -30,6 +30,10 @@
         ask: Ask,
         close: bool,
     },
+    /// A request has begun to come and is not whole.
+    Begun {
+        conn: u64,
+    },
     ClientEnd {
         conn: u64,
     },
@@ -37,22 +41,16 @@
     LinkUp {
         link: u64,
     },
-    /// Nothing more comes from it.
-    LinkBroken {
-        link: u64,
-    },
     /// It is over; so many frames were written whole.
     LinkEnd {
         link: u64,
         written: u64,
     },
-    Frame {
+    /// What came on it together, and why nothing that follows can be read.
+    Frames {
         link: u64,
-        frame: Frame,
-    },
-    BadFrame {
-        link: u64,
-        why: String,
+        frames: Vec<Frame>,
+        bad: Option<String>,
     },
     /// What a watch told, by its number.
     List {
@@ -127,6 +125,8 @@
 
 struct Scan {
     conn: u64,
+    /// The id that its client gave.
+    name: String,
     text: String,
     parts: Vec<u64>,
 }
@@ -156,6 +156,8 @@
     Idle(u64),
     /// A client has had its time to close.
     Linger(u64),
+    /// A client has had its time to ask.
+    Quiet(u64),
     /// Something of draining is to be looked at.
     Drained,
 }
@@ -175,6 +177,8 @@
     links_cap: usize,
     clients: BTreeMap<u64, Client>,
     scans: BTreeMap<u64, Scan>,
+    /// The ids of requests that are open.
+    asked: HashSet<String>,
     parts: HashMap<u64, Part>,
     flights: BTreeMap<Leg, Flight>,
     /// By the address that the module knows them by.
@@ -211,6 +215,7 @@
             links_cap: half,
             clients: BTreeMap::new(),
             scans: BTreeMap::new(),
+            asked: HashSet::new(),
             parts: HashMap::new(),
             flights: BTreeMap::new(),
             srvs: BTreeMap::new(),
@@ -318,16 +323,18 @@
         match input {
             Input::ClientOpen { conn } => self.client_open(now, conn),
             Input::Asked { conn, ask, close } => self.asked(now, conn, ask, close),
+            Input::Begun { conn } => self.begun(now, conn),
             Input::ClientEnd { conn } => self.client_end(conn),
             Input::AcceptFailed => {
                 self.counters.accepts_failed += 1;
-                self.make_room();
+                self.make_room(now);
             }
             Input::LinkUp { link } => self.link_up(now, link),
-            Input::LinkBroken { link } => self.close_link(link, "broken"),
             Input::LinkEnd { link, written } => self.link_end(now, link, written),
-            Input::Frame { link, frame } => self.frame(now, link, frame),
-            Input::BadFrame { link, why } => self.bad_frame(now, link, &why),
+            Input::Frames { link, frames, bad } => {
+                frames.into_iter().for_each(|frame| self.frame(now, link, frame));
+                bad.into_iter().for_each(|why| self.bad_frame(now, link, &why));
+            }
             Input::List { watch, list } => self.watched(now, watch, list),
             Input::Reloaded(change) => self.reloaded(now, change),
             Input::WatchLost => self.counters.watches_lost += 1,
@@ -347,6 +354,7 @@
                     self.effects.push(Effect::HangUp { conn });
                 }
             }
+            Due::Quiet(conn) => self.quiet(now, conn),
             Due::Overdue(_) | Due::Drained => {}
         }
     }
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -1,7 +1,5 @@
 //! The reducer's part for clients: their connections, what they ask, the answers, and the end of the program.
 
-use std::collections::VecDeque;
-
 use log::{debug, info};
 use pewterwharf::interface::Event;
 
@@ -13,30 +11,53 @@
 /// Clients get so long to close after their last answer before the program ends.
 const LINGER_MS: f64 = 300.0;
 
+/// A client that has no request open may be let go of after so long: the protocol's time. One that has begun a
+/// request must have come to its end by then.
+const QUIET_MS: f64 = 2000.0;
+/// A client asks as soon as it is connected: after so long it is one that does not, the machine's own halts aside.
+const FRESH_MS: f64 = 100.0;
+/// Requests in a row that can't be used, after which the connection ends: a mistake is told more than once.
+const FAULTS: u32 = 3;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Standing {
+    /// Its last answer has been given.
+    Over,
+    /// It has not asked yet, or is in the midst of asking.
+    New,
+    /// It has asked and waits for nothing.
+    Resting,
+}
+
 pub(super) struct Client {
     /// The scan it waits for.
     scan: Option<u64>,
-    /// Asked ahead of their turn, with the time they came.
-    ahead: VecDeque<(f64, Ask, bool)>,
+    standing: Standing,
     /// The connection ends with the answer that is owed.
     close: bool,
-    /// Its last answer has been given.
-    over: bool,
     /// Told to send no more; what it had sent is still answered.
     hung: bool,
     /// Nothing more comes from it.
     ended: bool,
-    idle_since: f64,
+    /// Since when it stands so.
+    since: f64,
+    /// A due time for its rest is set.
+    watched: bool,
+    /// Requests that could not be used, in a row.
+    faults: u32,
 }
 
 impl Client {
     fn new(now: f64) -> Self {
-        let (scan, ahead, idle_since) = (None, VecDeque::new(), now);
-        Self { scan, ahead, close: false, over: false, hung: false, ended: false, idle_since }
+        let standing = Standing::New;
+        #[rustfmt::skip]
+        let client = Self { scan: None, standing, close: false, hung: false, ended: false, since: now,
+            watched: true, faults: 0 };
+        client
     }
 
     pub(super) fn idle(&self) -> bool {
-        self.scan.is_none() && !self.over && !self.hung
+        self.scan.is_none() && self.standing != Standing::Over && !self.hung
     }
 }
 
@@ -44,16 +65,66 @@
     pub(super) fn client_open(&mut self, now: f64, conn: u64) {
         self.counters.clients_accepted += 1;
         self.clients.insert(conn, Client::new(now));
-        if self.clients.len() > self.clients_cap {
-            self.make_room();
+        self.add_due(now + QUIET_MS, Due::Quiet(conn));
+        // Who is on its way out has been counted out already.
+        if self.clients.values().filter(|c| !c.hung).count() > self.clients_cap {
+            self.make_room(now);
+        }
+    }
+
+    pub(super) fn begun(&mut self, now: f64, conn: u64) {
+        if let Some(client) = self.clients.get_mut(&conn).filter(|c| c.idle()) {
+            (client.standing, client.since) = (Standing::New, now);
+            self.rest_client(now, conn);
+        }
+    }
+
+    /// Sets the time at which a client that asks nothing is looked at.
+    fn rest_client(&mut self, now: f64, conn: u64) {
+        if let Some(client) = self.clients.get_mut(&conn).filter(|c| !c.watched) {
+            client.watched = true;
+            self.add_due(now + QUIET_MS, Due::Quiet(conn));
         }
     }
 
-    /// Gives up the client that has been idle for longest.
-    pub(super) fn make_room(&mut self) {
-        let idle = self.clients.iter().filter(|c| c.1.idle());
-        let longest = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|c| *c.0);
-        if let Some(conn) = longest {
+    /// Who has not asked in its time is answered so; who rests leaves once half of the places are taken.
+    pub(super) fn quiet(&mut self, now: f64, conn: u64) {
+        let crowded = 2 * self.clients.len() > self.clients_cap;
+        let Some(client) = self.clients.get_mut(&conn) else { return };
+        client.watched = false;
+        if !client.idle() {
+            return;
+        }
+        if now < client.since + QUIET_MS {
+            client.watched = true;
+            let at = client.since + QUIET_MS;
+            return self.add_due(at, Due::Quiet(conn));
+        }
+        match client.standing {
+            Standing::New => {
+                self.counters.clients_slow += 1;
+                client.close = true;
+                self.answer(now, conn, 408, None, b"no whole request in time\n");
+            }
+            Standing::Resting if crowded => {
+                self.counters.clients_dropped_for_room += 1;
+                self.hang_up(conn);
+            }
+            _ => self.rest_client(now, conn),
+        }
+    }
+
+    /// Gives up the client that matters least: one that has had its last answer, else one that has had time to
+    /// ask and did not, else one at rest, else one that has just come; of these the one that stands so for longest.
+    pub(super) fn make_room(&mut self, now: f64) {
+        let free = self.clients.iter().filter(|c| c.1.scan.is_none() && !c.1.hung);
+        let rank = |c: &Client| match c.standing {
+            Standing::Over => 0,
+            Standing::New if now - c.since >= FRESH_MS => 1,
+            Standing::Resting => 2,
+            Standing::New => 3,
+        };
+        if let Some(conn) = free.min_by_key(|c| (rank(c.1), c.1.since.max(0.0).to_bits())).map(|c| *c.0) {
             self.counters.clients_dropped_for_room += 1;
             self.hang_up(conn);
         }
@@ -93,30 +164,29 @@
     }
 
     pub(super) fn asked(&mut self, now: f64, conn: u64, ask: Ask, close: bool) {
-        let Some(client) = self.clients.get_mut(&conn).filter(|c| !c.over) else { return };
-        if client.scan.is_none() {
-            return self.ask(now, conn, ask, close);
-        }
-        client.ahead.push_back((now, ask, close));
-    }
-
-    fn ask(&mut self, now: f64, conn: u64, ask: Ask, close: bool) {
-        if let Some(client) = self.clients.get_mut(&conn) {
-            client.close |= close;
-        }
+        let open = |c: &&mut Client| c.standing != Standing::Over && c.scan.is_none();
+        let Some(client) = self.clients.get_mut(&conn).filter(open) else { return };
+        client.close |= close;
+        client.faults += 1; // unless it turns out to be none
         match ask {
             Ask::Scan(ask) => match self.known(&ask) {
                 Ok((table_type, customer)) => self.scan(now, conn, ask, table_type, customer),
                 Err((status, why)) => self.unusable(now, conn, status, &why),
             },
+            Ask::Unusable(status, why) => self.unusable(now, conn, status, &why),
+            page => self.page(now, conn, &page),
+        }
+    }
+
+    fn page(&mut self, now: f64, conn: u64, page: &Ask) {
+        match page {
             Ask::Ready if matches!(self.phase, Phase::Ready) => self.answer(now, conn, 200, None, b"ready\n"),
             Ask::Ready => self.answer(now, conn, 503, None, b"not ready\n"),
-            Ask::Healthy => self.answer(now, conn, 200, None, b"healthy\n"),
             Ask::Counters => {
                 let text = self.counters().to_string();
                 self.answer(now, conn, 200, None, text.as_bytes());
             }
-            Ask::Unusable(status, why) => self.unusable(now, conn, status, &why),
+            _ => self.answer(now, conn, 200, None, b"healthy\n"),
         }
     }
 
@@ -131,20 +201,30 @@
             Some(name) => index(&self.terms.customer_names, name)
                 .ok_or_else(|| (400, format!("no customer {name:?}")))?,
         };
-        match ask.parts.iter().find(|p| p.shard >= self.terms.shards) {
-            Some(part) => Err((400, format!("no shard {}", part.shard))),
-            None => Ok((table_type, customer)),
+        if let Some(part) = ask.parts.iter().find(|p| p.shard >= self.terms.shards) {
+            return Err((400, format!("no shard {}", part.shard)));
+        }
+        // Nothing but its name tells an answer's part.
+        match self.asked.contains(&ask.id) {
+            true => Err((409, format!("the request {} is still open", ask.id))),
+            false => Ok((table_type, customer)),
         }
     }
 
     fn unusable(&mut self, now: f64, conn: u64, status: u16, why: &str) {
         self.counters.requests_unusable += 1;
         debug!("a request was answered {status}: {why}");
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.close |= client.faults >= FAULTS;
+        }
         self.answer(now, conn, status, None, format!("{why}\n").as_bytes());
     }
 
     fn scan(&mut self, now: f64, conn: u64, ask: ScanAsk, table_type: usize, customer: usize) {
         self.counters.scans_taken += 1;
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.faults = 0;
+        }
         let held = self.scans.len() + self.parts.len();
         if held + 1 + ask.parts.len() > self.terms.open_cap {
             self.counters.scans_throttled += 1;
@@ -153,7 +233,9 @@
         }
         let id = self.id();
         self.scan_number = self.scan_number.wrapping_add(1);
-        let (number, gone_at) = (self.scan_number, now + ask.wait_ms);
+        // Nobody waits for longer than agreed, whatever time is given.
+        let wait_ms = ask.wait_ms.min(self.terms.types[table_type].query_timeout_ms);
+        let (number, gone_at) = (self.scan_number, now + wait_ms);
         let work: Option<Vec<f64>> = ask.parts.iter().map(|p| p.work_ms).collect();
         let work_ms = work.map(|w| w.iter().sum());
         let retry = ask.retry;
@@ -168,7 +250,8 @@
             let part = Part { scan: id, name, shard: part.shard, sent: 0, value: None, links: Vec::new() };
             self.parts.insert(at, part);
         }
-        self.scans.insert(id, Scan { conn, text: ask.text, parts });
+        self.asked.insert(ask.id.clone());
+        self.scans.insert(id, Scan { conn, name: ask.id, text: ask.text, parts });
         self.add_due(gone_at, Due::Overdue(id));
         if let Some(client) = self.clients.get_mut(&conn) {
             client.scan = Some(id);
@@ -193,6 +276,7 @@
     /// Forgets a scan and its parts; dispatches that are out end by themselves.
     fn forget(&mut self, scan: u64) {
         let Some(scan) = self.scans.remove(&scan) else { return };
+        self.asked.remove(&scan.name);
         for id in scan.parts {
             if let Some(part) = self.parts.remove(&id) {
                 self.forget_part(part);
@@ -202,19 +286,18 @@
 
     fn answer(&mut self, now: f64, conn: u64, status: u16, back_in_ms: Option<f64>, body: &[u8]) {
         let Some(client) = self.clients.get_mut(&conn) else { return };
-        (client.scan, client.idle_since) = (None, now);
+        (client.scan, client.since, client.standing) = (None, now, Standing::Resting);
         client.close |= matches!(self.phase, Phase::Draining { .. } | Phase::Closed);
-        client.over = client.close;
-        let (last, ended, next) = (client.close, client.ended, client.ahead.pop_front());
+        let (last, ended) = (client.close, client.ended);
         let bytes = http::answer(status, back_in_ms, body, last);
         self.effects.push(Effect::Answer { conn, bytes, last });
         if ended {
             self.drop_client(conn);
         } else if last {
+            client.standing = Standing::Over;
             self.add_due(now + LINGER_MS, Due::Linger(conn));
-        }
-        if let Some((at, ask, close)) = next.filter(|_| !last) {
-            self.ask(at, conn, ask, close);
+        } else {
+            self.rest_client(now, conn);
         }
     }
 
@@ -253,7 +336,7 @@
         if !self.scans.is_empty() {
             return;
         }
-        let lingers = self.clients.values().map(|c| c.idle_since + LINGER_MS);
+        let lingers = self.clients.values().map(|c| c.since + LINGER_MS);
         let lingers = lingers.fold(listen_until + LINGER_MS, f64::max);
         if self.clients.is_empty() || lingers <= now {
             self.phase = Phase::Closed;
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -15,16 +15,19 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 
-use crate::client::{self, Line, Say};
+use crate::buffer::Room;
+use crate::client::{self, Line};
 use crate::clock::Clock;
 use crate::discovery::{self, Watch, Watches};
 use crate::reducer::{Effect, Input, Phase, Reducer};
-use crate::searcher;
+use crate::searcher::{self, Link};
 
 /// What the threads tell the service.
 enum Told {
     /// A client's connection.
     Client(f64, u64, Line),
+    /// A link that is up.
+    Link(f64, u64, Arc<TcpStream>),
     Input(f64, Input),
 }
 
@@ -41,6 +44,10 @@
         self.to.send(Told::Input(self.clock.now(), input)).is_ok()
     }
 
+    pub fn link(&self, link: u64, stream: Arc<TcpStream>) {
+        let _ = self.to.send(Told::Link(self.clock.now(), link, stream)); // or the program has ended
+    }
+
     pub fn client(&self, conn: u64, line: Line) {
         let _ = self.to.send(Told::Client(self.clock.now(), conn, line)); // or the program has ended
     }
@@ -60,7 +67,9 @@
 const STACK: usize = 256 * 1024;
 /// Inputs that may wait to be heard: whoever sends more, faster than they are taken, waits. The one thread that
 /// takes them sends none.
-const WAITING: usize = 4096;
+const WAITING: usize = 128;
+/// Of the memory stated, what the buffers of clients may grow to in sum, and those of searchers.
+const BUFFERS: usize = 8;
 /// Inputs that are taken together in one turn at most, so that no burst holds up what is due.
 const TOGETHER: usize = 256;
 
@@ -74,7 +83,9 @@
     stop: Arc<AtomicBool>,
     connect: Duration,
     clients: HashMap<u64, Line>,
-    links: HashMap<u64, Sender<Vec<u8>>>,
+    links: HashMap<u64, Link>,
+    /// For the buffers of searchers.
+    room: Room,
     watches: Arc<Watches>,
     /// What the service itself has met and the reducer is still to hear.
     met: Vec<(f64, Input)>,
@@ -118,7 +129,8 @@
         let (at, places) = (local(&listener)?, reducer.client_places());
         let stop = Arc::new(AtomicBool::new(false));
         let (told, stopped) = (tell.clone(), stop.clone());
-        spawn("accept", STACK, move || client::accept(&listener, places, &stopped, &told))?;
+        let (ours, room) = (Room::of(start.memory / BUFFERS), Room::of(start.memory / BUFFERS));
+        spawn("accept", STACK, move || client::accept(&listener, places, &ours, &stopped, &told))?;
         info!("{} listens on {at}", start.name);
         let told = tell.clone();
         spawn("signals", STACK, move || {
@@ -132,7 +144,7 @@
         })?;
         let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
         let mut service =
-            Self { clock, reducer, heard, tell, at, stop, connect, clients, links, watches, met };
+            Self { clock, reducer, heard, tell, at, stop, connect, clients, links, room, watches, met };
         effects.into_iter().for_each(|effect| service.carry_out(effect));
         Ok(service)
     }
@@ -164,20 +176,25 @@
                 self.clients.insert(conn, line);
                 inputs.push((at, Input::ClientOpen { conn }));
             }
-            Told::Input(at, input) => {
-                if let Input::LinkEnd { link, .. } = input {
-                    self.links.remove(&link);
+            Told::Link(at, link, stream) => {
+                if let Some(held) = self.links.get_mut(&link) {
+                    held.up(stream);
+                    inputs.push((at, Input::LinkUp { link }));
                 }
-                inputs.push((at, input));
             }
+            Told::Input(at, Input::LinkEnd { link, .. }) => {
+                let written = self.links.remove(&link).map_or(0, |held| held.written);
+                inputs.push((at, Input::LinkEnd { link, written }));
+            }
+            Told::Input(at, input) => inputs.push((at, input)),
         }
     }
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Answer { conn, bytes, last } => {
-                if let Some(line) = self.clients.get(&conn) {
-                    let _ = line.says.send(Say { bytes, last }); // who has gone needs no answer
+                if let Some(line) = self.clients.get_mut(&conn) {
+                    line.say(bytes, last);
                 }
             }
             Effect::HangUp { conn } => {
@@ -186,19 +203,25 @@
                 }
             }
             Effect::DropClient { conn } => drop(self.clients.remove(&conn)),
-            Effect::Connect { link, addr } => match searcher::open(link, addr, self.connect, &self.tell) {
-                Ok(frames) => drop(self.links.insert(link, frames)),
-                Err(error) => {
-                    debug!("no thread for {addr}: {error}");
-                    self.met.push((self.clock.now(), Input::LinkEnd { link, written: 0 }));
+            Effect::Connect { link, addr } => {
+                match searcher::open(link, addr, self.connect, &self.room, &self.tell) {
+                    Ok(()) => drop(self.links.insert(link, Link::default())),
+                    Err(error) => {
+                        debug!("no thread for {addr}: {error}");
+                        self.met.push((self.clock.now(), Input::LinkEnd { link, written: 0 }));
+                    }
                 }
-            },
+            }
             Effect::Write { link, bytes } => {
-                if let Some(frames) = self.links.get(&link) {
-                    let _ = frames.send(bytes); // its end is on the way
+                if let Some(link) = self.links.get_mut(&link) {
+                    link.write(&bytes);
+                }
+            }
+            Effect::CloseLink { link } => {
+                if let Some(link) = self.links.get_mut(&link) {
+                    link.close();
                 }
             }
-            Effect::CloseLink { link } => drop(self.links.remove(&link)),
             Effect::StopListening => {
                 self.stop.store(true, Ordering::Release);
                 // Wakes the thread that accepts.
--- a/crates/terms/src/start.rs
+++ b/crates/terms/src/start.rs
@@ -21,6 +21,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory in bytes that the process may take.
+    pub memory: usize,
     /// What the system allows of them.
     allowed: usize,
     /// The searcher list as last held, in discovery's form.
@@ -39,6 +41,8 @@
 impl Start {
     /// Where no limit on sockets is stated: what a process is commonly given.
     const SOCKETS: usize = 1024;
+    /// Where no limit on memory is stated: the least that a mixer is given.
+    const MEMORY_MB: f64 = 32.0;
     /// Fewer leave no room for clients, searchers and discovery together.
     const FEWEST: usize = 32;
 
@@ -63,6 +67,7 @@
             ("name", new.name != self.name),
             ("listen", new.listen != self.listen),
             ("limits.sockets", new.sockets.min(self.allowed) != self.sockets),
+            ("limits.memory_mb", new.memory != self.memory),
             ("settings", new.terms != self.terms),
         ];
         let at_restart = changed.into_iter().filter(|key| key.1).map(|key| key.0).collect();
@@ -90,6 +95,7 @@
                 .ok()
                 .with_context(|| format!("seed={seed} can't be read"))?,
             sockets,
+            memory: (lines.number("limits.memory_mb")?.unwrap_or(Self::MEMORY_MB) * 1048576.0) as usize,
             allowed: usize::MAX,
             known: known.unwrap_or_default(),
             terms: Terms::of_json(&settings.context("settings is missing")?).context("settings")?,
