One thread polls all connections of clients, answers are written at once

Profile (cpu-clock, 3,701 samples): 75% of it in clients' threads, 38% in switching to threads that are halted or woken with the whole process when its share of a core is used up, not in work. Ruled out: parsing (1%), the module and reducer (under 3%). A thread for each connection is too heavy for a fifth of a core; nearest relative: one thread that polls them with mio, which keeps std's sockets and needs no runtime.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -1,246 +1,399 @@
-//! Connections of clients: a thread that accepts, and for each connection one that reads. What is said to a
-//! client is written at once; a thread of its own writes on only where the client does not take it.
+//! Connections of clients: one thread accepts and reads them all, as a thread for each of hundreds that say
+//! nothing was measured to cost most of the CPU. Answers are written at once, from the service's own thread.
 
-use std::io::{self, ErrorKind, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use crossbeam_channel::{Receiver, Sender, unbounded};
 use log::debug;
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
 
 use crate::buffer::{Buffer, Room};
 use crate::http::{Ask, Progress, Request};
 use crate::reducer::Input;
-use crate::service::{Tell, spawn};
+use crate::service::Tell;
 
-/// Reading parses JSON; writing does nothing but write.
-const READ_STACK: usize = 128 * 1024;
-const WRITE_STACK: usize = 32 * 1024;
-/// The one loop waits so long for a client to take an answer, as good as not at all.
-const AT_ONCE: Duration = Duration::from_millis(1);
 /// A client that takes no bytes for so long is given up.
 const STUCK: Duration = Duration::from_secs(5);
+/// How often it is looked for the stuck, while an answer waits.
+const LOOK: Duration = Duration::from_secs(1);
 /// After a failed accept (no descriptors left, say) the next one waits so long.
 const PAUSE: Duration = Duration::from_millis(20);
-/// A thread that has served a connection waits so long for another one.
-const SPARE: Duration = Duration::from_secs(1);
 /// Bytes that are taken and passed over after a connection's last request, so that no reset overtakes its
 /// answer. Who sends more has had an answer and does not read it.
 const REST: usize = 64 * 1024;
 
-/// A client's connection, as the service holds it. All halves share one descriptor.
-pub struct Line {
-    stream: Arc<TcpStream>,
-    /// Lets the reader go on to the next request.
-    answered: Sender<()>,
-    /// To the thread that writes on, once there had to be one.
-    slow: Option<Sender<Say>>,
-}
+const LISTENER: Token = Token(0);
+const ORDERS: Token = Token(usize::MAX);
 
-/// Bytes to a client, and whether the connection ends with them.
-struct Say {
-    bytes: Vec<u8>,
-    last: bool,
+/// What the service and the reading thread share of a connection.
+struct Shared {
+    stream: TcpStream,
+    /// An answer is owed: the next request is taken up once it is given.
+    owing: AtomicBool,
+    /// The reader has more and waits for that answer.
+    waits: AtomicBool,
 }
 
-impl Line {
-    pub fn say(&mut self, bytes: Vec<u8>, last: bool) {
-        let mut say = Say { bytes, last };
-        if self.slow.is_none() {
-            match put(&self.stream, &say.bytes) {
-                Ok(()) => return said(&self.stream, &self.answered, last),
-                Err((written, ErrorKind::WouldBlock | ErrorKind::TimedOut)) => {
-                    say.bytes.drain(..written);
-                    self.slow = self.write_on().ok();
-                }
-                Err(_) => {}
+impl Shared {
+    /// Writes what can be written now; how much that was.
+    fn put(&self, bytes: &[u8]) -> io::Result<usize> {
+        let mut written = 0;
+        while written < bytes.len() {
+            match (&self.stream).write(&bytes[written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(count) => written += count,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) => return Err(error),
             }
         }
-        if self.slow.as_ref().is_none_or(|slow| slow.send(say).is_err()) {
-            let _ = self.stream.shutdown(Shutdown::Both); // the reader tells of the end
+        Ok(written)
+    }
+
+    /// An answer was written whole.
+    fn said(&self, last: bool) {
+        self.owing.store(false, Ordering::SeqCst);
+        if last {
+            // Reading goes on until the client has closed, so that no reset overtakes the answer.
+            let _ = self.stream.shutdown(Shutdown::Write);
         }
     }
+}
+
+enum Order {
+    /// The rest of an answer, and whether the connection ends with it.
+    Write(u64, Vec<u8>, bool),
+    /// The answer that it waited for is given.
+    Resume(u64),
+    /// Ends a connection once all is written.
+    Drop(u64),
+    StopListening,
+}
+
+/// The way to the reading thread.
+#[derive(Clone)]
+pub struct Orders {
+    to: Sender<Order>,
+    waker: Arc<Waker>,
+}
+
+impl Orders {
+    fn give(&self, order: Order) {
+        // The thread may have ended with the program.
+        let _ = self.to.send(order);
+        let _ = self.waker.wake();
+    }
+
+    pub fn stop_listening(&self) {
+        self.give(Order::StopListening);
+    }
+}
+
+/// A client's connection, as the service holds it.
+pub struct Line {
+    conn: u64,
+    shared: Arc<Shared>,
+    orders: Orders,
+    /// It once did not take an answer at once: from then on the reading thread writes.
+    slow: bool,
+}
 
-    fn write_on(&self) -> io::Result<Sender<Say>> {
-        let (slow, says) = unbounded(); // one more is owed at most, as the reader waits for it
-        let (out, answered) = (self.stream.clone(), self.answered.clone());
-        out.set_write_timeout(Some(STUCK))?;
-        spawn("client-out", WRITE_STACK, move || write_on(&out, &says, &answered))?;
-        Ok(slow)
+impl Line {
+    pub fn say(&mut self, mut bytes: Vec<u8>, last: bool) {
+        if !self.slow {
+            match self.shared.put(&bytes) {
+                Ok(written) if written == bytes.len() => {
+                    self.shared.said(last);
+                    if self.shared.waits.swap(false, Ordering::SeqCst) {
+                        self.orders.give(Order::Resume(self.conn));
+                    }
+                    return;
+                }
+                Ok(written) => drop(bytes.drain(..written)),
+                Err(_) => {
+                    let _ = self.shared.stream.shutdown(Shutdown::Both); // the reader tells of the end
+                    return;
+                }
+            }
+            self.slow = true;
+        }
+        self.orders.give(Order::Write(self.conn, bytes, last));
     }
 
-    /// Wakes the reader once it has read what has come.
+    /// Ends reading once what has come is read.
     pub fn hang_up(&self) {
-        let _ = self.stream.shutdown(Shutdown::Read); // it may be gone already
+        let _ = self.shared.stream.shutdown(Shutdown::Read); // it may be gone already
     }
 }
 
 impl Drop for Line {
     fn drop(&mut self) {
-        if self.slow.is_none() {
-            let _ = self.stream.shutdown(Shutdown::Both);
-        }
+        self.orders.give(Order::Drop(self.conn));
     }
 }
 
-/// Writes all; how much was written before it failed.
-fn put(mut stream: &TcpStream, bytes: &[u8]) -> Result<(), (usize, ErrorKind)> {
-    let mut written = 0;
-    while written < bytes.len() {
-        match stream.write(&bytes[written..]) {
-            Ok(0) => return Err((written, ErrorKind::WriteZero)),
-            Ok(count) => written += count,
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(error) => return Err((written, error.kind())),
-        }
-    }
-    Ok(())
+/// A connection, as the reading thread holds it.
+struct Conn {
+    shared: Arc<Shared>,
+    buffer: Buffer,
+    progress: Progress,
+    begun: bool,
+    /// Bytes still passed over after the last request.
+    over: Option<usize>,
+    /// What waits to be written, since when, and whether the connection ends with it or after it.
+    out: Vec<u8>,
+    since: Instant,
+    last: bool,
+    dropped: bool,
 }
 
-fn said(stream: &TcpStream, answered: &Sender<()>, last: bool) {
-    let _ = answered.try_send(()); // the reader may have ended
-    if last {
-        // The reader goes on until the client has closed, so that no reset overtakes the answer.
-        let _ = stream.shutdown(Shutdown::Write);
-    }
+/// All connections of clients, and the listener.
+pub struct Clients {
+    poll: Poll,
+    listener: Option<TcpListener>,
+    /// Connections that there may be, so that accepting never outruns the limit on descriptors.
+    places: usize,
+    conns: HashMap<u64, Conn>,
+    next: u64,
+    /// A place was left since connections were last accepted.
+    freed: bool,
+    /// No more is accepted until then.
+    pause: Option<Instant>,
+    room: Room,
+    orders: Orders,
+    given: Receiver<Order>,
+    tell: Tell,
 }
 
-fn write_on(stream: &TcpStream, says: &Receiver<Say>, answered: &Sender<()>) {
-    for Say { bytes, last } in says {
-        if put(stream, &bytes).is_err() {
-            break;
-        }
-        said(stream, answered, last);
+impl Clients {
+    pub fn open(listener: std::net::TcpListener, places: usize, room: Room, tell: Tell) -> io::Result<Self> {
+        listener.set_nonblocking(true)?;
+        let mut listener = TcpListener::from_std(listener);
+        let poll = Poll::new()?;
+        poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
+        let waker = Arc::new(Waker::new(poll.registry(), ORDERS)?);
+        let (to, given) = unbounded(); // no more than an answer and three words for each connection
+        let (listener, conns, orders) = (Some(listener), HashMap::new(), Orders { to, waker });
+        let (next, freed, pause) = (0, false, None);
+        Ok(Self { poll, listener, places, conns, next, freed, pause, room, orders, given, tell })
+    }
+
+    pub fn orders(&self) -> Orders {
+        self.orders.clone()
     }
-    let _ = stream.shutdown(Shutdown::Both);
-}
 
-/// Accepts until told to stop; a last connection of our own wakes it for that. Each connection takes one of
-/// the `places` until it has ended, so that accepting never outruns the limit on descriptors.
-pub fn accept(listener: &TcpListener, places: usize, room: &Room, stop: &AtomicBool, tell: &Tell) {
-    let (leave, place) = bounded(places);
-    for _ in 0..places {
-        let _ = leave.send(()); // it has room for all
-    }
-    let (give, jobs) = bounded(0);
-    let mut next = 0;
-    while !stop.load(Ordering::Acquire) && place.recv().is_ok() {
-        match listener.accept() {
-            Ok(_) if stop.load(Ordering::Acquire) => return,
-            Ok((stream, _)) => {
-                next += 1;
-                let owed = Owed { conn: next, leave: leave.clone(), tell: tell.clone() };
-                if let Err(error) = serve(stream, owed, room, &give, &jobs) {
-                    debug!("a client could not be served: {error}");
-                    tell.say(Input::AcceptFailed);
+    /// Runs for as long as the program does.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(256);
+        loop {
+            let look = self.conns.values().any(|c| !c.out.is_empty()).then_some(LOOK);
+            let pause = self.pause.map(|until| until.saturating_duration_since(Instant::now()));
+            let wait = look.into_iter().chain(pause).min();
+            match self.poll.poll(&mut events, wait) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            for event in &events {
+                match event.token() {
+                    LISTENER => self.accept(),
+                    ORDERS => self.obey(),
+                    Token(conn) => {
+                        if event.is_writable() {
+                            self.flush(conn as u64);
+                        }
+                        self.read(conn as u64);
+                    }
                 }
             }
-            Err(error) => {
-                debug!("accept: {error}");
-                let _ = leave.send(());
-                tell.say(Input::AcceptFailed);
-                std::thread::sleep(PAUSE);
+            let paused = self.pause.is_some_and(|until| until <= Instant::now());
+            if paused {
+                self.pause = None;
+            }
+            if std::mem::take(&mut self.freed) || paused {
+                self.accept();
+            }
+            if look.is_some() {
+                let stuck = self.conns.iter().filter(|(_, c)| !c.out.is_empty() && c.since.elapsed() > STUCK);
+                for conn in stuck.map(|c| *c.0).collect::<Vec<_>>() {
+                    self.end(conn);
+                }
             }
         }
     }
-}
 
-/// A connection that waits for a thread.
-struct Job {
-    stream: Arc<TcpStream>,
-    owing: Receiver<()>,
-    owed: Owed,
-}
+    fn accept(&mut self) {
+        while self.conns.len() < self.places
+            && self.pause.is_none()
+            && let Some(listener) = &self.listener
+        {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    if let Err(error) = self.begin(stream) {
+                        debug!("a client could not be served: {error}");
+                        self.tell.say(Input::AcceptFailed);
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => {
+                    debug!("accept: {error}");
+                    self.tell.say(Input::AcceptFailed);
+                    self.pause = Some(Instant::now() + PAUSE);
+                }
+            }
+        }
+    }
 
-/// Gives a connection to a thread that has none just now, or to a new one.
-fn serve(
-    stream: TcpStream,
-    owed: Owed,
-    room: &Room,
-    give: &Sender<Job>,
-    jobs: &Receiver<Job>,
-) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    stream.set_write_timeout(Some(AT_ONCE))?;
-    let stream = Arc::new(stream);
-    // One request is told at a time: the next is taken up once it is answered.
-    let (answered, owing) = bounded(1);
-    let _ = answered.send(()); // it has room for it
-    // The service knows the connection before its reader can tell of it.
-    owed.tell.client(owed.conn, Line { stream: stream.clone(), answered, slow: None });
-    let Err(job) = give.try_send(Job { stream, owing, owed }) else { return Ok(()) };
-    let (mut job, jobs, room) = (job.into_inner(), jobs.clone(), room.clone());
-    spawn("client", READ_STACK, move || {
-        loop {
-            read(&job.stream, &job.owing, &job.owed, &room);
-            drop(job);
-            match jobs.recv_timeout(SPARE) {
-                Ok(next) => job = next,
-                Err(_) => return,
+    fn begin(&mut self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        self.next += 1;
+        let conn = self.next;
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(conn as usize), interest)?;
+        let (owing, waits) = (AtomicBool::new(false), AtomicBool::new(false));
+        let shared = Arc::new(Shared { stream, owing, waits });
+        let line = Line { conn, shared: shared.clone(), orders: self.orders.clone(), slow: false };
+        let (buffer, progress, out, since) =
+            (Buffer::new(&self.room), Progress::default(), Vec::new(), Instant::now());
+        let (begun, over, last, dropped) = (false, None, false, false);
+        self.conns.insert(conn, Conn { shared, buffer, progress, begun, over, out, since, last, dropped });
+        // The service knows the connection before anything else is told of it.
+        self.tell.client(conn, line);
+        self.read(conn);
+        Ok(())
+    }
+
+    fn obey(&mut self) {
+        while let Ok(order) = self.given.try_recv() {
+            match order {
+                Order::Write(conn, bytes, last) => {
+                    if let Some(held) = self.conns.get_mut(&conn) {
+                        held.since = Instant::now();
+                        held.out.extend_from_slice(&bytes);
+                        held.last |= last;
+                    }
+                    self.flush(conn);
+                }
+                Order::Resume(conn) => self.read(conn),
+                Order::Drop(conn) => {
+                    let Some(held) = self.conns.get_mut(&conn) else { continue };
+                    held.dropped = true;
+                    if held.out.is_empty() {
+                        self.end(conn);
+                    }
+                }
+                Order::StopListening => self.listener = None,
             }
         }
-    })
-}
+    }
 
-/// Tells of a connection's end and leaves its place however its thread ends, a panic included.
-struct Owed {
-    conn: u64,
-    leave: Sender<()>,
-    tell: Tell,
-}
+    fn flush(&mut self, conn: u64) {
+        let Some(held) = self.conns.get_mut(&conn).filter(|c| !c.out.is_empty()) else { return };
+        match held.shared.put(&held.out) {
+            Ok(0) => return,
+            Ok(written) => drop(held.out.drain(..written)),
+            Err(_) => return self.end(conn),
+        }
+        held.since = Instant::now();
+        if held.out.is_empty() {
+            held.out = Vec::new();
+            held.shared.said(held.last);
+            match held.dropped {
+                true => self.end(conn),
+                false => self.read(conn),
+            }
+        }
+    }
 
-impl Drop for Owed {
-    fn drop(&mut self) {
-        let _ = self.leave.send(()); // nobody accepts any more
-        self.tell.say(Input::ClientEnd { conn: self.conn });
+    fn read(&mut self, conn: u64) {
+        let Some(held) = self.conns.get_mut(&conn) else { return };
+        if !held.read(conn, &self.tell) {
+            self.end(conn);
+        }
+    }
+
+    /// Ends a connection and makes its place free.
+    fn end(&mut self, conn: u64) {
+        if let Some(held) = self.conns.remove(&conn) {
+            let _ = held.shared.stream.shutdown(Shutdown::Both);
+            self.tell.say(Input::ClientEnd { conn });
+            self.freed = true;
+        }
     }
 }
 
-fn read(mut stream: &TcpStream, owing: &Receiver<()>, owed: &Owed, room: &Room) {
-    let (mut buffer, mut progress, mut begun) = (Buffer::new(room), Progress::default(), false);
-    let conn = owed.conn;
-    loop {
-        match buffer.fill(&mut stream) {
-            Ok(1..) => {}
-            Err(error) if error.kind() == ErrorKind::OutOfMemory => {
-                if owing.recv().is_ok() {
-                    let ask = Ask::Unusable(503, "no room for so long a request".to_owned());
-                    owed.tell.say(Input::Asked { conn, ask, close: true });
+/// What became of a request that may have come.
+enum Taken {
+    Up,
+    Waits,
+    Nothing,
+}
+
+impl Conn {
+    /// Reads what has come, up to a request that has to wait for its turn; false at the connection's end.
+    fn read(&mut self, conn: u64, tell: &Tell) -> bool {
+        loop {
+            if let Some(left) = &mut self.over {
+                let mut bytes = [0; 4096];
+                match (&self.shared.stream).read(&mut bytes) {
+                    Ok(count) if count > 0 && count < *left => *left -= count,
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => return true,
+                    Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                    _ => return false,
                 }
-                return pass_over(stream);
+                continue;
             }
-            _ => return,
-        }
-        while let Some(Request { ask, close, used }) = progress.request(buffer.bytes()) {
-            if owing.recv().is_err() {
-                return; // nothing can be written any more
+            match self.take_up(conn, tell) {
+                Taken::Up => continue, // more may have come with it
+                Taken::Waits => return true,
+                Taken::Nothing => {}
             }
-            buffer.used(used);
-            begun = false;
-            owed.tell.say(Input::Asked { conn, ask, close });
-            if close {
-                drop(buffer);
-                return pass_over(stream);
+            match self.buffer.fill(&mut &self.shared.stream) {
+                Ok(1..) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    if !self.buffer.bytes().is_empty() && !self.begun {
+                        self.begun = true;
+                        tell.say(Input::Begun { conn });
+                    }
+                    return true;
+                }
+                Err(error) if error.kind() == ErrorKind::OutOfMemory => {
+                    let ask = Ask::Unusable(503, "no room for so long a request".to_owned());
+                    self.over = Some(REST);
+                    tell.say(Input::Asked { conn, ask, close: true });
+                }
+                _ => return false,
             }
         }
-        if !buffer.bytes().is_empty() && !begun {
-            begun = true;
-            owed.tell.say(Input::Begun { conn });
-        }
     }
-}
 
-/// Nothing that follows the last request counts.
-fn pass_over(mut stream: &TcpStream) {
-    let (mut bytes, mut left) = ([0; 4096], REST);
-    while left > 0 {
-        match io::Read::read(&mut stream, &mut bytes) {
-            Ok(0) => return,
-            Ok(count) => left = left.saturating_sub(count),
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(_) => return,
+    /// Tells of the request that has come, unless it has to wait for the last one's answer.
+    fn take_up(&mut self, conn: u64, tell: &Tell) -> Taken {
+        if self.shared.owing.load(Ordering::SeqCst) && !self.buffer.bytes().is_empty() {
+            // Whoever answers looks at the one after it has changed the other.
+            self.shared.waits.store(true, Ordering::SeqCst);
+            if self.shared.owing.load(Ordering::SeqCst) {
+                return Taken::Waits;
+            }
+            self.shared.waits.store(false, Ordering::SeqCst);
+        }
+        let Some(Request { ask, close, used }) = self.progress.request(self.buffer.bytes()) else {
+            return Taken::Nothing;
+        };
+        self.buffer.used(used);
+        self.begun = false;
+        self.shared.owing.store(true, Ordering::SeqCst);
+        if close {
+            self.over = Some(REST);
+            self.buffer.used(usize::MAX);
         }
+        tell.say(Input::Asked { conn, ask, close });
+        Taken::Up
     }
 }
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -179,6 +179,9 @@
     }
 
     fn page(&mut self, now: f64, conn: u64, page: &Ask) {
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.faults = 0;
+        }
         match page {
             Ask::Ready if matches!(self.phase, Phase::Ready) => self.answer(now, conn, 200, None, b"ready\n"),
             Ask::Ready => self.answer(now, conn, 503, None, b"not ready\n"),
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::thread::Builder;
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 use signal_hook::iterator::Signals;
 
 use crate::buffer::Room;
-use crate::client::{self, Line};
+use crate::client::{Clients, Line, Orders};
 use crate::clock::Clock;
 use crate::discovery::{self, Watch, Watches};
 use crate::reducer::{Effect, Input, Phase, Reducer};
@@ -79,8 +79,7 @@
     reducer: Reducer,
     heard: Receiver<Told>,
     tell: Tell,
-    at: SocketAddr,
-    stop: Arc<AtomicBool>,
+    orders: Orders,
     connect: Duration,
     clients: HashMap<u64, Line>,
     links: HashMap<u64, Link>,
@@ -127,10 +126,15 @@
         spawn("discovery", STACK, move || first.run(connect, &counted, &told))?;
         let listener = TcpListener::bind(start.listen).with_context(|| format!("listen={}", start.listen))?;
         let (at, places) = (local(&listener)?, reducer.client_places());
-        let stop = Arc::new(AtomicBool::new(false));
-        let (told, stopped) = (tell.clone(), stop.clone());
         let (ours, room) = (Room::of(start.memory / BUFFERS), Room::of(start.memory / BUFFERS));
-        spawn("accept", STACK, move || client::accept(&listener, places, &ours, &stopped, &told))?;
+        let clients =
+            Clients::open(listener, places, ours, tell.clone()).context("connections of clients")?;
+        let orders = clients.orders();
+        spawn("clients", STACK, move || {
+            if let Err(error) = clients.run() {
+                log::error!("connections of clients: {error}");
+            }
+        })?;
         info!("{} listens on {at}", start.name);
         let told = tell.clone();
         spawn("signals", STACK, move || {
@@ -144,7 +148,7 @@
         })?;
         let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
         let mut service =
-            Self { clock, reducer, heard, tell, at, stop, connect, clients, links, room, watches, met };
+            Self { clock, reducer, heard, tell, orders, connect, clients, links, room, watches, met };
         effects.into_iter().for_each(|effect| service.carry_out(effect));
         Ok(service)
     }
@@ -222,12 +226,7 @@
                     link.close();
                 }
             }
-            Effect::StopListening => {
-                self.stop.store(true, Ordering::Release);
-                // Wakes the thread that accepts.
-                let (at, wait) = (self.at, self.connect);
-                let _ = spawn("wake", STACK, move || drop(TcpStream::connect_timeout(&at, wait)));
-            }
+            Effect::StopListening => self.orders.stop_listening(),
             Effect::Watch { number, at } => {
                 self.watches.wanted.store(number, Ordering::Release);
                 let (watch, connect) = (Watch { number, at, index: None }, self.connect);
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -73,6 +73,14 @@
     line
 }
 
+impl Drop for Mixer {
+    /// A test that fails leaves nothing behind.
+    fn drop(&mut self) {
+        let _ = self.child.kill(); // it may have ended
+        let _ = self.child.wait();
+    }
+}
+
 impl Mixer {
     fn connect(&self) -> TcpStream {
         TcpStream::connect(self.addr).expect("the mixer accepts")
