What never went out on a link is spoilt, late answers and second copies are honest

Names of parts that were answered or whose scan had ended were forgotten (links.rs forget_part, frame), so an id that never went out passed as stale, and its link stayed while its parts waited for their time. Tests: frames cut and malformed, the reducer's traces, a spoilt answer and 100 silent clients on loopback, 4,000 searchers and clients that come and go and leave all maps as they were.

--- a/crates/mixer/src/frame.rs
+++ b/crates/mixer/src/frame.rs
@@ -2,6 +2,8 @@
 
 /// Longest frame that is taken: a client's answer may hold 64 KiB and a part's value no more, with a line.
 const LONGEST: usize = 68 * 1024;
+/// An answer's line is shorter: an id, an end, a score and a load report.
+const LINE: usize = 4 * 1024;
 
 /// How a searcher answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,7 +21,8 @@
         verdict: Verdict,
         value: String,
     },
-    Probe(Verdict),
+    /// What a probe was answered; none where the words are unknown.
+    Probe(Option<Verdict>),
     /// It could not use the frame before, and closes the connection.
     Unusable(String),
 }
@@ -31,31 +34,52 @@
     if !(1..=LONGEST).contains(&length) {
         return Err(format!("a frame of {length} bytes"));
     }
-    let Some(frame) = rest.get(..length) else { return Ok(None) };
+    // What can't become a frame is told at once, however much of it is still to come.
+    match rest.first() {
+        None | Some(b'O' | b'I' | b'Z') => {}
+        Some(letter) => return Err(format!("a frame of letter {:?}", char::from(*letter))),
+    }
+    let Some(frame) = rest.get(..length) else {
+        let endless = rest.len() > LINE && rest[0] == b'O' && !rest[..LINE].contains(&b'\n');
+        return if endless { Err("an answer's line that does not end".to_owned()) } else { Ok(None) };
+    };
     let body = &frame[1..];
     let frame = match frame[0] {
         b'O' => part(body)?,
-        b'I' | b'U' => Frame::Probe(if body.starts_with(b"500") { Verdict::Error } else { Verdict::Ok }),
-        b'Z' => Frame::Unusable(String::from_utf8_lossy(body).chars().take(200).collect()),
-        letter => return Err(format!("a frame of letter {:?}", char::from(letter))),
+        b'I' => Frame::Probe(match body {
+            b"200" => Some(Verdict::Ok),
+            b"500" => Some(Verdict::Error),
+            _ => None,
+        }),
+        _ => Frame::Unusable(String::from_utf8_lossy(body).chars().take(200).collect()),
     };
     Ok(Some((frame, 4 + length)))
 }
 
+/// A line of four words, of which the report may be anything: a good answer may bring one that can't be read.
 fn part(body: &[u8]) -> Result<Frame, String> {
     let split = body.iter().position(|b| *b == b'\n').ok_or("an answer without a line")?;
-    let line = std::str::from_utf8(&body[..split]).map_err(|_| "an answer's line is not text")?;
-    let mut words = line.split_ascii_whitespace();
-    let (Some(id), Some(end)) = (words.next(), words.next()) else {
-        return Err(format!("an answer's line is {line:?}"));
+    let mut words = body[..split].split(|b| *b == b' ').filter(|word| !word.is_empty());
+    let (Some(id), Some(end), Some(score), Some(_)) =
+        (words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err(format!("an answer's line is {:?}", String::from_utf8_lossy(&body[..split])));
     };
     let verdict = match end {
-        "200" => Verdict::Ok,
-        "500" => Verdict::Error,
-        "503" => Verdict::Full,
-        other => return Err(format!("an answer that ends {other:?}")),
+        b"200" => Verdict::Ok,
+        b"500" => Verdict::Error,
+        b"503" => Verdict::Full,
+        other => return Err(format!("an answer that ends {:?}", String::from_utf8_lossy(other))),
     };
+    if !score.iter().all(u8::is_ascii_digit) {
+        return Err(format!("an answer of score {:?}", String::from_utf8_lossy(score)));
+    }
+    let id = std::str::from_utf8(id).map_err(|_| "an answer's id is not text")?;
     let value = std::str::from_utf8(&body[split + 1..]).map_err(|_| "a value is not text")?;
+    // Longer than told, it runs into the length of the frame behind it.
+    if value.chars().any(|c| c.is_control() && !c.is_whitespace()) {
+        return Err("a value with control characters".to_owned());
+    }
     Ok(Frame::Part { id: id.to_owned(), verdict, value: value.to_owned() })
 }
 
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
+use std::rc::Rc;
 
 use log::{debug, info, warn};
 use pewterwharf::interface::{Action, Decide, Ending, Event, ListKind};
@@ -134,12 +135,10 @@
 struct Part {
     scan: u64,
     /// Its name on the wire.
-    name: String,
+    name: Rc<str>,
     shard: u32,
     sent: u8,
     value: Option<String>,
-    /// Links that it went out on.
-    links: Vec<u64>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -263,6 +262,21 @@
         self.discovery = Some(at);
     }
 
+    /// How much of everything is held, for those who watch that nothing grows with the day.
+    pub fn sizes(&self) -> [(&'static str, usize); 9] {
+        [
+            ("clients", self.clients.len()),
+            ("scans", self.scans.len()),
+            ("asked", self.asked.len()),
+            ("parts", self.parts.len()),
+            ("flights", self.flights.len()),
+            ("searchers", self.srvs.len()),
+            ("names", self.names.len()),
+            ("links", self.links.len()),
+            ("due", self.due.len()),
+        ]
+    }
+
     /// The list as it was held before the start.
     pub fn cached(&mut self, now: f64, list: List) -> Vec<Effect> {
         self.listed(now, list, ListKind::Cached);
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -248,9 +248,8 @@
             let at = self.id();
             parts.push(at);
             self.events.push(Event::Part { id: at, number, shard: part.shard, weight: part.weight });
-            let name = format!("{}.{}", ask.id, part.shard);
-            #[rustfmt::skip]
-            let part = Part { scan: id, name, shard: part.shard, sent: 0, value: None, links: Vec::new() };
+            let name = format!("{}.{}", ask.id, part.shard).into();
+            let part = Part { scan: id, name, shard: part.shard, sent: 0, value: None };
             self.parts.insert(at, part);
         }
         self.asked.insert(ask.id.clone());
@@ -281,9 +280,7 @@
         let Some(scan) = self.scans.remove(&scan) else { return };
         self.asked.remove(&scan.name);
         for id in scan.parts {
-            if let Some(part) = self.parts.remove(&id) {
-                self.forget_part(part);
-            }
+            self.parts.remove(&id);
         }
     }
 
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -2,17 +2,20 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddrV4;
+use std::rc::Rc;
 
 use log::{debug, info};
 use pewterwharf::interface::{Ending, Event, Life, ListKind, Listed};
 use pewterwharf_terms::Change;
 
-use super::{Due, Effect, Leg, Part, Phase, Reducer};
+use super::{Due, Effect, Leg, Phase, Reducer};
 use crate::discovery::{Entry, List};
 use crate::frame::{self, Frame, Piece, Verdict};
 
 /// Part of the searchers' idle time after which a link is closed here, so that no dispatch meets a close.
 const IDLE: f64 = 0.8;
+/// Names of ended dispatches that a link remembers: seconds of one that is in full use, the whole life of others.
+const OVER: usize = 512;
 
 pub(super) struct Searcher {
     name: String,
@@ -40,8 +43,10 @@
     frames: u64,
     /// Calls out, and how many parts of each.
     calls: BTreeMap<u64, usize>,
-    /// Parts that an answer may come for: none once the dispatch is over.
-    out: HashMap<String, Option<Leg>>,
+    /// Names that went out on it, and what may come of them.
+    out: HashMap<Rc<str>, Awaits>,
+    /// Of these, the names of those that are over, the oldest first.
+    over: VecDeque<Rc<str>>,
     probes: VecDeque<Probe>,
     /// When anything last came on it.
     heard_at: f64,
@@ -52,6 +57,23 @@
     watched: bool,
 }
 
+/// What may come for a name that went out on a link.
+#[derive(Clone, Copy, PartialEq)]
+enum Awaits {
+    /// The answer to a dispatch that is out.
+    Answer(Leg),
+    /// That of one that is over: it must not be taken for a later dispatch's.
+    Late,
+    /// A second copy of one that has come.
+    Copy,
+}
+
+impl Awaits {
+    fn leg(self) -> Option<Leg> {
+        if let Self::Answer(leg) = self { Some(leg) } else { None }
+    }
+}
+
 enum Queued {
     Call(u64, Vec<Leg>),
     Probe,
@@ -67,6 +89,8 @@
 }
 
 pub(super) struct Flight {
+    /// The part's name.
+    name: Rc<str>,
     link: u64,
     call: u64,
     srv: SocketAddrV4,
@@ -81,9 +105,20 @@
         self.standing == Standing::Up && self.calls.is_empty() && self.probes.is_empty()
     }
 
-    /// The name under which a dispatch is out.
-    fn name_of(&self, leg: Leg) -> Option<String> {
-        self.out.iter().find(|(_, l)| **l == Some(leg)).map(|(name, _)| name.clone())
+    /// A dispatch is over. If it went out, its answer may still come, or come again, and must be told from a
+    /// later dispatch's and from one that nobody asked for.
+    fn over(&mut self, name: &Rc<str>, went_out: bool) {
+        let answered = self.out.remove(name) == Some(Awaits::Copy);
+        if went_out {
+            self.out.insert(name.clone(), if answered { Awaits::Copy } else { Awaits::Late });
+            self.over.push_back(name.clone());
+        }
+        if self.over.len() > OVER
+            && let Some(oldest) = self.over.pop_front()
+            && !matches!(self.out.get(&oldest), Some(Awaits::Answer(_)))
+        {
+            self.out.remove(&oldest);
+        }
     }
 }
 
@@ -103,8 +138,8 @@
         held.sent = held.sent.saturating_add(1);
         self.counters.dispatches += 1;
         self.counters.dispatches_further += u64::from(leg.1 > 0);
-        let until = now + patience_ms;
-        self.flights.insert(leg, Flight { link: 0, call: 0, srv, sent_at: now, until, frame: None });
+        let (until, name) = (now + patience_ms, held.name.clone());
+        self.flights.insert(leg, Flight { name, link: 0, call: 0, srv, sent_at: now, until, frame: None });
         if u32::from(leg.1) >= self.terms.permits.dispatches {
             self.end_flight(now, leg, Ending::Moot);
             return None;
@@ -115,14 +150,13 @@
 
     /// Sends a call on the first link with room, or on a new one.
     pub(super) fn send(&mut self, now: f64, srv: SocketAddrV4, legs: &[Leg]) {
-        let names: Vec<&str> =
-            legs.iter().filter_map(|l| Some(self.parts.get(&l.0)?.name.as_str())).collect();
+        let names: Vec<&Rc<str>> = legs.iter().filter_map(|l| Some(&self.flights.get(l)?.name)).collect();
         let links = self.links_to(srv);
         let fits = |id: &&u64| {
             self.links.get(id).is_some_and(|link| {
                 link.calls.len() < self.terms.calls_per_link
                     // An answer to an earlier dispatch of a part must not be taken for this one's.
-                    && !names.iter().any(|name| link.out.contains_key(*name))
+                    && !names.iter().any(|name| link.out.get(*name).is_some_and(|o| *o != Awaits::Copy))
             })
         };
         let link = links.iter().find(fits).copied().or_else(|| self.connect(now, srv));
@@ -132,14 +166,11 @@
         };
         let call = self.id();
         for leg in legs {
-            let (Some(flight), Some(part)) = (self.flights.get_mut(leg), self.parts.get_mut(&leg.0)) else {
-                continue;
-            };
+            let Some(flight) = self.flights.get_mut(leg) else { continue };
             (flight.link, flight.call) = (id, call);
-            part.links.push(id);
             if let Some(link) = self.links.get_mut(&id) {
                 *link.calls.entry(call).or_default() += 1;
-                link.out.insert(part.name.clone(), Some(*leg));
+                link.out.insert(flight.name.clone(), Awaits::Answer(*leg));
             }
         }
         let Some(link) = self.links.get_mut(&id) else { return };
@@ -198,10 +229,10 @@
             && self.terms.permits.cancel
             && let Some(link) = self.links.get_mut(&flight.link)
             && link.standing == Standing::Up
-            && let Some(name) = link.name_of(leg)
         {
             link.frames += 1;
-            self.effects.push(Effect::Write { link: flight.link, bytes: frame::give_up(&name) });
+            let bytes = frame::give_up(&flight.name);
+            self.effects.push(Effect::Write { link: flight.link, bytes });
         }
         self.end_flight(now, leg, ending);
     }
@@ -222,14 +253,7 @@
         *count += 1;
         let took_ms = now - flight.sent_at;
         if let Some(link) = self.links.get_mut(&flight.link) {
-            // While its scan is open, a late answer may still come and must be told from a later dispatch's.
-            let open = flight.frame.is_some() && self.parts.contains_key(&leg.0);
-            if let Some(name) = link.name_of(leg) {
-                match open {
-                    true => drop(link.out.insert(name, None)),
-                    false => drop(link.out.remove(&name)),
-                }
-            }
+            link.over(&flight.name, flight.frame.is_some());
             if let Some(left) = link.calls.get_mut(&flight.call) {
                 *left -= 1;
                 if *left == 0 {
@@ -246,8 +270,9 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         (link.heard_at, link.silent) = (now, false);
         match frame {
-            Frame::Part { id: name, verdict, value } => match link.out.remove(&name) {
-                Some(Some(leg)) => {
+            Frame::Part { id: name, verdict, value } => match link.out.get_mut(name.as_str()) {
+                Some(held) if let Some(leg) = held.leg() => {
+                    *held = Awaits::Copy;
                     let ending = match verdict {
                         Verdict::Ok => Ending::Ok,
                         Verdict::Error => Ending::Error,
@@ -258,12 +283,20 @@
                     }
                     self.end_flight(now, leg, ending);
                 }
-                _ => self.counters.answers_stale += 1,
+                Some(_) => self.counters.answers_stale += 1,
+                None => self.bad_frame(now, id, &format!("an answer for {name}, which never went out on it")),
             },
+            // Where probes are not allowed, their answers tell nothing.
+            Frame::Probe(None) if self.terms.permits.probe => {
+                self.bad_frame(now, id, "a probe's answer of unknown words");
+            }
             Frame::Probe(verdict) => {
-                let Some(probe) = link.probes.pop_front() else { return };
+                let Some(probe) = link.probes.pop_front() else {
+                    self.counters.answers_stale += 1;
+                    return;
+                };
                 if !probe.over {
-                    let ending = if verdict == Verdict::Ok { Ending::Ok } else { Ending::Error };
+                    let ending = if verdict == Some(Verdict::Error) { Ending::Error } else { Ending::Ok };
                     self.counters.probes_ok += u64::from(ending == Ending::Ok);
                     let (searcher, took_ms) = (link.srv, now - probe.sent_at);
                     self.events.push(Event::Probed { searcher, ending, took_ms });
@@ -331,15 +364,6 @@
         }
     }
 
-    /// Answers to a part that is over need not be told from others any more.
-    pub(super) fn forget_part(&mut self, part: Part) {
-        for link in part.links {
-            if let Some(link) = self.links.get_mut(&link) {
-                link.out.retain(|name, leg| leg.is_some() || *name != part.name);
-            }
-        }
-    }
-
     /// The links that new calls and probes to a searcher may go on.
     fn links_to(&self, srv: SocketAddrV4) -> Vec<u64> {
         let Some(srv) = self.srvs.get(&srv) else { return Vec::new() };
@@ -362,6 +386,7 @@
             frames: 0,
             calls: BTreeMap::new(),
             out: HashMap::new(),
+            over: VecDeque::new(),
             probes: VecDeque::new(),
             heard_at: now,
             silent: false,
@@ -440,7 +465,7 @@
             let (searcher, ending, took_ms) = (link.srv, told(probe.frame), now - probe.sent_at);
             self.events.push(Event::Probed { searcher, ending, took_ms });
         }
-        let mut legs: Vec<Leg> = link.out.into_values().flatten().collect();
+        let mut legs: Vec<Leg> = link.out.into_values().filter_map(Awaits::leg).collect();
         legs.sort_unstable();
         for leg in legs {
             let ending = told(self.flights.get(&leg).and_then(|f| f.frame));
--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -20,6 +20,8 @@
     Hangs,
     /// Ends the connection.
     Dies,
+    /// Answers for a part that it was not asked for.
+    Spoils,
 }
 
 /// Serves the connections of one searcher; what it is sent is told to `heard`, where somebody listens.
@@ -45,6 +47,7 @@
         match (letter, manner) {
             (b'K', _) | (_, Manner::Hangs) => {}
             (b'D', Manner::Dies) => return output.shutdown(std::net::Shutdown::Both),
+            (b'D', Manner::Spoils) => send(&mut output, b'O', "nobody.0 200 1 -\nvalue")?,
             (b'D', Manner::Answers) => {
                 while !rest.is_empty() {
                     let mut line = String::new();
