--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -320,8 +320,8 @@
 
     /// Ends a connection and makes its place free.
     fn end(&mut self, conn: u64) {
-        if let Some(held) = self.conns.remove(&conn) {
-            let _ = held.shared.stream.shutdown(Shutdown::Both);
+        // The service may still owe an answer where reading was ended on our side: the last to hold it closes it.
+        if self.conns.remove(&conn).is_some() {
             self.tell.say(Input::ClientEnd { conn });
             self.freed = true;
         }
