--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -5,74 +5,16 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Error, Result, bail, ensure};
+use anyhow::{Context, Error, Result, ensure};
 use log::{debug, warn};
-use pewterwharf::interface::Life;
-use serde_json::Value;
+
+pub use pewterwharf_terms::list::{Entry, List, list};
 
 use crate::buffer::{Buffer, Room};
 use crate::http::{self, Body};
 use crate::reducer::Input;
 use crate::service::Tell;
 
-/// One searcher as discovery describes it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    pub name: String,
-    pub addr: SocketAddrV4,
-    pub zone: String,
-    pub cell: u32,
-    pub since: f64,
-    pub life: Life,
-}
-
-/// The whole list, or what has changed in it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct List {
-    pub index: u64,
-    pub whole: bool,
-    pub entries: Vec<Entry>,
-    /// Why an entry was passed over.
-    pub bad: Vec<String>,
-}
-
-/// Reads a list; an entry that can't be read does not take the others with it.
-pub fn list(value: &Value) -> Result<List> {
-    let entries = value["endpoints"].as_array().context("endpoints is missing")?;
-    let mut list = List {
-        index: value["index"].as_u64().context("index is missing")?,
-        whole: value["snapshot"].as_bool().context("snapshot is missing")?,
-        entries: Vec::new(),
-        bad: Vec::new(),
-    };
-    for entry in entries {
-        match read(entry) {
-            Ok(entry) => list.entries.push(entry),
-            Err(error) => list.bad.push(format!("{error:#} in {entry}")),
-        }
-    }
-    Ok(list)
-}
-
-fn read(entry: &Value) -> Result<Entry> {
-    let word = |key: &str| entry[key].as_str().with_context(|| format!("{key} is missing"));
-    let life = match word("status")? {
-        "up" => Life::Ready,
-        "draining" => Life::Draining,
-        "removed" => Life::Gone,
-        other => bail!("status {other} is unknown"),
-    };
-    let since = entry["since_ms"].as_f64().unwrap_or(0.0);
-    Ok(Entry {
-        name: word("name")?.to_owned(),
-        addr: word("address")?.parse().context("address can't be read")?,
-        zone: entry["zone"].as_str().unwrap_or_default().to_owned(),
-        cell: entry["group"].as_u64().and_then(|g| u32::try_from(g).ok()).context("group can't be read")?,
-        since: if since > 0.0 { since } else { 0.0 },
-        life,
-    })
-}
-
 /// Waits between watches: the first, and the longest.
 const WAITS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 /// A watch that says nothing for so long is begun anew: it sends an empty line every 2 s.
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -541,7 +541,7 @@
 
     /// A searcher is known by its name; the module knows it by the first address under which it was listed.
     pub(super) fn entry(&mut self, entry: Entry) -> Option<Listed> {
-        let Entry { name, addr, zone, cell, since, life } = entry;
+        let Entry { name, addr, zone, cell, since, life, .. } = entry;
         let key = match self.names.get(&name) {
             Some(key) => *key,
             None if life == Life::Gone => return None,
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -38,7 +38,7 @@
 
 fn entry(n: u8, life: Life, since: f64) -> Entry {
     let addr = std::net::SocketAddrV4::new([10, 0, 0, n].into(), 80);
-    Entry { name: format!("s{n}"), addr, zone: "hall".into(), cell: 0, since, life }
+    Entry { name: format!("s{n}"), addr, zone: "hall".into(), cell: 0, since, life, age_ms: 0.0 }
 }
 
 /// A scan of one part.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,13 @@
+//! What operators write themselves: the one reader of S-expressions, and the one place where the operator's own
+//! file is checked.
+//!
+//! [`form`] turns text into a bounded tree with lines and columns; the language of expectations is read through it
+//! as well. [`Settings`] is the operator's file under `deploy/`. What the platform tells a mixer stays JSON and is
+//! read by `pewterwharf-terms`. Nothing here does I/O.
+
+pub mod form;
+mod names;
+mod settings;
+
+pub use names::near;
+pub use settings::{Explore, Log, LogForm, Settings};
--- /dev/null
+++ b/crates/settings/src/settings.rs
@@ -0,0 +1,126 @@
+//! The operator's own file, as in `deploy/pewterwharf.lisp`.
+
+use crate::form::{Fault, Node, read, unexpected};
+
+/// How lines of the log are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogForm {
+    Text,
+    Json,
+}
+
+/// The log of the command line and what comes after it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Log {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    pub form: LogForm,
+}
+
+/// Bounds of an exploration of the decision module.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Explore {
+    /// Things that may happen one after another: 1 to 16.
+    pub depth: u32,
+    /// States looked at in one exploration: 1 to 10,000,000.
+    pub states: u32,
+    /// Explorations that run side by side: 1 to 64.
+    pub threads: u32,
+}
+
+/// All that operators set; what the file leaves out has the value given here.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    pub log: Log,
+    pub explore: Explore,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            log: Log { level: "warn".to_owned(), form: LogForm::Text },
+            explore: Explore { depth: 6, states: 6_000, threads: 4 },
+        }
+    }
+}
+
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+impl Settings {
+    /// Reads and checks the file's text.
+    ///
+    /// # Errors
+    /// Names the place and the faulty key. A key that is given twice or not known is a fault: what an operator
+    /// meant to set must not be passed over.
+    pub fn read(text: &str) -> Result<Self, Fault> {
+        let mut settings = Self::default();
+        let mut seen = Vec::new();
+        for node in read(text)? {
+            let (section, keys) = node.call("a section, as (log ...)")?;
+            once(&mut seen, &node, section.to_owned())?;
+            match section {
+                "log" => settings.log(keys)?,
+                "explore" => settings.explore(keys)?,
+                other => return Err(unexpected(&node, other, &["log", "explore"])),
+            }
+        }
+        Ok(settings)
+    }
+
+    fn log(&mut self, keys: &[Node]) -> Result<(), Fault> {
+        let mut seen = Vec::new();
+        for node in keys {
+            let (key, value) = pair(node)?;
+            once(&mut seen, node, format!("log {key}"))?;
+            match key {
+                "level" => {
+                    let level = value.word("log level")?;
+                    if !LEVELS.contains(&level) {
+                        return Err(unexpected(value, level, &LEVELS));
+                    }
+                    self.log.level = level.to_owned();
+                }
+                "form" => {
+                    self.log.form = match value.word("log form")? {
+                        "text" => LogForm::Text,
+                        "json" => LogForm::Json,
+                        other => return Err(unexpected(value, other, &["text", "json"])),
+                    }
+                }
+                other => return Err(unexpected(node, other, &["level", "form"])),
+            }
+        }
+        Ok(())
+    }
+
+    fn explore(&mut self, keys: &[Node]) -> Result<(), Fault> {
+        let mut seen = Vec::new();
+        for node in keys {
+            let (key, value) = pair(node)?;
+            once(&mut seen, node, format!("explore {key}"))?;
+            match key {
+                "depth" => self.explore.depth = value.count("explore depth", 1, 16)?,
+                "states" => self.explore.states = value.count("explore states", 1, 10_000_000)?,
+                "threads" => self.explore.threads = value.count("explore threads", 1, 64)?,
+                other => return Err(unexpected(node, other, &["depth", "states", "threads"])),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn pair(node: &Node) -> Result<(&str, &Node), Fault> {
+    let (key, rest) = node.call("a key and its value, as (level info)")?;
+    match rest {
+        [value] => Ok((key, value)),
+        _ => Err(node.fault(format!("{key} has {} values, expected one", rest.len()))),
+    }
+}
+
+fn once(seen: &mut Vec<String>, node: &Node, key: String) -> Result<(), Fault> {
+    if seen.contains(&key) {
+        return Err(node.fault(format!("{key} is given twice")));
+    }
+    seen.push(key);
+    Ok(())
+}
--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,57 @@
+//! What operators write, and what they are told where it can't be read.
+
+use pewterwharf_settings::Settings;
+use pewterwharf_settings::form::{self, Kind};
+
+fn told(text: &str) -> String {
+    Settings::read(text).map_or_else(|fault| fault.to_string(), |settings| format!("{settings:?}"))
+}
+
+#[test]
+fn the_file_under_deploy_is_read_and_states_the_defaults() {
+    let text = include_str!("../../../deploy/pewterwharf.lisp");
+    assert_eq!(Settings::read(text), Ok(Settings::default()));
+}
+
+#[test]
+fn a_fault_names_the_key_and_its_place() {
+    assert_eq!(
+        told("(log\n  (level wran))"),
+        "2:10: found wran, expected one of error, warn, info, debug, trace; did you mean warn?"
+    );
+    assert_eq!(
+        told("(explore (depth 0))"),
+        "1:17: found 0, expected explore depth, a whole number from 1 to 16"
+    );
+    assert_eq!(
+        told("(explore (dept 2))"),
+        "1:10: found dept, expected one of depth, states, threads; did you mean depth?"
+    );
+    assert_eq!(told("(log) (log)"), "1:7: log is given twice");
+    assert_eq!(told("(log (level info debug))"), "1:6: level has 2 values, expected one");
+    assert_eq!(told("log"), "1:1: found log, expected a section, as (log ...)");
+    assert_eq!(told("(log (level info)"), "1:17: EOF while parsing a list");
+}
+
+#[test]
+fn brackets_without_end_are_refused_before_they_cost_anything() {
+    let nested = "(".repeat(100_000);
+    assert_eq!(told(&nested), "1:65: brackets nested over 64 deep");
+    let wide = format!("({})", "a ".repeat(5000));
+    assert_eq!(told(&wide), "1:2002: a list of over 1000 words");
+    assert_eq!(told(&"x".repeat((1 << 20) + 1)), "1:1: 1048577 bytes are over the 1048576 that are read");
+    assert_eq!(
+        told(&format!("; {}\n\"{}\"", nested, "(".repeat(99))),
+        format!("2:1: found \"{}\", expected a section, as (log ...)", "(".repeat(99))
+    );
+}
+
+#[test]
+fn a_number_and_the_letters_written_to_it_are_a_measure() {
+    let read = form::read("(a 6s 6 s 1.5m)").expect("it is well formed");
+    let Kind::List(nodes) = &read[0].kind else { panic!("no list") };
+    let kinds: Vec<String> = nodes.iter().map(|n| n.found()).collect();
+    assert_eq!(kinds, ["a", "6s", "6", "s", "1.5m"]);
+    assert_eq!(nodes[1].time_ms("a time"), Ok(6000.0));
+    assert_eq!(nodes[4].time_ms("a time"), Ok(90_000.0));
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given defaults. The simulator's text and a mixer's
 //! JSON flatten to the same keys, so one code reads the settings of both.
 
+pub mod list;
 mod start;
 
 pub use start::{Change, Start};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -595,8 +595,9 @@
     }
 }
 
-/// One mixer: the actors, their loop, and the index of searchers at the door.
+/// One mixer: the actors, their loop, and the index of searchers at the door. What it prints is all its state.
 #[rustfmt::skip]
+#[derive(Debug)]
 pub struct Mixer {
     seed: Rand64, zone: u16, roster: Roster, subscribe_at: f64, next_tick: f64,
     srvs: Vec<Searcher>, gauge: Gauge, desk: Desk, post: Post,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What the actors of the decision module hold and hand to each other. Nothing is decided here.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -10,6 +10,7 @@
 pub(crate) type Leg = (u64, u8);
 
 /// What is normal now: milliseconds and own work of each table type, and the share that marks a searcher.
+#[derive(Debug)]
 pub(crate) struct Norms {
     pub normal: Vec<f64>,
     pub work: Vec<f64>,
@@ -19,7 +20,7 @@
 }
 
 /// What a searcher lets the desk know of itself.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct Tile {
     /// Smoothed latency, in normals, and when it was last confirmed.
     pub lat: f64,
@@ -37,6 +38,7 @@
     pub const NEW: Self = Self { lat: 1.0, lat_at: 0.0, age: 0.0, marked: false, trial: false, down: false };
 }
 
+#[derive(Debug)]
 pub(crate) enum Note {
     // To a searcher.
     Renewed,
@@ -60,7 +62,7 @@
 }
 
 /// The time of the turn, all inboxes, and the actions that leave at its end.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Post {
     pub now: f64,
     boxes: Vec<VecDeque<Note>>,
@@ -111,6 +113,7 @@
 }
 
 /// One timeslice of a searcher.
+#[derive(Debug)]
 pub(crate) struct Slice {
     pub from: f64,
     pub sent: u32,
@@ -129,6 +132,7 @@
 }
 
 /// One searcher, watched by slices.
+#[derive(Debug)]
 pub(crate) struct Searcher {
     pub me: usize,
     pub zone: usize,
@@ -149,6 +153,7 @@
 }
 
 /// What is normal.
+#[derive(Debug)]
 pub(crate) struct Gauge {
     /// For each table type: milliseconds, parts heard, own work.
     pub normal: Vec<(f64, f64, f64)>,
@@ -159,6 +164,7 @@
 }
 
 /// A budget: of further dispatches, stated or our own, and of parts caught for their own lateness.
+#[derive(Debug)]
 pub(crate) struct Purse {
     pub budget: Budget,
     pub taken: VecDeque<f64>,
@@ -172,6 +178,7 @@
 }
 
 /// The customers at the door, and whose scans were seen lately.
+#[derive(Debug)]
 pub(crate) struct Door {
     pub customers: Vec<Customer>,
     pub counts: Vec<usize>,
@@ -208,13 +215,14 @@
 }
 
 /// What becomes of parts sent on connections long idle (the second) and of all others.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Lines {
     pub lost: [f64; 2],
     pub doubt_until: f64,
 }
 
 /// Who stands in which cell, and so holds which shards.
+#[derive(Debug)]
 pub(crate) struct Cells(Vec<Vec<usize>>, usize);
 
 impl Cells {
@@ -241,7 +249,7 @@
 }
 
 /// Known searchers by address, and the places that the gone have left.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Roster {
     places: BTreeMap<SocketAddrV4, usize>,
     spare: Vec<usize>,
@@ -279,6 +287,7 @@
 }
 
 /// The scans, and what goes where.
+#[derive(Debug)]
 pub(crate) struct Desk {
     pub types: Vec<TableType>,
     pub layout: Layout,
@@ -300,7 +309,7 @@
     pub flights: BTreeMap<Leg, Flight>,
     pub due: Agenda,
     /// Of a scan or part: the scan's index, and the part's in it.
-    pub owners: HashMap<u64, (usize, usize)>,
+    pub owners: BTreeMap<u64, (usize, usize)>,
     /// The call to each searcher, and its parts.
     pub this_turn: BTreeMap<usize, (Rc<()>, u32)>,
     /// Scans to look at in this turn.
@@ -341,7 +350,7 @@
             scans: BTreeMap::new(),
             flights: BTreeMap::new(),
             due: Agenda::default(),
-            owners: HashMap::new(),
+            owners: BTreeMap::new(),
             this_turn: BTreeMap::new(),
             touched: BTreeSet::new(),
             short: BTreeSet::new(),
@@ -364,6 +373,7 @@
 }
 
 /// A searcher as the desk sees it.
+#[derive(Debug)]
 pub(crate) struct Seat {
     pub addr: SocketAddrV4,
     pub cell: u32,
@@ -398,7 +408,7 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum State {
     Unsent,
     Out,
@@ -406,6 +416,7 @@
     Broken,
 }
 
+#[derive(Debug)]
 pub(crate) struct Part {
     pub id: u64,
     pub shard: u32,
@@ -433,6 +444,7 @@
     }
 }
 
+#[derive(Debug)]
 pub(crate) struct Scan {
     pub id: u64,
     pub number: u32,
@@ -465,7 +477,7 @@
     }
 }
 
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Due {
     Late(Leg),
     Target(usize),
@@ -473,7 +485,7 @@
 }
 
 /// All due times but the periodic timer's, in order.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub(crate) struct Agenda(BTreeSet<(u64, Due)>);
 
 impl Agenda {
@@ -489,6 +501,7 @@
 }
 
 /// A dispatch that is out.
+#[derive(Debug)]
 pub(crate) struct Flight {
     pub srv: usize,
     pub kind: usize,
