Routing expectations: language, structural verdicts, exploration of the module, planner, command line

Operators want to know before a season, without traffic, what holds after every loss, what the module would send where, and in which order slices can move.

Change: crates/expect (S-expression claims with line and column; verdicts by class, shape and kind; the decision module itself run through orders of events under the six rules; a planner of moves), crates/cli (pewterwharf check, check plan, check replay, try), crates/standins (the toy, now a library), examples/season.

--- /dev/null
+++ b/crates/cli/src/plan.rs
@@ -0,0 +1,67 @@
+//! `pewterwharf check plan`
+
+use std::path::PathBuf;
+
+use anyhow::Result;
+use clap::Args;
+use pewterwharf_expect::plan::{Deed, Season, Stuck};
+
+use crate::load::load;
+
+#[derive(Args)]
+pub struct Asked {
+    /// The file of the season that ends
+    #[arg(long, value_name = "OLD")]
+    from: PathBuf,
+    /// The file of the season that begins; its expectations are kept after each step
+    #[arg(long, value_name = "NEW")]
+    to: PathBuf,
+}
+
+/// Prints the steps; whether there is an order.
+pub fn run(asked: &Asked) -> Result<bool> {
+    let (old, new) = (load(&asked.from, None)?, load(&asked.to, None)?);
+    let season = Season::new(old.suite.fleet(), new.suite.fleet(), &old.list, &new.list);
+    let planned = season.and_then(|season| {
+        let plan = season.plan(new.suite.expects(), new.suite.pace())?;
+        Ok((season, plan))
+    });
+    match planned {
+        Ok((season, plan)) => {
+            for (nth, step) in plan.steps.iter().enumerate() {
+                let deed = match step.deed {
+                    Deed::Copy => "copy slice",
+                    Deed::Drop => "drop slice",
+                };
+                let preposition = if step.deed == Deed::Copy { "to" } else { "at" };
+                let names = season.groups()[step.group as usize].searchers.join(", ");
+                println!("{:>4}  {deed} {} {preposition} {names}", nth + 1, step.slice);
+            }
+            for name in &plan.not_yet {
+                println!("\"{name}\" does not hold before the change, and is asked of its end alone");
+            }
+            println!("{} steps, {} states looked at", plan.steps.len(), plan.states);
+            Ok(true)
+        }
+        Err(stuck) => {
+            match stuck {
+                Stuck::Excluded { names, smallest } => {
+                    let most =
+                        if smallest { "the smallest set that does" } else { "none of them can be left out" };
+                    println!("no order of the moves keeps these expectations ({most}):");
+                    names.iter().for_each(|name| println!("      {name}"));
+                }
+                Stuck::GaveUp { states } => {
+                    println!("no order was found among {states} states; there may be one")
+                }
+                Stuck::Sets { name } => {
+                    println!(
+                        "\"{name}\" speaks of sets, which have no meaning while searchers move between them"
+                    );
+                }
+                Stuck::Apart { why } => println!("the two fleets can't be compared: {why}"),
+            }
+            Ok(false)
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/report.rs
@@ -0,0 +1,155 @@
+//! Verdicts for people, as JSON and as JUnit.
+
+use std::fmt::Write;
+
+use anyhow::Result;
+use pewterwharf_expect::{Outcome, Shown, Suite, Verdict};
+use quick_junit::{NonSuccessKind, Report, TestCase, TestCaseStatus, TestSuite};
+use serde_json::{Value, json};
+
+fn seconds(ms: f64) -> String {
+    format!("{} s", (ms / 100.0).round() / 10.0)
+}
+
+fn word(verdict: &Verdict) -> &'static str {
+    match verdict.outcome {
+        Outcome::Holds => "holds",
+        Outcome::Fails(_) => "FAILS",
+        Outcome::Undecided => "UNDECIDED",
+    }
+}
+
+/// What was looked at, and how far the verdict reaches.
+fn reach(verdict: &Verdict) -> String {
+    let mut parts = Vec::new();
+    match (verdict.wanted_ms, verdict.fails_at_ms) {
+        (Some(_), Some(at)) => parts.push(format!("while the list is younger than {}", seconds(at))),
+        (Some(_), None) => parts.push("at all ages of the list that were looked at".to_owned()),
+        _ => {}
+    }
+    match verdict.effort.depth {
+        Some(depth) => parts.push(format!("{} states, all orders of {depth} events", verdict.effort.states)),
+        None if verdict.effort.cases > 1 => parts.push(format!("{} cases", verdict.effort.cases)),
+        None => {}
+    }
+    parts.join("; ")
+}
+
+fn shown(out: &mut String, shown: &Shown) {
+    for line in &shown.befell {
+        let _ = writeln!(out, "          {line}");
+    }
+    let slice = shown.slice.map(|s| format!("slice {s}: ")).unwrap_or_default();
+    let _ = writeln!(out, "          {slice}{}", shown.found);
+    for line in &shown.trace {
+        let _ = writeln!(out, "          |{line}");
+    }
+}
+
+/// A table for people, with the counterexamples.
+pub fn table(suite: &Suite, verdicts: &[Verdict]) -> String {
+    let mut out = String::new();
+    let width = verdicts.iter().map(|v| v.name.chars().count()).max().unwrap_or(0);
+    for verdict in verdicts {
+        let line = format!("{:9} {:width$}  {}", word(verdict), verdict.name, reach(verdict));
+        let _ = writeln!(out, "{}", line.trim_end());
+        if let Outcome::Fails(case) = &verdict.outcome {
+            shown(&mut out, case);
+        }
+        if verdict.outcome == Outcome::Undecided {
+            let _ =
+                writeln!(out, "          more cases than are gone through; name fewer searchers or halls");
+        }
+    }
+    let fleet = suite.fleet();
+    let failed = verdicts.iter().filter(|v| !v.holds()).count();
+    let _ = writeln!(
+        out,
+        "{} of {} hold; {} searchers in {} halls, {} slices",
+        verdicts.len() - failed,
+        verdicts.len(),
+        fleet.searchers().len(),
+        fleet.halls().len(),
+        fleet.slices()
+    );
+    out
+}
+
+/// The expectations whose verdict changes.
+pub fn against(before: &[Verdict], now: &[Verdict]) -> String {
+    let mut out = String::new();
+    let old = |name: &str| before.iter().find(|v| v.name == name);
+    for verdict in now {
+        let change = match old(&verdict.name) {
+            None => format!("new, {}", word(verdict)),
+            Some(old) if word(old) != word(verdict) => format!("{} -> {}", word(old), word(verdict)),
+            Some(old) if old.fails_at_ms != verdict.fails_at_ms => {
+                let until = |ms: Option<f64>| ms.map_or("any age".to_owned(), seconds);
+                format!("list up to {} -> {}", until(old.fails_at_ms), until(verdict.fails_at_ms))
+            }
+            Some(_) => continue,
+        };
+        let _ = writeln!(out, "{}: {change}", verdict.name);
+        if let Outcome::Fails(case) = &verdict.outcome {
+            shown(&mut out, case);
+        }
+    }
+    for gone in before.iter().filter(|b| !now.iter().any(|v| v.name == b.name)) {
+        let _ = writeln!(out, "{}: no longer asked", gone.name);
+    }
+    if out.is_empty() {
+        out.push_str("no verdict changes\n");
+    }
+    out
+}
+
+/// All of it for programs.
+pub fn json(suite: &Suite, verdicts: &[Verdict]) -> Value {
+    let fleet = suite.fleet();
+    let one = |verdict: &Verdict| {
+        let case = match &verdict.outcome {
+            Outcome::Fails(case) => json!({
+                "befell": case.befell, "slice": case.slice, "found": case.found,
+                "trace": case.trace, "moves": case.moves, "arena": case.arena,
+            }),
+            _ => Value::Null,
+        };
+        json!({
+            "name": verdict.name, "line": verdict.line, "verdict": word(verdict).to_lowercase(),
+            "fails_at_ms": verdict.fails_at_ms, "wanted_ms": verdict.wanted_ms,
+            "cases": verdict.effort.cases, "states": verdict.effort.states, "depth": verdict.effort.depth,
+            "counterexample": case,
+        })
+    };
+    json!({
+        "searchers": fleet.searchers().len(), "halls": fleet.halls().len(), "slices": fleet.slices(),
+        "expectations": verdicts.iter().map(one).collect::<Vec<_>>(),
+    })
+}
+
+/// JUnit for CI: a test case for each expectation.
+pub fn junit(verdicts: &[Verdict]) -> Result<String> {
+    let mut report = Report::new("pewterwharf check");
+    let mut suite = TestSuite::new("expectations");
+    for verdict in verdicts {
+        let status = match &verdict.outcome {
+            Outcome::Holds => TestCaseStatus::success(),
+            Outcome::Undecided => {
+                let mut status = TestCaseStatus::non_success(NonSuccessKind::Error);
+                status.set_message("undecided: more cases than are gone through");
+                status
+            }
+            Outcome::Fails(case) => {
+                let mut status = TestCaseStatus::non_success(NonSuccessKind::Failure);
+                let mut text = String::new();
+                shown(&mut text, case);
+                status.set_message(case.found.clone());
+                status.set_description(text);
+                status
+            }
+        };
+        suite.add_test_case(TestCase::new(verdict.name.clone(), status));
+    }
+    report.add_test_suite(suite);
+    Ok(report.to_string()?)
+}
--- /dev/null
+++ b/crates/cli/src/trial.rs
@@ -0,0 +1,144 @@
+//! `pewterwharf try`: a mixer, searchers and discovery in one process on loopback.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, bail, ensure};
+use clap::Args;
+use pewterwharf_mixer::service::{self, Service};
+use pewterwharf_standins::{self as standins, Lists, Manner};
+use pewterwharf_terms::Start;
+use serde_json::json;
+use signal_hook::consts::SIGTERM;
+use signal_hook::low_level::raise;
+
+#[derive(Args)]
+pub struct Trial {
+    /// Searchers to start
+    #[arg(long, value_name = "N", default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
+    searchers: u16,
+    /// How many of them take parts and answer none
+    #[arg(long, value_name = "N", default_value_t = 1)]
+    hung: u16,
+    /// Scans to send, half of them replayable
+    #[arg(long, value_name = "N", default_value_t = 6, value_parser = clap::value_parser!(u32).range(1..=1000))]
+    scans: u32,
+}
+
+/// How long the mixer may take to be ready.
+const READY: Duration = Duration::from_secs(10);
+
+fn ask(at: SocketAddr, request: &str) -> Result<(u16, String)> {
+    let mut stream = TcpStream::connect(at)?;
+    stream.set_read_timeout(Some(READY))?;
+    stream.write_all(request.as_bytes())?;
+    let mut input = BufReader::new(stream);
+    let (mut line, mut length) = (String::new(), 0);
+    input.read_line(&mut line)?;
+    let status = line.split(' ').nth(1).and_then(|s| s.parse().ok()).context("no status in the answer")?;
+    loop {
+        line.clear();
+        ensure!(input.read_line(&mut line)? > 0, "the answer ended in its head");
+        if line.trim().is_empty() {
+            break;
+        }
+        if let Some((key, value)) = line.split_once(':')
+            && key.eq_ignore_ascii_case("content-length")
+        {
+            length = value.trim().parse().context("the answer's length")?;
+        }
+    }
+    let mut body = vec![0; length];
+    input.read_exact(&mut body)?;
+    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// Terms of the trial: `lookup` is whole with three fifths of its parts, `entry` needs all and is never run twice.
+fn start(discovery: SocketAddr, listen: SocketAddr) -> String {
+    let service = |name: &str, repeat: &str| {
+        json!({"name": name, "idempotency": repeat, "points": 1.0, "slo_ms": 500.0, "hard_limit_ms": 2000.0,
+               "late_worth": 0.3})
+    };
+    json!({
+        "name": "m1", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "7",
+        "settings": {
+            "peers_total": 1, "zone": 0, "zones": ["hall"], "discovery": "push",
+            "services": [service("lookup", "pure"), service("entry", "side_effect")],
+            "customers": [{"name": "acme", "quota_per_s": 50.0}],
+            "family_info": {"positions": 1, "in_a_row": 1, "ranges": 16, "class_need": [0.6, 1.0],
+                            "floor_by_class": [0.6, 1.0], "partial_earns": [0.9, 0.9]},
+            "permissions": {"cancel": true, "probing": true, "parallel_tries": true, "max_attempts": 3,
+                            "retry_after": true, "max_retry_after_ms": 1000.0, "open_cap": 200, "multiplex": 32},
+            "rules": {"cold_from": 0.2, "warm_after_ms": 10000.0, "tip_multiple": 2.0, "fall_ms": 1000.0}
+        }
+    })
+    .to_string()
+}
+
+/// Whether every scan was answered once and the mixer ended by itself.
+pub fn run(asked: &Trial) -> Result<bool> {
+    let lists = Lists::default();
+    let discovery = TcpListener::bind("127.0.0.1:0")?;
+    let discovery_at = discovery.local_addr()?;
+    lists.serve(discovery);
+    let (heard, frames) = mpsc::channel();
+    let mut searchers = Vec::new();
+    for nth in 0..asked.searchers {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        searchers.push((listener.local_addr()?, "up"));
+        let manner = if nth < asked.hung { Manner::Hangs } else { Manner::Answers };
+        standins::searcher(listener, manner, heard.clone());
+    }
+    lists.tell(standins::list(1, true, &searchers));
+    println!("{} searchers, {} of them hang; discovery at {discovery_at}", asked.searchers, asked.hung);
+
+    let signals = service::signals()?;
+    // A port that is free now; the mixer takes it a moment later.
+    let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let start = Start::read(&start(discovery_at, listen), |_| None)?;
+    // The decision module stays in the thread that opens it.
+    let mixer = thread::spawn(move || {
+        Service::open(start, signals, |_| bail!("a trial has no file to read again"))?.run()
+    });
+    let begun = Instant::now();
+    while !ask(listen, "GET /-/ready HTTP/1.1\r\nHost: mixer\r\n\r\n").is_ok_and(|(status, _)| status == 200)
+    {
+        ensure!(begun.elapsed() < READY, "the mixer is not ready after {READY:?}");
+        thread::yield_now();
+    }
+    println!("mixer at {listen}, ready after {} ms", begun.elapsed().as_millis());
+
+    let mut answered = 0;
+    for nth in 0..asked.scans {
+        let (table_type, body) = match nth % 2 {
+            0 => (
+                "lookup",
+                r#"{"parts":[{"id":0,"w":0.5},{"id":1,"w":0.25},{"id":2,"w":0.25}],"expr":"find"}"#,
+            ),
+            _ => ("entry", r#"{"parts":[{"id":3,"w":1.0}],"expr":"enter"}"#),
+        };
+        let request = format!(
+            "POST /{table_type} HTTP/1.1\r\nHost: mixer\r\nReq-Id: q{nth}\r\nReq-Owner: acme\r\n\
+             Req-Deadline-Ms: 1500\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let asked_at = Instant::now();
+        let (status, answer) = ask(listen, &request)?;
+        answered += 1;
+        let ms = asked_at.elapsed().as_millis();
+        println!("scan q{nth} {table_type}: {status} after {ms} ms {}", answer.trim());
+        for frame in frames.try_iter() {
+            println!("    a searcher heard {}", frame.replace('\n', " | "));
+        }
+    }
+    raise(SIGTERM)?;
+    match mixer.join() {
+        Ok(ended) => ended.context("the mixer")?,
+        Err(_) => bail!("the mixer's thread panicked"),
+    }
+    println!("{answered} of {} scans answered; the mixer drained and ended", asked.scans);
+    Ok(answered == asked.scans)
+}
--- /dev/null
+++ b/crates/expect/src/explore/arena.rs
@@ -0,0 +1,148 @@
+//! The part of a fleet on which the module is explored.
+//!
+//! A scan meets the holders of its slices and nobody else, so an arena holds these alone, under the real terms and
+//! layout. Of holders that are alike, only so many are kept as a replacement and its own replacement need.
+
+use std::collections::BTreeSet;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use pewterwharf_fleet::{Condition, Fleet};
+use pewterwharf_terms::Terms;
+
+use crate::scene::Group;
+
+/// A searcher of the arena.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    pub name: String,
+    /// Its number in the fleet.
+    pub searcher: u32,
+    pub addr: SocketAddrV4,
+    pub cell: u32,
+    pub hall: usize,
+    /// As it is listed at the start; cold is listed as up since the start.
+    pub condition: Condition,
+    /// The list's word of it may be wrong at the start.
+    pub unsure: bool,
+}
+
+/// A scan that may arrive.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    pub table_type: usize,
+    /// Slice and weight of each part.
+    pub parts: Vec<(u32, f64)>,
+}
+
+/// How often some things may happen in one run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Allow {
+    /// Changes of searchers that the list tells at once.
+    pub told: u32,
+    /// Changes that it tells later or never, of searchers whose word is unsure.
+    pub unseen: u32,
+    pub restarts: u32,
+    pub leaves: u32,
+}
+
+/// The small fleet, the scans, and what may happen.
+#[derive(Clone, Debug)]
+pub struct Arena {
+    pub terms: Terms,
+    pub places: Vec<Place>,
+    pub plans: Vec<Plan>,
+    pub allow: Allow,
+    pub seed: u64,
+}
+
+/// Holders that are kept of one slice: one to fail, one to stand in, one more to tell a choice from a need.
+const HOLDERS: usize = 3;
+/// Parts of the first scan: enough for one that is in while another is not.
+const PARTS: usize = 2;
+/// Shapes of slices that are explored for each table type: the scarcest first.
+const SHAPES: usize = 2;
+
+impl Arena {
+    /// The arenas of a table type: for the slices with the fewest holders that take parts, and for others that differ
+    /// from them. `scene` is the fleet after what has befallen it, `order` its searchers.
+    pub fn of(
+        fleet: &Fleet,
+        scene: &[Group],
+        order: &[u32],
+        table_type: usize,
+        allow: Allow,
+        seed: u64,
+    ) -> Vec<Self> {
+        let holding = fleet.holding();
+        let shape = |class: usize| {
+            let held = holding.of_class(class);
+            let groups = scene.iter().filter(|g| held.contains(&g.set));
+            groups
+                .map(|g| (g.hall, g.condition, g.unsure, g.count.min(HOLDERS as u32)))
+                .collect::<BTreeSet<_>>()
+        };
+        let takes = |class: usize| {
+            let held = holding.of_class(class);
+            scene
+                .iter()
+                .filter(|g| held.contains(&g.set) && g.condition.takes())
+                .map(|g| g.count)
+                .sum::<u32>()
+        };
+        let mut classes: Vec<usize> = (0..holding.classes()).collect();
+        classes.sort_by_key(|c| (takes(*c), *c));
+        let mut seen = BTreeSet::new();
+        let firsts: Vec<usize> =
+            classes.iter().copied().filter(|c| seen.insert(shape(*c))).take(SHAPES).collect();
+        firsts
+            .into_iter()
+            .map(|first| {
+                // The second part lies elsewhere, where there is such a place.
+                let apart =
+                    |c: &&usize| !holding.of_class(**c).iter().any(|s| holding.of_class(first).contains(s));
+                let second = classes.iter().find(apart).copied();
+                let mut places: Vec<Place> = Vec::new();
+                for class in [Some(first), second].into_iter().flatten() {
+                    hold(fleet, scene, order, holding.of_class(class), &mut places);
+                }
+                let spread = match second {
+                    Some(second) => vec![holding.slices_of(first)[0], holding.slices_of(second)[0]],
+                    None => holding.slices_of(first).iter().take(PARTS).copied().collect(),
+                };
+                let weight = 1.0 / spread.len().max(1) as f64;
+                let plans = vec![
+                    Plan { table_type, parts: spread.iter().map(|s| (*s, weight)).collect() },
+                    Plan { table_type, parts: spread.iter().take(1).map(|s| (*s, 1.0)).collect() },
+                ];
+                Self { terms: fleet.terms().clone(), places, plans, allow, seed }
+            })
+            .collect()
+    }
+}
+
+/// Adds the holders of a class: of every condition and hall one, then more up to [`HOLDERS`].
+fn hold(fleet: &Fleet, scene: &[Group], order: &[u32], sets: &[u32], places: &mut Vec<Place>) {
+    let mut groups: Vec<&Group> = scene.iter().filter(|g| sets.contains(&g.set)).collect();
+    groups.sort_by_key(|g| (g.condition, g.hall));
+    let mut kept = 0;
+    for nth in 0..HOLDERS as u32 {
+        for group in groups.iter().filter(|g| nth < g.count) {
+            // Every condition is told once, whatever the number; it is there to be wrongly sent to.
+            if kept >= HOLDERS && (nth > 0 || group.condition.takes()) {
+                continue;
+            }
+            kept += usize::from(group.condition.takes());
+            let searcher = order[(group.from + nth) as usize];
+            let port = u16::try_from(places.len() + 1).unwrap_or(u16::MAX);
+            places.push(Place {
+                name: fleet.searchers()[searcher as usize].name.clone(),
+                searcher,
+                addr: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
+                cell: fleet.searchers()[searcher as usize].set,
+                hall: group.hall as usize,
+                condition: group.condition,
+                unsure: group.unsure,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/expect/src/read.rs
@@ -0,0 +1,420 @@
+//! From text to claims. What a name means is looked up at once, so that a wrong one is told with its place.
+
+use std::ops::RangeInclusive;
+
+use pewterwharf_fleet::{Condition, Fleet};
+use pewterwharf_settings::form::{self, Fault, Kind, Node, unexpected};
+
+use crate::claim::{Claim, Deed, Final, Happening, Local, Pace, Reach, Watch, Whom};
+
+/// Most searchers that may be lost at once in a claim: beyond that no case is small.
+const MOST_LOST: u32 = 64;
+/// Most expectations in a file.
+const MOST: usize = 10_000;
+
+/// What a file says of the fleet it speaks of.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct About {
+    /// Paths as written, to be taken from the file's own folder.
+    pub terms: String,
+    pub list: String,
+    /// Customers and the slices that their scans read.
+    pub slices: Vec<(String, RangeInclusive<u32>, form::At)>,
+    pub pace: Option<Pace>,
+}
+
+/// A file of which the names are not yet looked up.
+#[derive(Clone, Debug)]
+pub struct Draft {
+    pub about: About,
+    expects: Vec<(String, Node)>,
+}
+
+/// One expectation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Expect {
+    pub name: String,
+    /// Line of the file.
+    pub line: usize,
+    pub claim: Claim,
+}
+
+impl Draft {
+    /// Reads a file's text: one `(fleet ...)`, then any number of `(expect "name" CLAIM)`.
+    ///
+    /// # Errors
+    /// The place that can't be read, and what was expected there.
+    pub fn read(text: &str) -> Result<Self, Fault> {
+        let (mut about, mut expects) = (None, Vec::new());
+        let nodes = form::read(text)?;
+        if nodes.len() > MOST {
+            return Err(nodes[MOST].fault(format!("over {MOST} forms")));
+        }
+        for node in nodes {
+            let (head, rest) = node.call("(fleet ...) or (expect \"name\" ...)")?;
+            match (head, rest) {
+                ("fleet", rest) if about.is_none() => about = Some(read_about(&node, rest)?),
+                ("fleet", _) => return Err(node.fault("a second (fleet ...)")),
+                ("expect", [name, claim]) => {
+                    let name = name.text("the name of an expectation")?.to_owned();
+                    if expects.iter().any(|(other, _)| *other == name) {
+                        return Err(node.fault(format!("a second expectation is called \"{name}\"")));
+                    }
+                    expects.push((name, claim.clone()));
+                }
+                ("expect", _) => return Err(node.fault("expected (expect \"name\" CLAIM), with one claim")),
+                (other, _) => return Err(unexpected(&node, other, &["fleet", "expect"])),
+            }
+        }
+        let nowhere = form::At { line: 1, column: 1 };
+        let about = about.ok_or(Fault { at: nowhere, what: "expected a form (fleet ...)".to_owned() })?;
+        Ok(Self { about, expects })
+    }
+
+    /// States the customers' slices in the fleet.
+    ///
+    /// # Errors
+    /// The place of a customer or slice that the fleet does not have.
+    pub fn own(&self, fleet: &mut Fleet) -> Result<(), Fault> {
+        for (customer, slices, at) in &self.about.slices {
+            let done = fleet.own(customer, slices.clone());
+            done.map_err(|error| Fault { at: *at, what: error.to_string() })?;
+        }
+        Ok(())
+    }
+
+    /// Looks up all names.
+    ///
+    /// # Errors
+    /// The place of a word that does not belong there, or of a name that the fleet does not have.
+    pub fn settle(&self, fleet: &Fleet) -> Result<Vec<Expect>, Fault> {
+        let reader = Reader { fleet };
+        let read = |(name, node): &(String, Node)| {
+            let claim = reader.claim(node, Within::default())?;
+            Ok(Expect { name: name.clone(), line: node.at.line, claim })
+        };
+        self.expects.iter().map(read).collect()
+    }
+}
+
+fn read_about(whole: &Node, rest: &[Node]) -> Result<About, Fault> {
+    let (mut about, mut told) = (About::default(), Vec::new());
+    for node in rest {
+        let (key, values) = node.call("a part of the fleet, as (terms \"mixer.json\")")?;
+        if key != "slices" && told.contains(&key) {
+            return Err(node.fault(format!("{key} is given twice")));
+        }
+        told.push(key);
+        match (key, values) {
+            ("terms", [path]) => about.terms = path.text("the path of a mixer's configuration")?.to_owned(),
+            ("list", [path]) => about.list = path.text("the path of a searcher list")?.to_owned(),
+            ("slices", [customer, from, to]) => {
+                let range = range(from, to)?;
+                let customer = customer.text("a customer's name")?.to_owned();
+                about.slices.push((customer, range, node.at));
+            }
+            ("pace", [changes, every]) => about.pace = Some(pace(changes, every)?),
+            ("terms" | "list" | "slices" | "pace", values) => {
+                return Err(node.fault(format!("{key} has {} values, which do not fit it", values.len())));
+            }
+            (other, _) => return Err(unexpected(node, other, &["terms", "list", "slices", "pace"])),
+        }
+    }
+    match (about.terms.is_empty(), about.list.is_empty()) {
+        (true, _) => Err(whole.fault("expected (terms \"PATH\") in (fleet ...)")),
+        (_, true) => Err(whole.fault("expected (list \"PATH\") in (fleet ...)")),
+        _ => Ok(about),
+    }
+}
+
+/// `(pace (changes 1) (every 2s))`
+fn pace(changes: &Node, every: &Node) -> Result<Pace, Fault> {
+    match (changes.call("(changes N)")?, every.call("(every TIME)")?) {
+        (("changes", [changes]), ("every", [every])) => Ok(Pace {
+            changes: changes.count("changes", 1, MOST_LOST)?,
+            every_ms: every.time_ms("the time in which they may happen")?,
+        }),
+        _ => Err(changes.fault("expected (changes N) (every TIME)")),
+    }
+}
+
+fn range(from: &Node, to: &Node) -> Result<RangeInclusive<u32>, Fault> {
+    let range = from.count("first slice", 0, u32::MAX - 1)?..=to.count("last slice", 0, u32::MAX - 1)?;
+    if range.is_empty() {
+        return Err(to.fault(format!("found {}, expected a slice from {} on", range.end(), range.start())));
+    }
+    Ok(range)
+}
+
+/// What stands around a claim.
+#[derive(Clone, Copy, Default)]
+struct Within {
+    /// Under `some` or `not`, where a claim about behaviour can't be explored.
+    turned: bool,
+    younger: bool,
+}
+
+struct Reader<'a> {
+    fleet: &'a Fleet,
+}
+
+const CLAIMS: [&str; 10] = [
+    "for-all-slices",
+    "after",
+    "while-list-younger",
+    "load-per-searcher-at-most",
+    "slices-per-searcher-at-most",
+    "never",
+    "always",
+    "all",
+    "some",
+    "not",
+];
+
+/// `found` looked up in the fleet, a fault at its place if it is not there.
+fn named<T>(node: &Node, found: Result<T, impl std::fmt::Display>) -> Result<T, Fault> {
+    found.map_err(|error| node.fault(error.to_string()))
+}
+
+impl Reader<'_> {
+    fn claim(&self, node: &Node, within: Within) -> Result<Claim, Fault> {
+        let (head, rest) = node.call("a claim, as (for-all-slices ...)")?;
+        let many = |within: Within| -> Result<Vec<Claim>, Fault> {
+            if rest.is_empty() {
+                return Err(node.fault(format!("expected a claim in ({head})")));
+            }
+            rest.iter().map(|claim| self.claim(claim, within)).collect()
+        };
+        let turned = Within { turned: true, ..within };
+        Ok(match (head, rest) {
+            ("all", _) => Claim::All(many(within)?),
+            ("some", _) => Claim::Some(many(turned)?),
+            ("not", [claim]) => Claim::Not(Box::new(self.claim(claim, turned)?)),
+            ("for-all-slices", rest) => self.slices(node, rest)?,
+            ("after", [happenings @ .., claim]) if !happenings.is_empty() => {
+                let mut claim = self.claim(claim, within)?;
+                for happening in happenings.iter().rev() {
+                    claim = Claim::After(self.happening(happening)?, Box::new(claim));
+                }
+                claim
+            }
+            ("while-list-younger", [age, rest @ .., claim]) => {
+                if within.younger {
+                    return Err(node.fault("while-list-younger stands in another"));
+                }
+                if within.turned {
+                    return Err(node.fault("while-list-younger can't stand under some or not"));
+                }
+                let changes = match rest {
+                    [] => None,
+                    [changes] => match changes.call("(changes N)")? {
+                        ("changes", [n]) => Some(n.count("changes", 0, MOST_LOST)?),
+                        _ => {
+                            return Err(
+                                changes.fault(format!("found {}, expected (changes N)", changes.found()))
+                            );
+                        }
+                    },
+                    [_, more, ..] => return Err(more.fault("expected one claim")),
+                };
+                let claim = Box::new(self.claim(claim, Within { younger: true, ..within })?);
+                Claim::Younger { ms: age.time_ms("the list's age")?, changes, claim }
+            }
+            ("load-per-searcher-at-most", [times]) => {
+                Claim::LoadAtMost(times.figure("times the average load")?)
+            }
+            ("slices-per-searcher-at-most", [n]) => {
+                Claim::SlicesAtMost(n.count("slices", 1, u32::MAX - 1)?)
+            }
+            ("never" | "always", [watch]) => {
+                if within.turned {
+                    return Err(node.fault(format!("{head} can't stand under some or not")));
+                }
+                Claim::Behaves(self.watch(watch, head == "always")?)
+            }
+            (head, rest) if CLAIMS.contains(&head) => {
+                return Err(node.fault(format!("{head} has {} parts, which do not fit it", rest.len())));
+            }
+            (other, _) => return Err(unexpected(node, other, &CLAIMS)),
+        })
+    }
+
+    fn slices(&self, node: &Node, rest: &[Node]) -> Result<Claim, Fault> {
+        let (mut of, mut only, mut what) = (None, None, Vec::new());
+        for part in rest {
+            match part.call("(reachable ...)")? {
+                ("of", [customer]) => {
+                    let name = customer.text("a customer's name")?;
+                    let index = named(customer, self.fleet.customer(name))?;
+                    if !self.fleet.owned().iter().any(|o| o.customer == index) {
+                        return Err(customer.fault(format!("(fleet ...) states no slices of \"{name}\"")));
+                    }
+                    of = Some(index);
+                }
+                ("slices", [from, to]) => {
+                    let range = range(from, to)?;
+                    if *range.end() >= self.fleet.slices() {
+                        let count = self.fleet.slices();
+                        return Err(to.fault(format!("slice {} is not among the {count}", range.end())));
+                    }
+                    only = Some(range);
+                }
+                _ => what.push(self.local(part)?),
+            }
+        }
+        match what.len() {
+            0 => Err(node.fault("expected (reachable ...) in (for-all-slices ...)")),
+            1 => Ok(Claim::ForAllSlices { of, only, what: what.remove(0) }),
+            _ => Ok(Claim::ForAllSlices { of, only, what: Local::All(what) }),
+        }
+    }
+
+    fn local(&self, node: &Node) -> Result<Local, Fault> {
+        const WORDS: [&str; 6] = ["reachable", "all", "some", "not", "of", "slices"];
+        let (head, rest) = node.call("(reachable ...)")?;
+        let many = || -> Result<Vec<Local>, Fault> {
+            if rest.is_empty() {
+                return Err(node.fault(format!("expected (reachable ...) in ({head})")));
+            }
+            rest.iter().map(|l| self.local(l)).collect()
+        };
+        Ok(match (head, rest) {
+            ("all", _) => Local::All(many()?),
+            ("some", _) => Local::Some(many()?),
+            ("not", [local]) => Local::Not(Box::new(self.local(local)?)),
+            ("reachable", rest) => Local::Reachable(self.reach(rest)?),
+            (other, _) => return Err(unexpected(node, other, &WORDS)),
+        })
+    }
+
+    fn reach(&self, rest: &[Node]) -> Result<Reach, Fault> {
+        let mut reach = Reach { searchers: 1, halls: 1, sets: 1, hall: None };
+        for part in rest {
+            let (head, values) = part.call("a measure, as (halls 2)")?;
+            match (head, values) {
+                ("searchers", [n]) => reach.searchers = n.count("searchers", 1, u32::MAX - 1)?,
+                ("halls", [n]) => reach.halls = n.count("halls", 1, u32::MAX - 1)?,
+                ("sets", [n]) => reach.sets = n.count("sets", 1, u32::MAX - 1)?,
+                ("in", [hall]) => {
+                    reach.hall = Some(named(hall, self.fleet.hall(hall.text("a hall's name")?))?)
+                }
+                (other, _) => return Err(unexpected(part, other, &["searchers", "halls", "sets", "in"])),
+            }
+        }
+        Ok(reach)
+    }
+
+    fn happening(&self, node: &Node) -> Result<Happening, Fault> {
+        const WORDS: [&str; 12] = [
+            "lose-hall",
+            "lose-set",
+            "lose-searchers",
+            "lose-searcher",
+            "drain-hall",
+            "drain-set",
+            "drain-searchers",
+            "drain-searcher",
+            "restart-hall",
+            "restart-set",
+            "restart-searchers",
+            "restart-searcher",
+        ];
+        let (head, rest) = node.call("a failure, as (lose-hall any)")?;
+        let (verb, whom) = head.split_once('-').unwrap_or((head, ""));
+        let what = match verb {
+            "lose" => Condition::Gone,
+            "drain" => Condition::Draining,
+            "restart" => Condition::Cold,
+            _ => return Err(unexpected(node, head, &WORDS)),
+        };
+        let [value] = rest else {
+            return Err(node.fault(format!("{head} has {} values, expected one", rest.len())));
+        };
+        let any = matches!(&value.kind, Kind::Word(word) if word == "any");
+        let whom = match whom {
+            "hall" if any => Whom::Hall(None),
+            "hall" => Whom::Hall(Some(named(value, self.fleet.hall(value.text("any, or a hall's name")?))?)),
+            "set" if any => Whom::Set(None),
+            "set" => Whom::Set(Some(value.count(
+                "any, or a set",
+                0,
+                self.fleet.sets().saturating_sub(1) as u32,
+            )?)),
+            "searchers" => Whom::Searchers(value.count("searchers", 1, MOST_LOST)?),
+            "searcher" if any => Whom::Searchers(1),
+            "searcher" => {
+                let name = value.text("any, or a searcher's name")?;
+                Whom::Searcher(named(value, self.fleet.searcher(name))? as u32)
+            }
+            _ => return Err(unexpected(node, head, &WORDS)),
+        };
+        Ok(Happening { what, whom })
+    }
+
+    fn watch(&self, node: &Node, always: bool) -> Result<Watch, Fault> {
+        let (head, rest) = node.call("(sent ...) or (answered ...)")?;
+        let (mut table_type, mut to, mut hall) = (None, Vec::new(), None);
+        let (mut again, mut beside, mut kinds, mut whole) = (false, false, Vec::new(), None);
+        let sent = match head {
+            "sent" => true,
+            "answered" => false,
+            other => return Err(unexpected(node, other, &["sent", "answered"])),
+        };
+        for part in rest {
+            match (part.call("a condition, as (table-type \"standings\")")?, sent) {
+                (("table-type", [name]), _) => {
+                    table_type = Some(named(name, self.fleet.table_type(name.text("a table type")?))?);
+                }
+                (("to", conditions), true) if !conditions.is_empty() => {
+                    for condition in conditions {
+                        to.push(match condition.word("up, cold, draining or gone")? {
+                            "up" => Condition::Up,
+                            "cold" => Condition::Cold,
+                            "draining" => Condition::Draining,
+                            "gone" => Condition::Gone,
+                            other => {
+                                return Err(unexpected(
+                                    condition,
+                                    other,
+                                    &["up", "cold", "draining", "gone"],
+                                ));
+                            }
+                        });
+                    }
+                }
+                (("in", [name]), true) => {
+                    hall = Some(named(name, self.fleet.hall(name.text("a hall's name")?))?)
+                }
+                (("again", []), true) => again = true,
+                (("beside", []), true) => beside = true,
+                (("as", words), false) if !words.is_empty() => {
+                    for word in words {
+                        kinds.push(match word.word("completed, throttled or abandoned")? {
+                            "completed" => Final::Completed,
+                            "throttled" => Final::Throttled,
+                            "abandoned" => Final::Abandoned,
+                            other => {
+                                return Err(unexpected(
+                                    word,
+                                    other,
+                                    &["completed", "throttled", "abandoned"],
+                                ));
+                            }
+                        });
+                    }
+                }
+                (("whole", []), false) => whole = Some(true),
+                (("not-whole", []), false) => whole = Some(false),
+                ((other, _), true) => {
+                    return Err(unexpected(part, other, &["table-type", "to", "in", "again", "beside"]));
+                }
+                ((other, _), false) => {
+                    return Err(unexpected(part, other, &["table-type", "as", "whole", "not-whole"]));
+                }
+            }
+        }
+        let deed =
+            if sent { Deed::Sent { to, hall, again, beside } } else { Deed::Answered { kinds, whole } };
+        Ok(Watch { always, table_type, deed })
+    }
+}
--- /dev/null
+++ b/crates/expect/src/scene.rs
@@ -0,0 +1,278 @@
+//! Searchers that no question can tell apart, counted instead of named, and what may befall them.
+//!
+//! A [`Scene`] is a list of groups; a failure of any `n` searchers becomes a choice of how many of each group, so
+//! that interchangeable cases are looked at once. Groups are ranges of one order of all searchers: a group splits
+//! without copying its members.
+
+use std::ops::ControlFlow;
+
+use pewterwharf_fleet::{Condition, Fleet};
+
+use crate::claim::{Happening, Whom};
+
+/// Searchers of one hall, set, condition and certainty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Group {
+    pub set: u32,
+    pub hall: u32,
+    pub condition: Condition,
+    /// The list's word of them may be wrong.
+    pub unsure: bool,
+    /// Where they stand in the order, and how many they are.
+    pub from: u32,
+    pub count: u32,
+}
+
+/// Groups, those of one set side by side.
+pub type Scene = Vec<Group>;
+
+/// What has befallen whom, in one case.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Befell {
+    pub what: Condition,
+    pub whom: Befallen,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Befallen {
+    Hall(usize),
+    Set(u32),
+    Searchers(Vec<u32>),
+}
+
+impl Befell {
+    /// How much it takes: a hall or a set at once is one thing, searchers are one each.
+    pub fn units(&self) -> u32 {
+        match &self.whom {
+            Befallen::Hall(_) | Befallen::Set(_) => 1,
+            Befallen::Searchers(searchers) => searchers.len() as u32,
+        }
+    }
+
+    /// For people: what happened to whom, by name.
+    pub fn tell(&self, fleet: &Fleet) -> String {
+        let (verb, verbs) = match self.what {
+            Condition::Gone => ("is lost", "are lost"),
+            Condition::Draining => ("drains", "drain"),
+            Condition::Cold => ("is back and cold", "are back and cold"),
+            Condition::Up => ("is up", "are up"),
+        };
+        match &self.whom {
+            Befallen::Hall(hall) => format!("hall {} {verb}", fleet.halls()[*hall]),
+            Befallen::Set(set) => format!("set {set} {verb}"),
+            Befallen::Searchers(who) => {
+                let names: Vec<&str> =
+                    who.iter().map(|s| fleet.searchers()[*s as usize].name.as_str()).collect();
+                let verb = if who.len() == 1 { verb } else { verbs };
+                format!("{} {verb}", names.join(", "))
+            }
+        }
+    }
+}
+
+/// All searchers by kind, and the scene of the fleet as listed.
+pub struct Kinds {
+    pub order: Vec<u32>,
+    pub scene: Scene,
+}
+
+impl Kinds {
+    /// Searchers whose word is older than `sure_ms` less `list_ms` are unsure.
+    pub fn of(fleet: &Fleet, list_ms: f64, sure_ms: f64) -> Self {
+        let kind = |at: &u32| {
+            let s = &fleet.searchers()[*at as usize];
+            (s.set, s.hall as u32, Condition::of(s.life), s.age_ms + list_ms >= sure_ms)
+        };
+        let mut order: Vec<u32> = (0..fleet.searchers().len() as u32).collect();
+        order.sort_by_key(kind);
+        let mut scene: Scene = Vec::new();
+        for (from, at) in order.iter().enumerate() {
+            let (set, hall, condition, unsure) = kind(at);
+            match scene.last_mut() {
+                Some(g) if (g.set, g.hall, g.condition, g.unsure) == (set, hall, condition, unsure) => {
+                    g.count += 1
+                }
+                _ => scene.push(Group { set, hall, condition, unsure, from: from as u32, count: 1 }),
+            }
+        }
+        Self { order, scene }
+    }
+
+    fn members(&self, group: &Group, count: u32) -> &[u32] {
+        &self.order[group.from as usize..(group.from + count) as usize]
+    }
+
+    /// Where something is certain to befall certain searchers, the one scene that follows.
+    pub fn certain(&self, scene: &[Group], happening: &Happening) -> Option<(Scene, Befell)> {
+        let what = happening.what;
+        let (whom, hit): (Befallen, Box<dyn Fn(&Group) -> bool>) = match happening.whom {
+            Whom::Hall(Some(hall)) => (Befallen::Hall(hall), Box::new(move |g| g.hall as usize == hall)),
+            Whom::Set(Some(set)) => (Befallen::Set(set), Box::new(move |g| g.set == set)),
+            Whom::Searcher(searcher) => {
+                let mut after = Vec::with_capacity(scene.len() + 2);
+                for group in scene {
+                    match self.members(group, group.count).iter().position(|s| *s == searcher) {
+                        Some(at) => single(group, at as u32, what, &mut after),
+                        None => after.push(*group),
+                    }
+                }
+                return Some((after, Befell { what, whom: Befallen::Searchers(vec![searcher]) }));
+            }
+            _ => return None,
+        };
+        let befall =
+            |g: &Group| Group { condition: if hit(g) { g.condition.and(what) } else { g.condition }, ..*g };
+        Some((scene.iter().map(befall).collect(), Befell { what, whom }))
+    }
+
+    /// Calls `each` with every case of something uncertain, the one in which nothing happens first, cases of `n`
+    /// searchers before those of `n + 1`. `halls` is the number of halls there are.
+    pub fn cases(
+        &self,
+        scene: &[Group],
+        happening: &Happening,
+        halls: usize,
+        each: &mut dyn FnMut(Scene, Option<Befell>) -> ControlFlow<()>,
+    ) -> ControlFlow<()> {
+        let what = happening.what;
+        match &happening.whom {
+            Whom::Hall(None) => {
+                self.places(scene, halls as u32, what, |g| g.hall, |h| Befallen::Hall(h as usize), each)
+            }
+            Whom::Set(None) => {
+                let sets = scene.iter().map(|g| g.set + 1).max().unwrap_or(0);
+                self.places(scene, sets, what, |g| g.set, Befallen::Set, each)
+            }
+            Whom::Searchers(most) => {
+                for total in 0..=*most {
+                    let mut any = false;
+                    self.choose(scene, 0, total, what, false, &mut Vec::new(), &mut |after, who| {
+                        any = true;
+                        each(after, befell(what, who))
+                    })?;
+                    if !any {
+                        break;
+                    }
+                }
+                ControlFlow::Continue(())
+            }
+            Whom::Unsure(most) => {
+                for total in 0..=*most {
+                    self.unsure(scene, total, each)?;
+                }
+                ControlFlow::Continue(())
+            }
+            _ => match self.certain(scene, happening) {
+                Some((after, befell)) => each(after, Some(befell)),
+                None => ControlFlow::Continue(()),
+            },
+        }
+    }
+
+    /// One of `count` places at a time; those that nobody here stands in are one case.
+    fn places(
+        &self,
+        scene: &[Group],
+        count: u32,
+        what: Condition,
+        place: impl Fn(&Group) -> u32,
+        whom: impl Fn(u32) -> Befallen,
+        each: &mut dyn FnMut(Scene, Option<Befell>) -> ControlFlow<()>,
+    ) -> ControlFlow<()> {
+        let mut here: Vec<u32> = scene.iter().map(&place).collect();
+        here.sort_unstable();
+        here.dedup();
+        if let Some(elsewhere) = (0..count).find(|p| here.binary_search(p).is_err()) {
+            each(scene.to_vec(), Some(Befell { what, whom: whom(elsewhere) }))?;
+        } else if here.is_empty() {
+            each(scene.to_vec(), None)?;
+        }
+        for at in here {
+            let befall = |g: &Group| Group {
+                condition: if place(g) == at { g.condition.and(what) } else { g.condition },
+                ..*g
+            };
+            each(scene.iter().map(befall).collect(), Some(Befell { what, whom: whom(at) }))?;
+        }
+        ControlFlow::Continue(())
+    }
+
+    /// Exactly `total` searchers, counted by group from `at` on.
+    #[allow(clippy::too_many_arguments)] // a recursion's state
+    fn choose(
+        &self,
+        scene: &[Group],
+        at: usize,
+        total: u32,
+        what: Condition,
+        unsure: bool,
+        who: &mut Vec<(Group, u32)>,
+        each: &mut dyn FnMut(Scene, Vec<u32>) -> ControlFlow<()>,
+    ) -> ControlFlow<()> {
+        if total == 0 {
+            let mut after = Vec::with_capacity(scene.len() + who.len());
+            let mut chosen = who.iter().peekable();
+            for group in scene {
+                match chosen.next_if(|(g, _)| g == group) {
+                    Some((_, count)) => split(group, *count, what, &mut after),
+                    None => after.push(*group),
+                }
+            }
+            let names = who.iter().flat_map(|(g, count)| self.members(g, *count)).copied().collect();
+            return each(after, names);
+        }
+        let Some(group) = scene.get(at) else { return ControlFlow::Continue(()) };
+        let able = group.condition.and(what) != group.condition && (group.unsure || !unsure);
+        let most = if able { group.count.min(total) } else { 0 };
+        for count in (0..=most).rev() {
+            if count > 0 {
+                who.push((*group, count));
+            }
+            let flow = self.choose(scene, at + 1, total - count, what, unsure, who, each);
+            if count > 0 {
+                who.pop();
+            }
+            flow?;
+        }
+        ControlFlow::Continue(())
+    }
+
+    /// Exactly `total` unsure searchers: some gone, some draining, some back and cold.
+    fn unsure(
+        &self,
+        scene: &[Group],
+        total: u32,
+        each: &mut dyn FnMut(Scene, Option<Befell>) -> ControlFlow<()>,
+    ) -> ControlFlow<()> {
+        // One kind of change is told for a case; mixed ones are the nested claims' matter.
+        for what in [Condition::Gone, Condition::Draining, Condition::Cold] {
+            self.choose(scene, 0, total, what, true, &mut Vec::new(), &mut |after, who| {
+                each(after, befell(what, who))
+            })?;
+            if total == 0 {
+                break;
+            }
+        }
+        ControlFlow::Continue(())
+    }
+}
+
+fn befell(what: Condition, who: Vec<u32>) -> Option<Befell> {
+    (!who.is_empty()).then_some(Befell { what, whom: Befallen::Searchers(who) })
+}
+
+/// The first `count` of a group become `what`.
+fn split(group: &Group, count: u32, what: Condition, into: &mut Scene) {
+    into.push(Group { condition: group.condition.and(what), count, ..*group });
+    if count < group.count {
+        into.push(Group { from: group.from + count, count: group.count - count, ..*group });
+    }
+}
+
+/// The one at `at` becomes `what`.
+fn single(group: &Group, at: u32, what: Condition, into: &mut Scene) {
+    if at > 0 {
+        into.push(Group { count: at, ..*group });
+    }
+    split(&Group { from: group.from + at, count: group.count - at, ..*group }, 1, what, into);
+}
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -1,21 +1,18 @@
 //! The whole program on loopback, with the example's searchers and discovery.
 
-#[path = "../../../examples/toy.rs"]
-mod toy;
-
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{self, Receiver};
 
+use pewterwharf_standins::{self as standins, Manner};
 use serde_json::Value;
-use toy::Manner;
 
 struct Mixer {
     child: Child,
     log: BufReader<ChildStderr>,
     addr: SocketAddr,
-    lists: toy::Lists,
+    lists: standins::Lists,
     /// What searchers were sent.
     heard: Receiver<String>,
     searchers: Vec<(SocketAddr, &'static str)>,
@@ -35,15 +32,15 @@
     let searchers = manners.iter().map(|manner| {
         let listener = port();
         let addr = listener.local_addr().expect("an address");
-        toy::searcher(listener, *manner, says.clone());
+        standins::searcher(listener, *manner, says.clone());
         (addr, "up")
     });
     let searchers: Vec<_> = searchers.collect();
     let listener = port();
     let discovery = listener.local_addr().expect("an address").to_string();
-    let lists = toy::Lists::default();
+    let lists = standins::Lists::default();
     lists.serve(listener);
-    lists.tell(toy::list(1, true, &searchers));
+    lists.tell(standins::list(1, true, &searchers));
     let (child, mut log, addr) = launch(discovery, config);
     wait(&mut log, "ready");
     Mixer { child, log, addr, lists, heard, searchers }
@@ -210,7 +207,7 @@
 fn a_searcher_that_drains_gets_nothing_more() {
     let mut mixer = start(&[Manner::Answers]);
     mixer.searchers[0].1 = "draining";
-    mixer.lists.tell(toy::list(2, false, &mixer.searchers));
+    mixer.lists.tell(standins::list(2, false, &mixer.searchers));
     wait(&mut mixer.log, "drains");
     let mut client = mixer.connect();
     client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
@@ -226,7 +223,7 @@
     let listener = port();
     let (mut child, mut log, _) = launch(listener.local_addr().expect("an address").to_string(), EXAMPLE);
     let mut asked = String::new();
-    let searcher = toy::list(7, true, &[("127.0.0.1:9".parse().expect("an address"), "up")]).to_string();
+    let searcher = standins::list(7, true, &[("127.0.0.1:9".parse().expect("an address"), "up")]).to_string();
     let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     for said in [
         format!("{head}1\r\n\n\r\n{:x}\r\n{searcher}\n\r\n", searcher.len() + 1),
@@ -268,11 +265,11 @@
     let place = |shown: &str| {
         let (searchers, discovery) = (port(), port());
         let addr = searchers.local_addr().expect("an address");
-        toy::searcher(searchers, Manner::Answers, says.clone());
+        standins::searcher(searchers, Manner::Answers, says.clone());
         let at = discovery.local_addr().expect("an address").to_string();
-        let lists = toy::Lists::default();
+        let lists = standins::Lists::default();
         lists.serve(discovery);
-        lists.tell(toy::list(9, true, &[(addr, shown)]));
+        lists.tell(standins::list(9, true, &[(addr, shown)]));
         (at, lists)
     };
     let ((old, old_lists), (new, _)) = (place("up"), place("up"));
@@ -295,7 +292,7 @@
     client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
     said.push(answer(&client));
     // What the old one still says is no more heard, and its watch has ended.
-    mixer.lists.tell(toy::list(99, true, &[]));
+    mixer.lists.tell(standins::list(99, true, &[]));
     mixer.signal("HUP");
     wait(&mut mixer.log, "read anew");
     client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
--- a/examples/toy.rs
+++ b/crates/standins/src/lib.rs
@@ -1,18 +1,17 @@
-//! A toy to try a mixer with: a few searchers that answer at once, and the discovery that lists them.
-//!
-//!     cargo run -p pewterwharf-mixer --example toy
+//! Stand-ins on loopback for what a mixer speaks with: searchers that answer, hang, die or spoil, and the discovery
+//! that lists them. `pewterwharf try` and the tests use them; no scan of anybody's is served by one.
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{self, Sender};
+use std::sync::mpsc::Sender;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 
-/// What a toy searcher does with a call.
+/// What a searcher does with a call.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Manner {
     Answers,
@@ -73,7 +72,7 @@
     output.write_all(&frame)
 }
 
-/// A list of searchers in cell 0, each with its status.
+/// A list of searchers in set 0, each with its status.
 pub fn list(index: u64, whole: bool, searchers: &[(SocketAddr, &str)]) -> Value {
     let entries: Vec<Value> = searchers
         .iter()
@@ -160,22 +159,3 @@
         }
     }
 }
-
-#[allow(dead_code)] // the tests use the rest of this file
-fn main() -> io::Result<()> {
-    let lists = Lists::default();
-    lists.serve(TcpListener::bind("127.0.0.1:8500")?);
-    let (heard, frames) = mpsc::channel();
-    let mut searchers = Vec::new();
-    for _ in 0..4 {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        searchers.push((listener.local_addr()?, "up"));
-        searcher(listener, Manner::Answers, heard.clone());
-    }
-    lists.tell(list(1, true, &searchers));
-    println!("discovery at 127.0.0.1:8500, searchers at {searchers:?}");
-    for frame in frames {
-        println!("{frame}");
-    }
-    Ok(())
-}
