--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -31,7 +31,7 @@
 enum Verb {
     /// Checks expectations about routing without sending anything
     #[command(args_conflicts_with_subcommands = true)]
-    Check(Check),
+    Check(Box<Check>),
     /// Starts searchers, discovery and a mixer in one process, sends scans and prints what happened
     Try(trial::Trial),
 }
@@ -71,9 +71,11 @@
     let settings = settings(line.settings.as_ref())?;
     log(&settings);
     match line.verb {
-        Verb::Check(Check { verb: Some(CheckVerb::Plan(asked)), .. }) => plan::run(&asked),
-        Verb::Check(Check { verb: Some(CheckVerb::Replay(asked)), .. }) => check::replay(&asked),
-        Verb::Check(Check { asked, .. }) => check::run(&asked, &settings),
+        Verb::Check(check) => match check.verb {
+            Some(CheckVerb::Plan(asked)) => plan::run(&asked),
+            Some(CheckVerb::Replay(asked)) => check::replay(&asked),
+            None => check::run(&check.asked, &settings),
+        },
         Verb::Try(asked) => trial::run(&asked),
     }
 }
--- a/crates/expect/src/explore/search.rs
+++ b/crates/expect/src/explore/search.rs
@@ -52,8 +52,8 @@
             // One run: from a departure on, along what usually happens.
             let mut world = World::new(arena, watches, open, false);
             path.iter().for_each(|m| world.play(*m));
-            // A state costs five times as much to print as to reach, so runs are compared where they depart, and not
-            // at each step after.
+            // A state costs more to print than to reach, so runs are compared where they depart, and not at each
+            // step after.
             let mut departs = bounds.merge;
             loop {
                 if found.reached >= u64::from(bounds.states) {
--- a/crates/expect/src/scene.rs
+++ b/crates/expect/src/scene.rs
@@ -70,6 +70,9 @@
     }
 }
 
+/// Whether something befalls a group.
+type Hit = Box<dyn Fn(&Group) -> bool>;
+
 /// All searchers by kind, and the scene of the fleet as listed.
 pub struct Kinds {
     pub order: Vec<u32>,
@@ -105,7 +108,7 @@
     /// Where something is certain to befall certain searchers, the one scene that follows.
     pub fn certain(&self, scene: &[Group], happening: &Happening) -> Option<(Scene, Befell)> {
         let what = happening.what;
-        let (whom, hit): (Befallen, Box<dyn Fn(&Group) -> bool>) = match happening.whom {
+        let (whom, hit): (Befallen, Hit) = match happening.whom {
             Whom::Hall(Some(hall)) => (Befallen::Hall(hall), Box::new(move |g| g.hall as usize == hall)),
             Whom::Set(Some(set)) => (Befallen::Set(set), Box::new(move |g| g.set == set)),
             Whom::Searcher(searcher) => {
