A set in which nobody stands is a case of lose-set too; the comparison with plain is seeded

Cause: the random comparison of judged and plain verdicts disagreed once: sets were counted from the searchers at hand, so that losing an empty set was no case. The comparison drew another seed each run.

Change: halls and sets are counted from the fleet; the seed is fixed, 3,000 claims a run.

--- a/crates/expect/src/judge.rs
+++ b/crates/expect/src/judge.rs
@@ -162,7 +162,7 @@
     ) -> Found {
         let mut scenes = Vec::new();
         let left = MOST_CASES.saturating_sub(self.cases) / scene.len().max(1) as u64;
-        let _ = self.kinds.cases(scene, happening, self.fleet.halls().len(), &mut |after, befell| {
+        let _ = self.kinds.cases(scene, happening, &mut |after, befell| {
             scenes.push((after, befell));
             if scenes.len() as u64 > left { ControlFlow::Break(()) } else { ControlFlow::Continue(()) }
         });
@@ -256,7 +256,7 @@
         fails: &dyn Fn(&[Group]) -> Option<String>,
         least: &mut Option<Case>,
     ) -> Result<(), TooMany> {
-        let walk = Walk { kinds: &self.kinds, halls: self.fleet.halls().len(), slice, fails };
+        let walk = Walk { kinds: &self.kinds, slice, fails };
         walk.go(scene, pending, befell, &mut self.cases, least)
     }
 }
@@ -264,7 +264,6 @@
 /// One question under all cases of what is pending.
 struct Walk<'a> {
     kinds: &'a Kinds,
-    halls: usize,
     slice: Option<u32>,
     fails: &'a dyn Fn(&[Group]) -> Option<String>,
 }
@@ -290,7 +289,7 @@
             return if *cases > MOST_CASES { Err(TooMany) } else { Ok(()) };
         };
         let mut done = Ok(());
-        let _ = self.kinds.cases(scene, happening, self.halls, &mut |after, one| {
+        let _ = self.kinds.cases(scene, happening, &mut |after, one| {
             let befell: Vec<Befell> = befell.iter().cloned().chain(one).collect();
             done = self.go(&after, rest, &befell, cases, least);
             if done.is_err() { ControlFlow::Break(()) } else { ControlFlow::Continue(()) }
--- a/crates/expect/src/scene.rs
+++ b/crates/expect/src/scene.rs
@@ -77,6 +77,9 @@
 pub struct Kinds {
     pub order: Vec<u32>,
     pub scene: Scene,
+    /// Halls and sets that there are, also those in which nobody stands.
+    halls: u32,
+    sets: u32,
 }
 
 impl Kinds {
@@ -98,7 +101,7 @@
                 _ => scene.push(Group { set, hall, condition, unsure, from: from as u32, count: 1 }),
             }
         }
-        Self { order, scene }
+        Self { order, scene, halls: fleet.halls().len() as u32, sets: fleet.sets() as u32 }
     }
 
     fn members(&self, group: &Group, count: u32) -> &[u32] {
@@ -129,23 +132,19 @@
     }
 
     /// Calls `each` with every case of something uncertain, the one in which nothing happens first, cases of `n`
-    /// searchers before those of `n + 1`. `halls` is the number of halls there are.
+    /// searchers before those of `n + 1`.
     pub fn cases(
         &self,
         scene: &[Group],
         happening: &Happening,
-        halls: usize,
         each: &mut dyn FnMut(Scene, Option<Befell>) -> ControlFlow<()>,
     ) -> ControlFlow<()> {
         let what = happening.what;
         match &happening.whom {
             Whom::Hall(None) => {
-                self.places(scene, halls as u32, what, |g| g.hall, |h| Befallen::Hall(h as usize), each)
-            }
-            Whom::Set(None) => {
-                let sets = scene.iter().map(|g| g.set + 1).max().unwrap_or(0);
-                self.places(scene, sets, what, |g| g.set, Befallen::Set, each)
+                self.places(scene, self.halls, what, |g| g.hall, |h| Befallen::Hall(h as usize), each)
             }
+            Whom::Set(None) => self.places(scene, self.sets, what, |g| g.set, Befallen::Set, each),
             Whom::Searchers(most) => {
                 for total in 0..=*most {
                     let mut any = false;
--- a/crates/expect/src/suite.rs
+++ b/crates/expect/src/suite.rs
@@ -396,7 +396,7 @@
                 for happening in &befalls {
                     let mut next = Vec::new();
                     for (scene, befell) in &scenes {
-                        let _ = kinds.cases(scene, happening, self.fleet.halls().len(), &mut |after, one| {
+                        let _ = kinds.cases(scene, happening, &mut |after, one| {
                             next.push((after, befell.iter().cloned().chain(one).collect()));
                             if next.len() > MOST_SCENES {
                                 ControlFlow::Break(())
--- a/crates/expect/tests/verdicts.rs
+++ b/crates/expect/tests/verdicts.rs
@@ -9,6 +9,7 @@
 use pewterwharf_expect::plain;
 use pewterwharf_fleet::{Condition, Fleet};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn said(claims: &str) -> String {
     suite(fleet(), claims).map_or_else(|fault| fault, |suite| told(&verdicts(&suite)))
@@ -131,7 +132,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 1500, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 3000, failure_persistence: None, rng_seed: RngSeed::Fixed(16), ..ProptestConfig::default() })]
 
     /// Every shortcut of the judge is exact: it agrees with going through everything.
     #[test]
