The daemon logs through tracing, as the command line does

Change: tracing and tracing-subscriber (no regex, no colours) in place of log and env_logger; RUST_LOG as before, RUST_LOG_FORM=json makes each line an object.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender, unbounded};
-use log::debug;
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
+use tracing::debug;
 
 use crate::buffer::{Buffer, Room};
 use crate::http::{Ask, Progress, Request};
--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Error, Result, ensure};
-use log::{debug, warn};
+use tracing::{debug, warn};
 
 pub use pewterwharf_terms::list::{Entry, List, list};
 
--- a/crates/mixer/src/main.rs
+++ b/crates/mixer/src/main.rs
@@ -5,6 +5,9 @@
 use anyhow::{Context, Result};
 use pewterwharf_mixer::service::{self, Service};
 use pewterwharf_terms::{Change, Start};
+use tracing::level_filters::LevelFilter;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::prelude::*;
 
 fn said(variable: &str) -> Option<String> {
     std::env::var(variable).ok()
@@ -29,12 +32,25 @@
     Service::open(start, signals, again)?.run()
 }
 
+/// Lines go to standard error; `RUST_LOG` names the level, or targets with theirs, and `RUST_LOG_FORM=json` makes each
+/// line an object.
+fn log() {
+    let asked = said("RUST_LOG").and_then(|asked| asked.parse::<Targets>().ok());
+    let targets = asked.unwrap_or_else(|| Targets::new().with_default(LevelFilter::WARN));
+    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
+    let lines = match said("RUST_LOG_FORM").as_deref() {
+        Some("json") => lines.json().boxed(),
+        _ => lines.boxed(),
+    };
+    tracing_subscriber::registry().with(lines.with_filter(targets)).init();
+}
+
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    log();
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!("{error:#}");
+            tracing::error!("{error:#}");
             ExitCode::FAILURE
         }
     }
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -8,10 +8,10 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use log::{debug, info, warn};
 use pewterwharf::interface::{Action, Decide, Ending, Event, ListKind};
 use pewterwharf::logic::Mixer;
 use pewterwharf_terms::{Change, Terms};
+use tracing::{debug, info, warn};
 
 use crate::counters::Counters;
 use crate::discovery::List;
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -1,7 +1,7 @@
 //! The reducer's part for clients: their connections, what they ask, the answers, and the end of the program.
 
-use log::{debug, info};
 use pewterwharf::interface::Event;
+use tracing::{debug, info};
 
 use super::{Due, Effect, Part, Phase, Reducer, Scan};
 use crate::http::{self, Ask, ScanAsk};
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use log::{debug, info};
 use pewterwharf::interface::{Ending, Event, Life, ListKind, Listed};
 use pewterwharf_terms::Change;
+use tracing::{debug, info};
 
 use super::{Due, Effect, Leg, Phase, Reducer};
 use crate::discovery::{Entry, List};
--- a/crates/mixer/src/searcher.rs
+++ b/crates/mixer/src/searcher.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::debug;
+use tracing::debug;
 
 use crate::buffer::{Buffer, Room};
 use crate::frame;
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -10,10 +10,10 @@
 
 use anyhow::{Context, Result};
 use crossbeam_channel::{Receiver, Sender, bounded};
-use log::{debug, info, warn};
 use pewterwharf_terms::{Change, Start};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
+use tracing::{debug, info, warn};
 
 use crate::buffer::Room;
 use crate::client::{Clients, Line, Orders};
@@ -132,7 +132,7 @@
         let orders = clients.orders();
         spawn("clients", STACK, move || {
             if let Err(error) = clients.run() {
-                log::error!("connections of clients: {error}");
+                tracing::error!("connections of clients: {error}");
             }
         })?;
         info!("{} listens on {at}", start.name);
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -251,7 +251,7 @@
         mixer.env_clear().envs(config.map(|path| ("ROUTER_CONFIG", path)));
         let output = mixer.output().expect("it runs");
         let log = String::from_utf8_lossy(&output.stderr);
-        let words = log.split("] ").nth(1).unwrap_or_default().trim_end().to_owned();
+        let words = log.split_once(": ").unwrap_or_default().1.trim_end().to_owned();
         format!("{:?} {words}", output.status.code())
     };
     insta::assert_snapshot!(format!("{}\n{}", run(None), run(Some("/nowhere"))));
@@ -282,7 +282,7 @@
         std::fs::write(config, text).expect("it can be written");
         mixer.signal("HUP");
         let line = wait(&mut mixer.log, words);
-        said.push(line.split("] ").nth(1).unwrap_or_default().replace(config, "FILE").replace(&new, "NEW"));
+        said.push(line.split_once(": ").unwrap_or_default().1.replace(config, "FILE").replace(&new, "NEW"));
     };
     replace(&mut mixer, "{", "stays as it is");
     let moved = text.replace("127.0.0.1:8500", &new);
