BGP without I/O: codec, session machine, routes out, and when to announce

A mixer that drains must be withdrawn before it stops taking scans, and be announced only while it can serve; a script beside it knows neither.

No socket yet: the speaker is next.

--- /dev/null
+++ b/crates/bgp/tests/message.rs
@@ -0,0 +1,161 @@
+//! The codec: what is written reads back, what can't be is refused with the right code, noise never panics.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use ipnet::IpNet;
+use pewterwharf_bgp::message::{
+    self, Attributes, Family, HEADER, LONGEST, Message, Notification, Open, Refusal, Routes, Update,
+    routes_of,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn attributes(path: Vec<u32>, communities: Vec<u32>) -> Attributes {
+    let next_hop = IpAddr::V4(Ipv4Addr::new(192, 0, 2, 1));
+    Attributes { path, next_hop, med: Some(50), local_pref: None, communities, large: vec![(64512, 1, 2)] }
+}
+
+fn net() -> impl Strategy<Value = IpNet> {
+    let v4 = (any::<u32>(), 0u8..=32)
+        .prop_map(|(a, l)| ipnet::Ipv4Net::new(a.into(), l).expect("a length").into());
+    let v6 = (any::<u128>(), 0u8..=128)
+        .prop_map(|(a, l)| ipnet::Ipv6Net::new(a.into(), l).expect("a length").into());
+    prop_oneof![v4, v6].prop_map(|n: IpNet| n.trunc())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(17), ..ProptestConfig::with_cases(600) })]
+
+    #[test]
+    fn opens_read_back(asn in 1u32.., hold in prop_oneof![Just(0u16), 3u16..], id in 1u32.., v6: bool, refresh: bool) {
+        let mut families = vec![Family::V4];
+        families.extend(v6.then_some(Family::V6));
+        let open = Open { asn, hold_s: hold, id: id.into(), families, four_octets: true, refresh };
+        prop_assert_eq!(message::read(&open.write(), false), Ok(Message::Open(open)));
+    }
+
+    #[test]
+    fn routes_read_back_whatever_their_number(
+        withdrawn in proptest::collection::btree_set(net(), 0..400),
+        announced in proptest::collection::btree_set(net(), 0..400),
+        path in proptest::collection::vec(any::<u32>(), 0..300),
+        four_octets: bool,
+    ) {
+        let (withdrawn, announced): (Vec<_>, Vec<_>) = (withdrawn.into_iter().collect(), announced.into_iter().collect());
+        let update = Update {
+            withdrawn: withdrawn.clone(),
+            announced: announced.clone(),
+            attributes: Some(attributes(path, vec![message::GRACEFUL_SHUTDOWN])),
+        };
+        let (mut gone, mut told) = (Vec::new(), Vec::new());
+        for bytes in update.write(four_octets) {
+            prop_assert!(bytes.len() <= LONGEST);
+            prop_assert_eq!(message::length(&bytes), Ok(Some(bytes.len())));
+            let (w, a) = routes_of(&bytes).expect("it can be read");
+            let counted = message::read(&bytes, four_octets);
+            let routes = Routes { announced: a.len() as u32, withdrawn: w.len() as u32, faulty: 0 };
+            prop_assert_eq!(counted, Ok(Message::Update(routes)));
+            gone.extend(w);
+            told.extend(a);
+        }
+        gone.sort();
+        told.sort();
+        prop_assert_eq!((gone, told), (withdrawn, announced));
+    }
+
+    /// Any bytes, and any message with bytes changed, are read or refused.
+    #[test]
+    fn noise_is_read_or_refused(
+        noise in proptest::collection::vec(any::<u8>(), 0..200),
+        kind in 0u8..7,
+        turned in proptest::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
+    ) {
+        let mut framed = vec![0xFF; 16];
+        framed.extend(((HEADER + noise.len()) as u16).to_be_bytes());
+        framed.push(kind);
+        framed.extend(&noise);
+        let _ = message::read(&framed, true);
+        let _ = message::length(&noise);
+        let announced = vec!["10.0.0.0/8".parse().expect("a prefix"), "2001:db8::/32".parse().expect("a prefix")];
+        let update = Update { withdrawn: vec![], announced, attributes: Some(attributes(vec![1, 70_000], vec![3])) };
+        for mut bytes in update.write(true) {
+            for (at, byte) in &turned {
+                let at = at.index(bytes.len());
+                bytes[at] = *byte;
+            }
+            let _ = message::read(&bytes, true);
+            let _ = routes_of(&bytes);
+        }
+    }
+}
+
+fn told(bytes: &[u8]) -> String {
+    match message::read(bytes, true) {
+        Ok(Message::Update(routes)) => format!("{routes:?}"),
+        Ok(message) => format!("{message:?}"),
+        Err(Refusal(told)) => format!("{told} {:?}", told.data),
+    }
+}
+
+#[test]
+fn what_can_t_be_read_is_refused_with_the_code_that_the_rfc_names() {
+    let open = Open {
+        asn: 70_000,
+        hold_s: 90,
+        id: Ipv4Addr::new(10, 0, 0, 1),
+        families: vec![Family::V4],
+        four_octets: true,
+        refresh: true,
+    };
+    let with = |at: usize, byte: u8| {
+        let mut bytes = open.write();
+        bytes[at] = byte;
+        told(&bytes)
+    };
+    assert_eq!(with(3, 0), "1/1 connection not synchronised []");
+    assert_eq!(with(18, 9), "1/3 bad message type [9]");
+    assert_eq!(with(16, 99), "1/2 bad message length [99, 45]");
+    assert_eq!(with(19, 3), "2/1 unsupported version [0, 4]");
+    let hold = Open { hold_s: 2, ..open.clone() };
+    assert_eq!(told(&hold.write()), "2/6 unacceptable hold time []");
+    let nobody = Open { id: Ipv4Addr::UNSPECIFIED, ..open.clone() };
+    assert_eq!(told(&nobody.write()), "2/3 bad BGP identifier []");
+    assert_eq!(with(29, 1), "2/4 unsupported optional parameter []");
+    let bed = Notification::shutdown("off to bed");
+    assert_eq!(message::read(&bed.write(), true), Ok(Message::Notification(bed)));
+    let words = Notification::shutdown(&"é".repeat(200));
+    assert_eq!(words.words().map(str::len), Some(254));
+    assert_eq!(Notification::shutdown("off to bed").to_string(), "6/2 administrative shutdown: off to bed");
+}
+
+#[test]
+fn faulty_attributes_withdraw_their_routes_and_leave_the_session() {
+    // One prefix; ORIGIN, an empty AS_PATH, NEXT_HOP; each turned faulty in its own way.
+    let update = |attributes: &[u8]| {
+        let mut bytes = vec![0xFF; 16];
+        let length = (HEADER + 4 + attributes.len() + 2) as u16;
+        bytes.extend(length.to_be_bytes());
+        bytes.extend([2, 0, 0]);
+        bytes.extend((attributes.len() as u16).to_be_bytes());
+        bytes.extend(attributes);
+        bytes.extend([8, 10]);
+        told(&bytes)
+    };
+    let sound = [0x40, 1, 1, 0, 0x40, 2, 0, 0x40, 3, 4, 10, 0, 0, 1];
+    let routes = |announced, withdrawn, faulty| format!("{:?}", Routes { announced, withdrawn, faulty });
+    assert_eq!(update(&sound), routes(1, 0, 0));
+    assert_eq!(update(&sound[..7]), routes(0, 1, 1), "no next hop");
+    assert_eq!(update(&[&sound[..3], &[9], &sound[4..]].concat()), routes(0, 1, 1), "an origin that is none");
+    assert_eq!(update(&[&sound[..], &[0x40, 1, 1, 0]].concat()), routes(1, 0, 1), "an origin told twice");
+    assert_eq!(update(&[&sound[..], &[0x80, 4, 9, 0]].concat()), routes(0, 1, 1), "one that ends too soon");
+    assert_eq!(
+        update(&[&sound[..], &[0xC0, 99, 2, 1, 2]].concat()),
+        routes(1, 0, 0),
+        "one that nobody knows"
+    );
+    assert_eq!(
+        update(&[&sound[..], &[0xC0, 8, 3, 1, 2, 3]].concat()),
+        routes(0, 1, 1),
+        "communities of three bytes"
+    );
+}
--- /dev/null
+++ b/crates/bgp/tests/rib.rs
@@ -0,0 +1,92 @@
+//! Routes out: the trie against a plain map, and what a peer is told.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr};
+
+use ipnet::IpNet;
+use pewterwharf_bgp::message::Attributes;
+use pewterwharf_bgp::rib::{Routes, Trie};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Few bits, so that prefixes cover each other often.
+fn net() -> impl Strategy<Value = IpNet> {
+    let v4 = (0u32..64, 0u8..=8)
+        .prop_map(|(a, l)| ipnet::Ipv4Net::new((a << 24).into(), l).expect("a length").into());
+    let v6 = (0u128..16, 0u8..=6)
+        .prop_map(|(a, l)| ipnet::Ipv6Net::new((a << 122).into(), l).expect("a length").into());
+    prop_oneof![v4, v6].prop_map(|n: IpNet| n.trunc())
+}
+
+fn with(med: u32) -> Attributes {
+    let next_hop = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    Attributes {
+        path: vec![1],
+        next_hop,
+        med: Some(med),
+        local_pref: None,
+        communities: vec![],
+        large: vec![],
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(17), ..ProptestConfig::with_cases(800) })]
+
+    #[test]
+    fn the_trie_is_a_map(steps in proptest::collection::vec((net(), proptest::option::of(0u32..100)), 1..80)) {
+        let (mut trie, mut map) = (Trie::default(), BTreeMap::new());
+        for (at, value) in steps {
+            match value {
+                Some(value) => prop_assert_eq!(trie.insert(&at, value), map.insert(at, value)),
+                None => prop_assert_eq!(trie.remove(&at), map.remove(&at)),
+            }
+            prop_assert_eq!(trie.len(), map.len());
+            prop_assert_eq!(trie.get(&at), map.get(&at));
+            let mut all: Vec<(IpNet, u32)> = trie.iter().map(|(at, v)| (at, *v)).collect();
+            all.sort();
+            prop_assert_eq!(&all, &map.iter().map(|(at, v)| (*at, *v)).collect::<Vec<_>>());
+            let plain = map.iter().filter(|(p, _)| p.contains(&at.addr())).max_by_key(|(p, _)| p.prefix_len());
+            prop_assert_eq!(trie.covering(at.addr()), plain.map(|(p, v)| (*p, v)));
+        }
+    }
+
+    /// Whatever changes in between, a peer that has taken all holds what is wanted, and is told no more than that.
+    #[test]
+    fn a_peer_holds_what_is_wanted(
+        steps in proptest::collection::vec((net(), proptest::option::of(0u32..3), 0u8..12), 1..80),
+    ) {
+        let (mut routes, mut wanted, mut peer) = (Routes::default(), BTreeMap::new(), BTreeMap::new());
+        let take = |routes: &mut Routes, peer: &mut BTreeMap<IpNet, Attributes>| {
+            for update in routes.take() {
+                update.withdrawn.iter().for_each(|at| assert!(peer.remove(at).is_some(), "{at} was not held"));
+                let attributes = update.attributes.clone();
+                update.announced.iter().for_each(|at| {
+                    peer.insert(*at, attributes.clone().expect("they have some"));
+                });
+            }
+            assert!(!routes.changed() && routes.take().is_empty());
+        };
+        for (at, med, then) in steps {
+            routes.want(at, med.map(with));
+            match med {
+                Some(med) => drop(wanted.insert(at, with(med))),
+                None => drop(wanted.remove(&at)),
+            }
+            match then {
+                0..=2 => take(&mut routes, &mut peer),
+                3 => {
+                    routes.lost();
+                    peer.clear();
+                }
+                4 => routes.again(|_| true),
+                _ => {}
+            }
+        }
+        take(&mut routes, &mut peer);
+        prop_assert_eq!(&peer, &wanted);
+        let mut held = routes.held();
+        held.sort();
+        prop_assert_eq!(held, wanted.into_keys().collect::<Vec<_>>());
+    }
+}
--- /dev/null
+++ b/crates/bgp/tests/session.rs
@@ -0,0 +1,234 @@
+//! The state machine: every event in every state, collisions, timers, damping.
+
+use std::fmt::Write;
+use std::net::Ipv4Addr;
+
+use insta::assert_snapshot;
+use pewterwharf_bgp::message::{self, Family, Message, Notification, Open, Refusal, Routes};
+use pewterwharf_bgp::session::{Effect, Input, Session, State, Terms, Way};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn terms() -> Terms {
+    Terms {
+        asn: 64_512,
+        id: Ipv4Addr::new(10, 0, 0, 1),
+        peer_asn: 64_513,
+        hold_s: 90,
+        families: vec![Family::V4, Family::V6],
+        connects: true,
+        retry_ms: 10_000.0,
+        idle_ms: 5_000.0,
+        most_routes: 1000,
+    }
+}
+
+fn open(id: u8) -> Open {
+    Open {
+        asn: 64_513,
+        hold_s: 30,
+        id: Ipv4Addr::new(10, 0, 0, id),
+        families: vec![Family::V4],
+        four_octets: true,
+        refresh: true,
+    }
+}
+
+fn told(effects: &[Effect]) -> String {
+    let words = effects.iter().map(|effect| match effect {
+        Effect::Connect => "connect".to_owned(),
+        Effect::Send(way, bytes) => match message::read(bytes, true) {
+            Ok(Message::Open(_)) => format!("{way:?} OPEN"),
+            Ok(Message::Keepalive) => format!("{way:?} KEEPALIVE"),
+            Ok(Message::Notification(n)) => format!("{way:?} NOTIFICATION {n}"),
+            other => format!("{way:?} {other:?}"),
+        },
+        Effect::Close(way) => format!("close {way:?}"),
+        Effect::Refuse(way) => format!("refuse {way:?}"),
+        Effect::Up { way, families, .. } => format!("up {way:?} {families:?}"),
+        Effect::Down(why) => format!("down: {why}"),
+        Effect::Refresh(family) => format!("refresh {family:?}"),
+    });
+    words.collect::<Vec<_>>().join(", ")
+}
+
+/// A session brought to a state by a connection that it opened itself.
+fn at(state: State) -> Session {
+    let mut session = Session::new(terms(), 1);
+    let inputs = [
+        (State::Connect, Input::Start),
+        (State::Active, Input::Closed(Way::Out)),
+        (State::OpenSent, Input::Connected(Way::Out)),
+        (State::OpenConfirm, Input::Heard(Way::Out, Message::Open(open(9)))),
+        (State::Established, Input::Heard(Way::Out, Message::Keepalive)),
+    ];
+    for (reached, input) in inputs {
+        // Active lies off the way to those after it.
+        if reached <= state && (reached != State::Active || state == State::Active) {
+            session.step(0.0, input);
+        }
+    }
+    assert_eq!(session.state(), state);
+    session
+}
+
+const STATES: [State; 6] =
+    [State::Idle, State::Connect, State::Active, State::OpenSent, State::OpenConfirm, State::Established];
+
+#[test]
+fn every_event_in_every_state() {
+    let update = Routes { announced: 1, ..Routes::default() };
+    let refusal = Refusal(Notification::new(1, 2));
+    let events = [
+        ("1 start", Input::Start),
+        ("2 stop", Input::Stop("bye".to_owned())),
+        ("9 to 13 timers after a day", Input::Timer),
+        ("16 connected", Input::Connected(Way::Out)),
+        ("17 came in", Input::Connected(Way::In)),
+        ("18 closed", Input::Closed(Way::Out)),
+        ("19 OPEN", Input::Heard(Way::Out, Message::Open(open(9)))),
+        ("21 header fault", Input::Unreadable(Way::Out, refusal)),
+        ("22 OPEN fault", Input::Heard(Way::Out, Message::Open(Open { asn: 7, ..open(9) }))),
+        (
+            "24, 25 NOTIFICATION",
+            Input::Heard(Way::Out, Message::Notification(Notification::shutdown("mend"))),
+        ),
+        ("26 KEEPALIVE", Input::Heard(Way::Out, Message::Keepalive)),
+        ("27 UPDATE", Input::Heard(Way::Out, Message::Update(update))),
+        ("refresh", Input::Heard(Way::Out, Message::Refresh(Family::V6))),
+    ];
+    let mut out = String::new();
+    for (name, event) in events {
+        let _ = writeln!(out, "{name}");
+        for state in STATES {
+            let mut session = at(state);
+            let now = if event == Input::Timer { 86_400_000.0 } else { 1.0 };
+            let effects = session.step(now, event.clone());
+            let _ = writeln!(out, "    {state:?} -> {:?}: {}", session.state(), told(&effects));
+        }
+    }
+    assert_snapshot!(out);
+}
+
+#[test]
+fn of_two_connections_that_collide_the_higher_identifier_s_stays_in_both_orders() {
+    let mut out = String::new();
+    for (peer, first) in [(9, Way::Out), (9, Way::In), (0, Way::Out), (0, Way::In)] {
+        let second = if first == Way::Out { Way::In } else { Way::Out };
+        let mut session = at(State::Connect);
+        for way in [Way::Out, Way::In] {
+            session.step(1.0, Input::Connected(way));
+        }
+        let one = session.step(2.0, Input::Heard(first, Message::Open(open(peer))));
+        let two = session.step(3.0, Input::Heard(second, Message::Open(open(peer))));
+        let up =
+            [Way::Out, Way::In].map(|way| told(&session.step(4.0, Input::Heard(way, Message::Keepalive))));
+        let _ =
+            writeln!(out, "peer 10.0.0.{peer}, OPEN first {first:?}: {}; {}; {up:?}", told(&one), told(&two));
+        assert_eq!(session.state(), State::Established);
+    }
+    assert_snapshot!(out);
+}
+
+#[test]
+fn hold_times_of_nothing_and_of_three_seconds_are_kept() {
+    let mut out = String::new();
+    for hold_s in [0, 3] {
+        let mut session = at(State::OpenSent);
+        session.step(0.0, Input::Heard(Way::Out, Message::Open(Open { hold_s, ..open(9) })));
+        session.step(0.0, Input::Heard(Way::Out, Message::Keepalive));
+        let _ = writeln!(out, "hold {hold_s}: next timer at {:.0}", session.due());
+        while session.due() < 10_000.0 && session.state() == State::Established {
+            let at = session.due();
+            let _ = writeln!(out, "    {at:.0}: {}", told(&session.step(at, Input::Timer)));
+        }
+    }
+    assert_snapshot!(out);
+}
+
+#[test]
+fn a_peer_that_flaps_is_held_longer_from_the_third_time_on_and_forgiven_when_it_lives() {
+    let mut session = Session::new(terms(), 1);
+    let (mut now, mut out) = (0.0, String::new());
+    session.step(now, Input::Start);
+    for lived in [100.0, 100.0, 100.0, 100.0, 600_000.0, 100.0] {
+        session.step(now, Input::Connected(Way::Out));
+        session.step(now, Input::Heard(Way::Out, Message::Open(open(9))));
+        session.step(now, Input::Heard(Way::Out, Message::Keepalive));
+        now += lived;
+        let effects = session.step(now, Input::Closed(Way::Out));
+        let held = session.due() - now;
+        let _ =
+            writeln!(out, "lived {lived}: {}; {} flaps, idle for {held:.0}", told(&effects), session.flaps());
+        // What comes in while it is idle is refused unseen.
+        assert_eq!(session.step(now, Input::Connected(Way::In)), [Effect::Refuse(Way::In)]);
+        now = session.due();
+        let again = session.step(now, Input::Timer);
+        assert_eq!(again, [Effect::Connect]);
+    }
+    assert_snapshot!(out);
+}
+
+#[test]
+fn a_million_routes_are_counted_and_end_the_session_at_its_limit() {
+    let mut session = at(State::Established);
+    let some = |announced, withdrawn| Message::Update(Routes { announced, withdrawn, faulty: 0 });
+    for _ in 0..10 {
+        session.step(1.0, Input::Heard(Way::Out, some(200, 0)));
+        session.step(1.0, Input::Heard(Way::Out, some(0, 200)));
+    }
+    assert_eq!((session.state(), session.heard_routes()), (State::Established, 0));
+    let effects = session.step(1.0, Input::Heard(Way::Out, some(1_000_000, 0)));
+    assert_eq!(
+        told(&effects),
+        "Out NOTIFICATION 6/1 most prefixes reached, close Out, down: we said 6/1 most prefixes reached"
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(17), ..ProptestConfig::with_cases(800) })]
+
+    /// Whatever comes in whatever order: one `Up` between two `Down`s, none while stopped, no connection is sent on
+    /// after it was closed, timers lie ahead, and a clock that steps back changes nothing.
+    #[test]
+    fn any_order_of_events_keeps_the_session_whole(
+        events in proptest::collection::vec((0u8..14, -2000.0f64..30_000.0), 1..60),
+    ) {
+        let mut session = Session::new(terms(), 3);
+        let (mut now, mut up, mut open_links) = (0.0f64, false, [false; 2]);
+        for (event, step) in events {
+            now += step;
+            let way = if event % 2 == 0 { Way::Out } else { Way::In };
+            let input = match event {
+                0 | 1 => Input::Start,
+                2 => Input::Stop("x".to_owned()),
+                3 | 4 => Input::Heard(way, Message::Keepalive),
+                5 | 6 => Input::Heard(way, Message::Open(open(if event == 5 { 9 } else { 0 }))),
+                7 | 8 => Input::Closed(way),
+                9 | 10 => Input::Connected(way),
+                11 => Input::Heard(way, Message::Update(Routes::default())),
+                12 => Input::Unreadable(way, Refusal(Notification::new(1, 1))),
+                _ => Input::Timer,
+            };
+            let (came, before) = (input == Input::Connected(way), open_links[way as usize]);
+            open_links[way as usize] |= came;
+            if input == Input::Closed(way) {
+                open_links[way as usize] = false;
+            }
+            for effect in session.step(now, input) {
+                match effect {
+                    Effect::Send(way, _) => prop_assert!(open_links[way as usize], "sent on a closed link"),
+                    Effect::Close(way) => open_links[way as usize] = false,
+                    Effect::Refuse(refused) => {
+                        prop_assert!(came && refused == way);
+                        open_links[way as usize] = before;
+                    }
+                    Effect::Up { .. } => prop_assert!(!std::mem::replace(&mut up, true)),
+                    Effect::Down(_) => prop_assert!(std::mem::replace(&mut up, false)),
+                    Effect::Connect | Effect::Refresh(_) => {}
+                }
+            }
+            prop_assert_eq!(up, session.state() == State::Established);
+        }
+    }
+}
