--- a/crates/bgp/src/session.rs
+++ b/crates/bgp/src/session.rs
@@ -42,7 +42,7 @@
 }
 
 /// Which side opened a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Way {
     Out,
     In,
--- /dev/null
+++ b/crates/speaker/src/lib.rs
@@ -0,0 +1,397 @@
+//! The shell of the BGP speaker: threads on std::net around `pewterwharf_bgp::speaker`.
+//!
+//! One thread holds the core and decides; each connection has a thread that reads and one that writes, and an attempt to
+//! connect has one of its own. No thread but the core's waits on another: a peer that does not read fills its writer's
+//! bounded queue, and its connection is then ended.
+//!
+//! Memory in sum: for each connection, one message being read (4,096 bytes) and [`WAITING`] messages to write.
+
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread::{Builder, JoinHandle};
+use std::time::{Duration, Instant};
+use std::{io, thread};
+
+use crossbeam_channel::{Receiver, Sender, bounded};
+use pewterwharf_bgp::announce::{self, Health};
+use pewterwharf_bgp::message::{self, LONGEST, Message, Refusal};
+use pewterwharf_bgp::session::{self, Way};
+use pewterwharf_bgp::speaker::{AddressShown, Effect, Input, PeerShown, Speaker as Core, Terms};
+use tracing::{debug, info};
+
+/// Stack of each thread.
+const STACK: usize = 128 * 1024;
+/// Messages that may wait to be written on one connection.
+const WAITING: usize = 64;
+/// Inputs that may wait for the core.
+const INPUTS: usize = 256;
+/// An attempt to connect, and one write, take no longer.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// How long the last words of sessions may take to leave at the end.
+const GOODBYE: Duration = Duration::from_secs(2);
+
+/// Where a peer is.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub address: SocketAddr,
+}
+
+/// A mixer's speaker, running.
+pub struct Speaker {
+    to: Sender<Told>,
+    may_stop: Receiver<()>,
+    core: Option<JoinHandle<()>>,
+    listens: Option<SocketAddr>,
+}
+
+enum Told {
+    Core(Input),
+    /// A connection that came, or that was asked for.
+    Up(usize, Way, TcpStream),
+    /// From a connection, by its number.
+    Heard(u64, Result<Message, Refusal>),
+    Ended(u64),
+    NotConnected(usize),
+    Show(Sender<(Vec<PeerShown>, Vec<AddressShown>)>),
+    End(String),
+}
+
+/// The way to the core.
+#[derive(Clone)]
+struct Tell(Sender<Told>);
+
+impl Tell {
+    fn say(&self, told: Told) -> bool {
+        self.0.send(told).is_ok()
+    }
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
+    Builder::new().name(name.to_owned()).stack_size(STACK).spawn(run)
+}
+
+impl Speaker {
+    /// Starts all sessions. `places` are those of the terms' peers, in the same order; with `listen`, peers may open
+    /// connections too and are known by their address.
+    ///
+    /// # Errors
+    /// If the listener or a thread can't be had.
+    pub fn start(
+        terms: Terms,
+        places: Vec<Place>,
+        listen: Option<SocketAddr>,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let (to, heard) = bounded(INPUTS);
+        let (stops, may_stop) = bounded(1);
+        let tell = Tell(to.clone());
+        let listener = listen.map(TcpListener::bind).transpose()?;
+        let listens = listener.as_ref().map(TcpListener::local_addr).transpose()?;
+        if let Some(listener) = listener {
+            let (tell, places) = (tell.clone(), places.clone());
+            spawn("bgp accept", move || accept(&listener, &places, &tell))?;
+        }
+        let peers = terms.peers.len();
+        let mut shell = Shell {
+            core: Core::new(terms, seed),
+            begun: Instant::now(),
+            places,
+            tell,
+            heard,
+            stops,
+            links: HashMap::new(),
+            current: HashMap::new(),
+            next: 0,
+        };
+        let core = spawn("bgp", move || {
+            (0..peers).for_each(|peer| shell.step(Input::Session(peer, session::Input::Start)));
+            shell.run();
+        })?;
+        Ok(Self { to, may_stop, core: Some(core), listens })
+    }
+
+    /// Where peers may connect.
+    pub fn listens(&self) -> Option<SocketAddr> {
+        self.listens
+    }
+
+    fn say(&self, input: announce::Input) {
+        let _ = self.to.send(Told::Core(Input::Announce(input))); // or it has ended
+    }
+
+    pub fn health(&self, health: Health) {
+        self.say(announce::Input::Health(health));
+    }
+
+    /// Begins the drain; [`Speaker::may_stop`] tells when scans may stop being taken.
+    pub fn drain(&self) {
+        self.say(announce::Input::Drain);
+    }
+
+    /// Cuts the waits of a drain short.
+    pub fn hurry(&self) {
+        self.say(announce::Input::Hurry);
+    }
+
+    /// Hears once that no route leads here any more.
+    pub fn may_stop(&self) -> &Receiver<()> {
+        &self.may_stop
+    }
+
+    /// Peers and addresses as they stand; none once it has ended.
+    pub fn show(&self) -> Option<(Vec<PeerShown>, Vec<AddressShown>)> {
+        let (to, shown) = bounded(1);
+        self.to.send(Told::Show(to)).ok()?;
+        shown.recv_timeout(PATIENCE).ok()
+    }
+
+    /// Ends all sessions with these words, and its threads.
+    pub fn end(mut self, words: &str) {
+        self.finish(words);
+    }
+
+    fn finish(&mut self, words: &str) {
+        if let Some(core) = self.core.take() {
+            let _ = self.to.send(Told::End(words.to_owned())); // or it has ended
+            let _ = core.join(); // its panic was printed
+            // A listener's thread waits for one more connection.
+            self.listens.and_then(|at| TcpStream::connect_timeout(&at, PATIENCE).ok());
+        }
+    }
+}
+
+impl Drop for Speaker {
+    fn drop(&mut self) {
+        self.finish("");
+    }
+}
+
+fn accept(listener: &TcpListener, places: &[Place], tell: &Tell) {
+    for stream in listener.incoming() {
+        let Ok(stream) = stream else {
+            thread::sleep(Duration::from_millis(50)); // no descriptor may be left; another comes free
+            continue;
+        };
+        let from = stream.peer_addr().map(|at| at.ip());
+        let peer = places.iter().position(|p| from.as_ref().is_ok_and(|ip| p.address.ip() == *ip));
+        let Some(peer) = peer else {
+            debug!("a connection from {from:?}, who is no peer");
+            if !tell.say(Told::Core(Input::Timer)) {
+                return;
+            }
+            continue;
+        };
+        if !tell.say(Told::Up(peer, Way::In, stream)) {
+            return;
+        }
+    }
+}
+
+struct Link {
+    peer: usize,
+    way: Way,
+    stream: Arc<TcpStream>,
+    /// What is to be written; dropped, the writer closes after the last.
+    write: Option<Sender<Vec<u8>>>,
+    writer: Option<JoinHandle<()>>,
+}
+
+struct Shell {
+    core: Core,
+    begun: Instant,
+    places: Vec<Place>,
+    tell: Tell,
+    heard: Receiver<Told>,
+    stops: Sender<()>,
+    links: HashMap<u64, Link>,
+    /// The connection that the core means by a peer and a way.
+    current: HashMap<(usize, Way), u64>,
+    next: u64,
+}
+
+impl Shell {
+    fn now(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64() * 1e3
+    }
+
+    fn run(&mut self) {
+        loop {
+            let wait = (self.core.due() - self.now()).clamp(0.0, 1e9);
+            match self.heard.recv_timeout(Duration::from_secs_f64(wait / 1e3)) {
+                Ok(Told::End(words)) => return self.goodbye(words),
+                Ok(told) => self.hear(told),
+                Err(_) => self.step(Input::Timer),
+            }
+        }
+    }
+
+    fn hear(&mut self, told: Told) {
+        match told {
+            Told::Core(input) => self.step(input),
+            Told::Up(peer, way, stream) => self.up(peer, way, stream),
+            Told::Heard(number, read) => {
+                let Some(link) = self.links.get(&number) else { return };
+                let (peer, way) = (link.peer, link.way);
+                if self.current.get(&(peer, way)) == Some(&number) {
+                    let input = match read {
+                        Ok(message) => session::Input::Heard(way, message),
+                        Err(refusal) => session::Input::Unreadable(way, refusal),
+                    };
+                    self.step(Input::Session(peer, input));
+                }
+            }
+            Told::Ended(number) => {
+                let Some(link) = self.links.remove(&number) else { return };
+                let key = (link.peer, link.way);
+                if self.current.get(&key) == Some(&number) {
+                    self.current.remove(&key);
+                    self.step(Input::Session(link.peer, session::Input::Closed(link.way)));
+                }
+            }
+            Told::NotConnected(peer) => self.step(Input::Session(peer, session::Input::Closed(Way::Out))),
+            Told::Show(to) => {
+                let _ = to.send((self.core.peers(), self.core.addresses())); // or nobody waits any more
+            }
+            Told::End(_) => {}
+        }
+    }
+
+    fn up(&mut self, peer: usize, way: Way, stream: TcpStream) {
+        let number = self.next;
+        self.next += 1;
+        let Ok(link) = self.link(number, peer, way, stream) else {
+            return self.step(Input::Session(peer, session::Input::Closed(way)));
+        };
+        self.links.insert(number, link);
+        let before = self.current.insert((peer, way), number);
+        let effects = self.core.step(self.now(), Input::Session(peer, session::Input::Connected(way)));
+        if effects.contains(&Effect::Refuse(peer, way)) {
+            // The one before stays the core's.
+            match before {
+                Some(before) => drop(self.current.insert((peer, way), before)),
+                None => drop(self.current.remove(&(peer, way))),
+            }
+            self.links.get_mut(&number).into_iter().for_each(|l| l.write = None);
+        }
+        effects.into_iter().for_each(|effect| self.carry_out(effect));
+    }
+
+    fn link(&self, number: u64, peer: usize, way: Way, stream: TcpStream) -> io::Result<Link> {
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(PATIENCE))?;
+        let stream = Arc::new(stream);
+        let (write, messages) = bounded::<Vec<u8>>(WAITING);
+        let (reads, writes, tell) = (stream.clone(), stream.clone(), self.tell.clone());
+        let writer = spawn("bgp write", move || {
+            for bytes in messages {
+                if (&*writes).write_all(&bytes).is_err() {
+                    break;
+                }
+            }
+            let _ = writes.shutdown(Shutdown::Both); // the reader hears of it
+        })?;
+        spawn("bgp read", move || {
+            read(&reads, number, &tell);
+            let _ = reads.shutdown(Shutdown::Both); // or it was
+            tell.say(Told::Ended(number));
+        })?;
+        Ok(Link { peer, way, stream, write: Some(write), writer: Some(writer) })
+    }
+
+    fn step(&mut self, input: Input) {
+        let effects = self.core.step(self.now(), input);
+        effects.into_iter().for_each(|effect| self.carry_out(effect));
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Connect(peer) => {
+                let (tell, address) = (self.tell.clone(), self.places[peer].address);
+                let attempt = move || {
+                    let told = match TcpStream::connect_timeout(&address, PATIENCE) {
+                        Ok(stream) => Told::Up(peer, Way::Out, stream),
+                        Err(error) => {
+                            debug!("no connection to {address}: {error}");
+                            Told::NotConnected(peer)
+                        }
+                    };
+                    tell.say(told);
+                };
+                if let Err(error) = spawn("bgp connect", attempt) {
+                    debug!("no thread to connect: {error}");
+                }
+            }
+            Effect::Send(peer, way, bytes) => {
+                let number = self.current.get(&(peer, way));
+                let Some(link) = number.and_then(|n| self.links.get_mut(n)) else { return };
+                let full = link.write.as_ref().is_some_and(|write| write.try_send(bytes).is_err());
+                if full {
+                    // It does not read: the connection ends, and the reader says so.
+                    debug!("peer {peer} does not read");
+                    let _ = link.stream.shutdown(Shutdown::Both); // or it was
+                }
+            }
+            Effect::Close(peer, way) => {
+                if let Some(number) = self.current.remove(&(peer, way))
+                    && let Some(link) = self.links.get_mut(&number)
+                {
+                    link.write = None;
+                }
+            }
+            Effect::Refuse(..) => {}
+            Effect::MayStop => drop(self.stops.try_send(())),
+            Effect::Note(line) => info!("{line}"),
+        }
+    }
+
+    /// Ends the sessions, and waits for their last words to leave, not for long.
+    fn goodbye(&mut self, words: String) {
+        self.step(Input::Stop(words));
+        let until = Instant::now() + GOODBYE;
+        for link in self.links.values_mut() {
+            link.write = None;
+            let writer = link.writer.take();
+            while writer.as_ref().is_some_and(|w| !w.is_finished()) && Instant::now() < until {
+                thread::sleep(Duration::from_millis(2)); // the writer has no way to say so
+            }
+            let _ = link.stream.shutdown(Shutdown::Both); // or it was
+        }
+    }
+}
+
+/// Reads messages until the connection ends or one can't be read.
+fn read(stream: &TcpStream, number: u64, tell: &Tell) {
+    let mut buffer = Vec::with_capacity(LONGEST);
+    let mut piece = [0; 2048];
+    loop {
+        // Numbers of AS have four octets wherever the peer knows them, and no path is kept where it does not.
+        loop {
+            let told = match message::length(&buffer) {
+                Ok(Some(length)) if buffer.len() >= length => {
+                    let read = message::read(&buffer[..length], true);
+                    buffer.drain(..length);
+                    read
+                }
+                Ok(_) => break,
+                Err(refusal) => Err(refusal),
+            };
+            let bad = told.is_err();
+            if !tell.say(Told::Heard(number, told)) {
+                return;
+            }
+            if bad {
+                // Ended by the writer, once the peer has been told why.
+                while (&*stream).read(&mut piece).is_ok_and(|count| count > 0) {}
+                return;
+            }
+        }
+        match (&*stream).read(&mut piece) {
+            Ok(0) => return,
+            Ok(count) => buffer.extend_from_slice(&piece[..count]),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return,
+        }
+    }
+}
