A draining mixer is withdrawn by BGP before it refuses anybody; off unless set

Announcing by process liveness sends clients to mixers without searchers, and a drain that only stops listening loses those whom routing still sends.

Change: the daemon reports what it can serve by the decision module's own view (Mixer::usable), four times a second, to the speaker; SIGTERM is held back until the routes have left, a second one cuts that short. Settings section bgp in the operator's file, each fault with its place.

--- a/crates/mixer/src/lib.rs
+++ b/crates/mixer/src/lib.rs
@@ -1,5 +1,6 @@
 //! A mixer on sockets, round the decision module.
 
+pub mod announcing;
 pub mod buffer;
 pub mod client;
 pub mod clock;
--- a/crates/mixer/src/main.rs
+++ b/crates/mixer/src/main.rs
@@ -2,8 +2,9 @@
 
 use std::process::ExitCode;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, anyhow};
 use pewterwharf_mixer::service::{self, Service};
+use pewterwharf_settings::Settings;
 use pewterwharf_terms::{Change, Start};
 use tracing::level_filters::LevelFilter;
 use tracing_subscriber::filter::Targets;
@@ -19,6 +20,13 @@
     Ok((path, text))
 }
 
+/// The operator's own file, where one is named.
+fn settings() -> Result<Settings> {
+    let Some(path) = said("PEWTERWHARF_SETTINGS") else { return Ok(Settings::default()) };
+    let text = std::fs::read_to_string(&path).with_context(|| format!("reading {path}"))?;
+    Settings::read(&text).map_err(|fault| anyhow!("{path}:{fault}"))
+}
+
 fn again(start: &Start) -> Result<Change> {
     let (path, text) = file()?;
     start.again(&text, said).with_context(|| format!("in {path}"))
@@ -29,7 +37,12 @@
     let (path, text) = file()?;
     let mut start = Start::read(&text, said).with_context(|| format!("in {path}"))?;
     start.hold_to(&std::fs::read_to_string("/proc/self/limits").unwrap_or_default());
-    Service::open(start, signals, again)?.run()
+    let (seed, bgp) = (start.seed, settings()?.bgp);
+    let service = Service::open(start, signals, again)?;
+    match bgp {
+        Some(bgp) => service.announcing(&bgp, seed)?.run(),
+        None => service.run(),
+    }
 }
 
 /// Lines go to standard error; `RUST_LOG` names the level, or targets with theirs, and `RUST_LOG_FORM=json` makes each
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -237,6 +237,16 @@
         self.phase
     }
 
+    /// Share of the slices for which the decision module has a usable searcher.
+    pub fn usable(&self) -> f64 {
+        self.module.usable()
+    }
+
+    /// Number of table types.
+    pub fn table_types(&self) -> usize {
+        self.terms.types.len()
+    }
+
     /// When it wants to be called at the latest.
     pub fn next_due(&self) -> Option<f64> {
         self.due.first().map(|d| f64::from_bits(d.0))
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -10,11 +10,13 @@
 
 use anyhow::{Context, Result};
 use crossbeam_channel::{Receiver, Sender, bounded};
+use pewterwharf_settings::Bgp;
 use pewterwharf_terms::{Change, Start};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 use tracing::{debug, info, warn};
 
+use crate::announcing::Announcing;
 use crate::buffer::Room;
 use crate::client::{Clients, Line, Orders};
 use crate::clock::Clock;
@@ -29,6 +31,8 @@
     /// A link that is up.
     Link(f64, u64, Arc<TcpStream>),
     Input(f64, Input),
+    /// No route leads here any more.
+    RoutesLeft,
 }
 
 /// The way to the service, with the clock that all go by.
@@ -48,6 +52,10 @@
         let _ = self.to.send(Told::Link(self.clock.now(), link, stream)); // or the program has ended
     }
 
+    pub fn may_stop(&self) {
+        let _ = self.to.send(Told::RoutesLeft); // or the program has ended
+    }
+
     pub fn client(&self, conn: u64, line: Line) {
         let _ = self.to.send(Told::Client(self.clock.now(), conn, line)); // or the program has ended
     }
@@ -64,7 +72,7 @@
 }
 
 /// Stack of the threads of which there is one each.
-const STACK: usize = 256 * 1024;
+pub(crate) const STACK: usize = 256 * 1024;
 /// Inputs that may wait to be heard: whoever sends more, faster than they are taken, waits. The one thread that
 /// takes them sends none.
 const WAITING: usize = 128;
@@ -88,6 +96,7 @@
     watches: Arc<Watches>,
     /// What the service itself has met and the reducer is still to hear.
     met: Vec<(f64, Input)>,
+    announcing: Option<Announcing>,
 }
 
 /// Reads the configuration anew, for a mixer that was started on this one.
@@ -147,17 +156,40 @@
             }
         })?;
         let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
-        let mut service =
-            Self { clock, reducer, heard, tell, orders, connect, clients, links, room, watches, met };
+        let mut service = Self {
+            clock,
+            reducer,
+            heard,
+            tell,
+            orders,
+            connect,
+            clients,
+            links,
+            room,
+            watches,
+            met,
+            announcing: None,
+        };
         effects.into_iter().for_each(|effect| service.carry_out(effect));
         Ok(service)
     }
 
+    /// Announces service addresses for as long as it runs.
+    ///
+    /// # Errors
+    /// If the speaker can't be started.
+    pub fn announcing(mut self, bgp: &Bgp, seed: u64) -> Result<Self> {
+        self.announcing = Some(Announcing::open(bgp, seed, self.tell.clone()).context("bgp")?);
+        Ok(self)
+    }
+
     /// Runs until it is asked to end and all is answered.
     pub fn run(mut self) -> Result<()> {
         while self.reducer.phase() != Phase::Closed {
             let mut inputs = std::mem::take(&mut self.met);
             let due = if inputs.is_empty() { self.reducer.next_due() } else { Some(0.0) };
+            let report = self.announcing.as_ref().map(Announcing::due).filter(|at| at.is_finite());
+            let due = due.into_iter().chain(report).reduce(f64::min);
             let wait = due.map_or(Duration::MAX, |at| self.clock.until(at));
             if let Ok(told) = self.heard.recv_timeout(wait) {
                 self.hear(told, &mut inputs);
@@ -169,7 +201,10 @@
             }
             let effects = self.reducer.step(self.clock.now(), inputs);
             effects.into_iter().for_each(|effect| self.carry_out(effect));
+            let now = self.clock.now();
+            self.announcing.iter_mut().for_each(|a| a.report(now, &self.reducer));
         }
+        self.announcing.into_iter().for_each(Announcing::end);
         eprint!("{}", self.reducer.counters());
         Ok(())
     }
@@ -190,6 +225,17 @@
                 let written = self.links.remove(&link).map_or(0, |held| held.written);
                 inputs.push((at, Input::LinkEnd { link, written }));
             }
+            // What leads clients here goes first.
+            Told::Input(at, Input::Stop) => {
+                if self.announcing.as_mut().is_none_or(Announcing::stop) {
+                    inputs.push((at, Input::Stop));
+                }
+            }
+            Told::RoutesLeft => {
+                if self.announcing.as_mut().is_some_and(Announcing::left) {
+                    inputs.push((self.clock.now(), Input::Stop));
+                }
+            }
             Told::Input(at, input) => inputs.push((at, input)),
         }
     }
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -2,9 +2,12 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{self, Receiver};
+use std::time::Instant;
 
+use pewterwharf_standins::bgp::{Manner as PeerManner, Peer};
 use pewterwharf_standins::{self as standins, Manner};
 use serde_json::Value;
 
@@ -28,6 +31,11 @@
 }
 
 fn start_on(config: &str, manners: &[Manner]) -> Mixer {
+    start_with(config, None, manners)
+}
+
+/// `settings`: the operator's own file.
+fn start_with(config: &str, settings: Option<&Path>, manners: &[Manner]) -> Mixer {
     let (says, heard) = mpsc::channel();
     let searchers = manners.iter().map(|manner| {
         let listener = port();
@@ -41,7 +49,7 @@
     let lists = standins::Lists::default();
     lists.serve(listener);
     lists.tell(standins::list(1, true, &searchers));
-    let (child, mut log, addr) = launch(discovery, config);
+    let (child, mut log, addr) = launch_with(discovery, config, settings);
     wait(&mut log, "ready");
     Mixer { child, log, addr, lists, heard, searchers }
 }
@@ -50,7 +58,16 @@
 
 /// Starts the program, and waits until it listens.
 fn launch(discovery: String, config: &str) -> (Child, BufReader<ChildStderr>, SocketAddr) {
+    launch_with(discovery, config, None)
+}
+
+fn launch_with(
+    discovery: String,
+    config: &str,
+    settings: Option<&Path>,
+) -> (Child, BufReader<ChildStderr>, SocketAddr) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_pewterwharf-mixer"))
+        .envs(settings.map(|path| ("PEWTERWHARF_SETTINGS", path)))
         .env("ROUTER_CONFIG", config)
         .env("ROUTER_LISTEN", "127.0.0.1:0")
         .env("ROUTER_DISCOVERY", discovery)
@@ -346,3 +363,135 @@
     let (status, counts) = mixer.end();
     insta::assert_snapshot!(format!("{status:?} {counts}"));
 }
+
+/// A mixer that announces one address to a peer; the file is gone once it has been read.
+fn announcing(peer: &Peer, searchers: &[Manner]) -> Mixer {
+    let file = std::env::temp_dir().join(format!("bgp-{}-{}.lisp", std::process::id(), peer.address.port()));
+    let text = format!(
+        "(bgp (as 64512) (id \"10.0.0.1\") (up 0.9 20ms) (down 0.5 20ms) (drain 40ms 40ms)
+           (peer (address \"{}\") (as 64513) (next-hop \"192.0.2.1\")) (announce \"198.51.100.1/32\"))",
+        peer.address
+    );
+    std::fs::write(&file, text).expect("a file");
+    let mixer = start_with(EXAMPLE, Some(&file), searchers);
+    std::fs::remove_file(file).expect("it was read");
+    mixer
+}
+
+/// One drain under load: when the peer heard the withdrawal, when a connection was first refused, and the counts.
+fn drain_under_load() -> (Instant, Instant, Option<i32>, String) {
+    let peer = Peer::start(&[PeerManner::Speaks]);
+    let mixer = announcing(&peer, &[Manner::Answers, Manner::Answers]);
+    peer.until("announce 198.51.100.1/32, path of 1");
+    let addr = mixer.addr;
+    let (says, first) = mpsc::channel();
+    let load = std::thread::spawn(move || {
+        loop {
+            let Ok(mut client) = TcpStream::connect(addr) else { return Instant::now() };
+            let asked =
+                client.write_all(scan("lookup", 2).replace("Host: app.svc", "Connection: close").as_bytes());
+            let mut said = String::new();
+            // What is cut off before its answer is counted by the mixer, which prints what it took.
+            let _ = asked.and_then(|()| client.read_to_string(&mut said).map(drop));
+            let _ = says.send(said.starts_with("HTTP/1.1 200")); // or nobody listens any more
+        }
+    });
+    assert!((0..20).all(|_| first.recv().expect("an answer")), "scans are served");
+    mixer.signal("TERM");
+    let (_, before) = peer.until("announce 198.51.100.1/32, path of 3, depreferenced");
+    assert!(before.is_empty(), "{before:?}");
+    let (withdrawn, _) = peer.until("withdraw 198.51.100.1/32");
+    let refused = load.join().expect("the load ends");
+    peer.until("notification");
+    let (status, counts) = mixer.end();
+    (withdrawn.at, refused, status, counts)
+}
+
+fn count(counts: &str, name: &str) -> u64 {
+    let found = counts.split(", ").find_map(|c| c.strip_prefix(name)?.trim().parse().ok());
+    found.unwrap_or(0)
+}
+
+fn drains(rounds: usize) {
+    for round in 0..rounds {
+        let (withdrawn, refused, status, counts) = drain_under_load();
+        assert!(
+            withdrawn < refused,
+            "round {round}: refused {:?} before the withdrawal",
+            withdrawn - refused
+        );
+        assert_eq!(status, Some(0), "round {round}");
+        let (taken, completed) = (count(&counts, "scans_taken"), count(&counts, "scans_completed"));
+        assert!(taken >= 20 && taken == completed, "round {round}: {counts}");
+    }
+}
+
+#[test]
+fn a_mixer_that_drains_is_withdrawn_before_it_refuses_anybody_and_loses_no_scan() {
+    drains(2);
+}
+
+/// `cargo test -p pewterwharf-mixer --test loopback -- --ignored`: the long run of which the docs speak.
+#[test]
+#[ignore = "some minutes"]
+fn two_hundred_drains_under_load_are_withdrawn_first() {
+    let rounds: Vec<_> = (0..8).map(|_| std::thread::spawn(|| drains(25))).collect();
+    rounds.into_iter().for_each(|round| round.join().expect("every drain keeps its order"));
+}
+
+#[test]
+fn a_mixer_that_lives_and_has_no_usable_searcher_is_withdrawn_and_announced_again() {
+    let peer = Peer::start(&[PeerManner::Speaks]);
+    let mut mixer = announcing(&peer, &[Manner::Answers]);
+    peer.until("announce 198.51.100.1/32, path of 1");
+    mixer.searchers[0].1 = "draining";
+    mixer.lists.tell(standins::list(2, false, &mixer.searchers));
+    peer.until("withdraw 198.51.100.1/32");
+    let mut client = mixer.connect();
+    client.write_all(scan("lookup", 1).as_bytes()).expect("it takes bytes");
+    assert!(answer(&client).starts_with("HTTP/1.1 503") || answer(&client).starts_with("HTTP/1.1 429"));
+    mixer.searchers[0].1 = "up";
+    mixer.lists.tell(standins::list(3, false, &mixer.searchers));
+    peer.until("announce 198.51.100.1/32, path of 1");
+}
+
+#[test]
+fn scans_go_on_while_a_session_flaps_and_a_second_signal_cuts_the_waits_short() {
+    let peer = Peer::start(&[PeerManner::Flaps, PeerManner::Speaks]);
+    let mixer = announcing(&peer, &[Manner::Answers]);
+    peer.until("closed");
+    let mut client = mixer.connect();
+    client.write_all(scan("lookup", 1).as_bytes()).expect("it takes bytes");
+    assert!(answer(&client).starts_with("HTTP/1.1 200"));
+    let begun = Instant::now();
+    mixer.signal("TERM");
+    mixer.signal("TERM");
+    let (status, counts) = mixer.end();
+    assert_eq!((status, count(&counts, "scans_completed")), (Some(0), 1));
+    assert!(begun.elapsed().as_secs() < 5, "{:?}", begun.elapsed());
+}
+
+/// The figures of `docs/bgp.md`: from the last usable searcher to the withdrawal, and from there to the announcement.
+#[test]
+#[ignore = "a measurement"]
+fn how_long_withdrawals_and_announcements_take() {
+    let mut took = [Vec::new(), Vec::new()];
+    // A mixer changes its mind six times a minute at most.
+    for _ in 0..10 {
+        let peer = Peer::start(&[PeerManner::Speaks]);
+        let mut mixer = announcing(&peer, &[Manner::Answers]);
+        peer.until("announce 198.51.100.1/32");
+        for round in 0..2 {
+            for (side, (status, word)) in
+                [("draining", "withdraw"), ("up", "announce")].into_iter().enumerate()
+            {
+                mixer.searchers[0].1 = status;
+                let told = Instant::now();
+                mixer.lists.tell(standins::list(2 + 2 * round + side as u64, false, &mixer.searchers));
+                took[side].push((peer.until(word).0.at - told).as_millis());
+            }
+        }
+    }
+    took.iter_mut().for_each(|t| t.sort_unstable());
+    println!("withdrawn after {:?} ms, announced after {:?} ms", took[0], took[1]);
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,4 +10,4 @@
 mod settings;
 
 pub use names::near;
-pub use settings::{Explore, Log, LogForm, Settings};
+pub use settings::{Bgp, BgpAddress, BgpPeer, Explore, Log, LogForm, Settings};
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -33,6 +33,41 @@
     assert_eq!(told("(log (level info)"), "1:17: EOF while parsing a list");
 }
 
+#[test]
+fn announcements_are_off_unless_set_and_faults_name_their_key() {
+    assert_eq!(Settings::read("").map(|s| s.bgp), Ok(None));
+    let whole = r#"(bgp (as 4200000000) (id "10.0.0.1") (up 0.8 4s) (drain 1s 2s)
+        (peer (address "127.0.0.2:179") (as 64513) (hold 3s) (next-hop "192.0.2.1"))
+        (announce "198.51.100.1/32" (keep-last)) (announce "2001:db8::1/128"))"#;
+    let bgp = Settings::read(whole).expect("it reads").bgp.expect("it is on");
+    assert_eq!(
+        (bgp.asn, bgp.up, bgp.drain, bgp.peers.len()),
+        (4_200_000_000, (0.8, 4000.0), (1000.0, 2000.0), 1)
+    );
+    assert_eq!(
+        bgp.addresses.iter().map(|a| (a.prefix.1, a.keep_last)).collect::<Vec<_>>(),
+        [(32, true), (128, false)]
+    );
+    let faults = [
+        ("(bgp (as 1))", "1:1: expected (id \"ADDRESS\") in (bgp ...)"),
+        ("(bgp (id \"ten\"))", "1:10: found \"ten\", expected bgp id, an IPv4 address"),
+        ("(bgp (up 1.5 1s))", "1:10: found 1.5, expected bgp up, a share up to 1"),
+        (
+            "(bgp (pear))",
+            "1:6: found pear, expected one of as, id, listen, peer, announce, up, down, stale, pressure, changes, drain; did you mean peer?",
+        ),
+        (
+            "(bgp (announce \"10.0.0.0/33\"))",
+            "1:16: found \"10.0.0.0/33\", expected a prefix, as 198.51.100.1/32",
+        ),
+        ("(bgp (peer (as 1)))", "1:6: expected (address ...) in (peer ...)"),
+        ("(bgp (peer (hold 2s)))", "1:18: peer hold is under 3s"),
+    ];
+    for (text, fault) in faults {
+        assert_eq!(told(text), fault);
+    }
+}
+
 #[test]
 fn brackets_without_end_are_refused_before_they_cost_anything() {
     let nested = "(".repeat(100_000);
--- a/crates/speaker/tests/loopback.rs
+++ b/crates/speaker/tests/loopback.rs
@@ -1,7 +1,5 @@
 //! The speaker on loopback, against a peer with a codec of its own.
 
-mod standin;
-
 use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
 use std::time::{Duration, Instant};
 
@@ -10,7 +8,7 @@
 use pewterwharf_bgp::session::{self, State};
 use pewterwharf_bgp::speaker::{Peer as PeerTerms, Terms};
 use pewterwharf_speaker::{Place, Speaker};
-use standin::{Manner, Peer};
+use pewterwharf_standins::bgp::{Manner, Peer};
 
 fn terms() -> Terms {
     let session = session::Terms {
--- a/crates/speaker/tests/standin/mod.rs
+++ b/crates/standins/src/bgp.rs
@@ -47,12 +47,15 @@
     pub what: String,
 }
 
+/// A peer that listens, and what it has heard.
 pub struct Peer {
     pub address: SocketAddr,
     heard: Receiver<Heard>,
 }
 
 impl Peer {
+    /// # Panics
+    /// If no port is to be had.
     pub fn start(manners: &[Manner]) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
@@ -72,6 +75,9 @@
     }
 
     /// The next that is heard.
+    ///
+    /// # Panics
+    /// If nothing is for 20 s.
     pub fn next(&self) -> Heard {
         self.heard.recv_timeout(Duration::from_secs(20)).expect("something is heard")
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,9 @@
 //! Stand-ins on loopback for what a mixer speaks with: searchers that answer, hang, die or spoil, and the discovery
 //! that lists them. `pewterwharf try` and the tests use them; no scan of anybody's is served by one.
 
+#[cfg(feature = "bgp")]
+pub mod bgp;
+
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/deploy/pewterwharf.lisp
+++ b/deploy/pewterwharf.lisp
@@ -12,3 +12,10 @@
   (departures 2)    ; things that may go wrong in one run, 0 to 8
   (states 200000)   ; states looked at in one exploration
   (threads 8))      ; explorations that run side by side
+
+; Announcements of service addresses; off unless this section is there. See docs/operators/bgp.md.
+;
+; (bgp
+;   (as 64512) (id "10.0.0.1")
+;   (peer (address "192.0.2.254:179") (as 64513) (hold 9s) (next-hop "192.0.2.1"))
+;   (announce "198.51.100.1/32"))
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -637,6 +637,11 @@
         Self { seed, zone, roster, subscribe_at, next_tick, srvs, gauge, desk, post }
     }
 
+    /// For those who report on a mixer: the share of the slices for which a searcher is usable.
+    pub fn usable(&self) -> f64 {
+        self.desk.usable()
+    }
+
     /// The list: a searcher is known by its address; a new start voids its past.
     fn list(&mut self, kind: ListKind, lines: Vec<Listed>) {
         if kind == ListKind::Failed {
--- a/src/state.rs
+++ b/src/state.rs
@@ -357,6 +357,13 @@
         }
     }
 
+    /// Of the cells' slices, the share that a searcher holds which is ready, has a connection and is not marked.
+    pub fn usable(&self) -> f64 {
+        let usable = |srv: usize| self.seats[srv].up() && !self.seats[srv].tile.marked;
+        let held = (0..self.layout.cells).filter(|slice| self.cells.holders(*slice).any(usable));
+        held.count() as f64 / f64::from(self.layout.cells.max(1))
+    }
+
     /// One more scan or part was taken.
     pub fn took(&mut self, now: f64) {
         self.further.taken.push_back(now);
