--- a/src/logic.rs
+++ b/src/logic.rs
@@ -595,7 +595,7 @@
     }
 }
 
-/// One mixer: the actors, their loop, and the index of searchers at the door. What it prints is all its state.
+/// One mixer: the actors, their loop, the index of searchers at the door. It prints all of its state.
 #[rustfmt::skip]
 #[derive(Debug)]
 pub struct Mixer {
