--- a/crates/bgp/src/announce.rs
+++ b/crates/bgp/src/announce.rs
@@ -9,12 +9,19 @@
 //! - the number of changes in a minute is bounded: once it is reached nothing gets better until it is under it again.
 //!   Getting worse is never held back, or scans would be called to where nobody serves them;
 //! - where the operator says so, a last announcer is depreferenced in place of withdrawn, unless it drains or can serve
-//!   nothing at all;
+//!   nothing at all; one that had withdrawn beside another comes back, depreferenced, once that other is gone. Who else
+//!   announces is known from what peers reflect ([`others`]): a route that may be the mixer's own, or that is itself
+//!   a last resort, is nobody's;
 //! - a drain goes its own way, in this order and no other: depreference, wait, withdraw, wait for the route to leave, stop.
 //!
 //! A lost session changes nothing here: the peer forgets the routes by itself, and is told all again.
 
 use std::collections::VecDeque;
+use std::net::{IpAddr, Ipv4Addr};
+
+use ipnet::IpNet;
+
+use crate::message::Seen;
 
 /// What is read at start.
 #[derive(Clone, Debug, PartialEq)]
@@ -37,9 +44,10 @@
     pub leave_ms: f64,
 }
 
-/// One service address, by its place in [`Terms::addresses`].
+/// One service address. No two are of the same prefix.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Address {
+    pub prefix: IpNet,
     /// Table types that are served there; all, if none is named.
     pub table_types: Vec<usize>,
     /// Not withdrawn on mere suspicion while nobody else is known to announce it.
@@ -59,7 +67,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Health {
     pub phase: Phase,
-    /// Of each table type, the share of its weight by slices that has a searcher that is up, not marked and not draining.
+    /// Of each table type, the share of what it needs that can be served (see [`served`]).
     pub usable: Vec<f64>,
     /// Share of the scans refused at the door lately.
     pub pressure: f64,
@@ -75,7 +83,10 @@
     /// Sessions that are established.
     Sessions(usize),
     /// Whether somebody else is known to announce an address, by routes that peers reflect.
-    Others(usize, bool),
+    Others(IpNet, bool),
+    /// The operator has changed them. Addresses that stay keep their standing; others begin withdrawn, and what is no
+    /// longer named is withdrawn at once.
+    Terms(Terms),
     /// The mixer is to end.
     Drain,
     /// At once: asked a second time.
@@ -104,12 +115,41 @@
     DoorPressed,
     NoPlaces,
     Drains,
+    /// The operator names it no longer.
+    NotNamed,
+}
+
+/// Of what a table type needs, the share that can be served where `usable` is the share of the slices with a searcher that
+/// is up, not draining and not marked. `need` is the weight of parts that makes a whole answer, `floor` the least for any:
+/// under it every scan fails.
+pub fn served(usable: f64, need: f64, floor: f64) -> f64 {
+    // Shares of a few slices: a rounding error must not count as a slice.
+    const CLOSE: f64 = 1e-9;
+    if usable + CLOSE < floor {
+        0.0
+    } else if need > 0.0 {
+        (usable / need).min(1.0)
+    } else {
+        usable.min(1.0)
+    }
+}
+
+/// Whether a route that a peer holds is surely another's, for a mixer of this identifier that told the peer this next
+/// hop.
+///
+/// A peer that sets itself as next hop sends routes back so that they can't be told from another's of the same AS. Taking
+/// one's own route for another's would withdraw the last; so what is not sure counts as nobody's. A route that is itself a
+/// last resort is no reason to go either: two of them would send each other away.
+pub fn others(seen: &Seen, id: Ipv4Addr, next_hop: Option<IpAddr>) -> bool {
+    let told = seen.originator.map(|by| by != id);
+    let elsewhere = seen.next_hop.is_some() && seen.next_hop != next_hop;
+    !seen.last && told.unwrap_or(elsewhere && !seen.own_as)
 }
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// An address, by its place, is to stand so.
-    Stand { address: usize, stance: Stance, reason: Reason },
+    /// An address is to stand so.
+    Stand { prefix: IpNet, stance: Stance, reason: Reason },
     /// Scans may stop being taken: no route leads here any more, as far as can be known.
     MayStop,
 }
@@ -125,6 +165,16 @@
     asked: (Stance, Reason),
     since: f64,
     others: bool,
+    /// When the stance last changed; never, before it first did.
+    changed: Option<f64>,
+}
+
+impl Standing {
+    fn new() -> Self {
+        let begins = (Stance::Withdrawn, Reason::NotReady);
+        let (stance, reason) = begins;
+        Self { stance, reason, asked: begins, since: 0.0, others: false, changed: None }
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -152,13 +202,6 @@
 
 impl Announcer {
     pub fn new(terms: Terms) -> Self {
-        let standing = Standing {
-            stance: Stance::Withdrawn,
-            reason: Reason::NotReady,
-            asked: (Stance::Withdrawn, Reason::NotReady),
-            since: 0.0,
-            others: false,
-        };
         let health = Health {
             phase: Phase::Opening,
             usable: Vec::new(),
@@ -167,7 +210,7 @@
             list_age_ms: f64::INFINITY,
         };
         Self {
-            addresses: vec![standing; terms.addresses.len()],
+            addresses: vec![Standing::new(); terms.addresses.len()],
             terms,
             now: 0.0,
             health,
@@ -177,9 +220,20 @@
         }
     }
 
-    /// How an address stands, and why.
-    pub fn standing(&self, address: usize) -> Option<(Stance, Reason)> {
-        self.addresses.get(address).map(|a| (a.stance, a.reason))
+    /// How each address stands, why, whether somebody else is known to announce it, and when its stance last changed.
+    pub fn standings(&self) -> impl Iterator<Item = (IpNet, Stance, Reason, bool, Option<f64>)> {
+        let named = self.terms.addresses.iter().map(|a| a.prefix);
+        named.zip(&self.addresses).map(|(at, a)| (at, a.stance, a.reason, a.others, a.changed))
+    }
+
+    /// What was last reported.
+    pub fn health(&self) -> &Health {
+        &self.health
+    }
+
+    /// Whether it drains.
+    pub fn drains(&self) -> bool {
+        self.drain != Drain::No
     }
 
     /// When [`Input::Timer`] is due next, in milliseconds.
@@ -201,9 +255,11 @@
         match input {
             Input::Health(health) => self.health = health,
             Input::Sessions(up) => self.sessions = up,
-            Input::Others(address, known) => {
-                self.addresses.get_mut(address).into_iter().for_each(|a| a.others = known);
+            Input::Others(prefix, known) => {
+                let named = self.terms.addresses.iter().position(|a| a.prefix == prefix);
+                named.into_iter().for_each(|at| self.addresses[at].others = known);
             }
+            Input::Terms(terms) => self.change(terms, &mut out),
             Input::Drain if self.drain == Drain::No => {
                 self.drain = Drain::Last(self.now + self.terms.depreferenced_ms);
                 self.stand_all(Stance::Depreferenced, &mut out);
@@ -223,6 +279,22 @@
         out
     }
 
+    fn change(&mut self, terms: Terms, out: &mut Vec<Effect>) {
+        let before = std::mem::replace(&mut self.terms, terms).addresses;
+        let mut held: Vec<(IpNet, Standing)> =
+            before.iter().map(|a| a.prefix).zip(std::mem::take(&mut self.addresses)).collect();
+        for Address { prefix, .. } in &self.terms.addresses {
+            let kept = held.iter().position(|h| h.0 == *prefix).map(|at| held.swap_remove(at).1);
+            self.addresses.push(kept.unwrap_or_else(Standing::new));
+        }
+        held.sort_by_key(|h| h.0);
+        for (prefix, standing) in held {
+            if standing.stance > Stance::Withdrawn {
+                out.push(Effect::Stand { prefix, stance: Stance::Withdrawn, reason: Reason::NotNamed });
+            }
+        }
+    }
+
     /// Goes on with a drain as far as time, and those who listen, allow.
     fn drained(&mut self, out: &mut Vec<Effect>) {
         // Where nobody listens, or nothing is announced, there is nothing to wait for.
@@ -254,15 +326,15 @@
 
     fn stand(&mut self, address: usize, stance: Stance, reason: Reason, out: &mut Vec<Effect>) {
         let standing = &mut self.addresses[address];
-        (standing.stance, standing.reason) = (stance, reason);
+        (standing.stance, standing.reason, standing.changed) = (stance, reason, Some(self.now));
         self.changes.push_back(self.now);
-        out.push(Effect::Stand { address, stance, reason });
+        out.push(Effect::Stand { prefix: self.terms.addresses[address].prefix, stance, reason });
     }
 
     /// What an address's health asks for, by itself.
     fn asks(&self, address: usize) -> (Stance, Reason) {
         let (terms, health) = (&self.terms, &self.health);
-        let Some(Address { table_types, keep_last }) = terms.addresses.get(address) else {
+        let Some(Address { table_types, keep_last, .. }) = terms.addresses.get(address) else {
             return (Stance::Withdrawn, Reason::NotReady);
         };
         let standing = &self.addresses[address];
@@ -282,8 +354,7 @@
         // Between the two shares an address stays on the side on which it is.
         let enough = if standing.stance == Stance::Withdrawn { terms.up_share } else { terms.down_share };
         if usable < enough {
-            let keeps = *keep_last && !standing.others && standing.stance > Stance::Withdrawn;
-            return match keeps {
+            return match *keep_last && !standing.others {
                 true => (Stance::Depreferenced, Reason::LastAnnouncer),
                 false => (Stance::Withdrawn, Reason::TooLittleUsable),
             };
--- a/crates/bgp/src/message.rs
+++ b/crates/bgp/src/message.rs
@@ -86,13 +86,35 @@
     pub attributes: Option<Attributes>,
 }
 
-/// What a peer's UPDATE came to, of which nothing is kept (see [`read_routes`]).
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// What a peer's UPDATE came to: counted, and of no other routes than those that are watched anything kept (see
+/// [`read_routes`]).
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Routes {
     pub announced: u32,
     pub withdrawn: u32,
     /// Attributes that were passed over or that turned the announcement into a withdrawal (RFC 7606).
     pub faulty: u32,
+    /// Of the watched prefixes that it names, in its order: none is a withdrawal.
+    pub watched: Vec<(IpNet, Option<Seen>)>,
+}
+
+/// What tells whose a route is that a peer holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    pub next_hop: Option<IpAddr>,
+    /// Who brought it into the AS, by a route reflector's word (RFC 4456 section 8).
+    pub originator: Option<Ipv4Addr>,
+    /// The AS that watches stands in its path.
+    pub own_as: bool,
+    /// It carries [`GRACEFUL_SHUTDOWN`].
+    pub last: bool,
+}
+
+/// Prefixes of which it counts whether a peer holds a route, and the AS that asks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Watch {
+    pub prefixes: Vec<IpNet>,
+    pub asn: u32,
 }
 
 /// NOTIFICATION (section 4.5).
@@ -123,6 +145,7 @@
     pub const MALFORMED_ATTRIBUTES: u8 = 1;
     pub const MOST_PREFIXES: u8 = 1;
     pub const SHUTDOWN: u8 = 2;
+    pub const PEER_REMOVED: u8 = 3;
     pub const RECONFIGURED: u8 = 6;
     pub const COLLISION: u8 = 7;
 }
@@ -226,18 +249,19 @@
     Ok(Some(length))
 }
 
-/// Reads one whole message, of the length that [`length`] gave. `four_octets`: as agreed on in the OPENs.
+/// Reads one whole message, of the length that [`length`] gave. `four_octets`: as agreed on in the OPENs; `watch`: what is
+/// told of more than its number.
 ///
 /// # Errors
 /// What answers it.
-pub fn read(bytes: &[u8], four_octets: bool) -> Result<Message, Refusal> {
+pub fn read(bytes: &[u8], four_octets: bool, watch: &Watch) -> Result<Message, Refusal> {
     let Some(length) = length(bytes)?.filter(|l| *l == bytes.len()) else {
         return refuse(code::HEADER, code::BAD_LENGTH, &[]);
     };
     let body = &bytes[HEADER..length];
     match bytes[18] {
         1 => read_open(body).map(Message::Open),
-        2 => read_routes(body, four_octets).map(Message::Update),
+        2 => read_routes(body, four_octets, watch).map(Message::Update),
         3 => Ok(Message::Notification(Notification {
             code: body[0],
             subcode: body[1],
@@ -340,13 +364,24 @@
 }
 
 /// Walks the prefixes of a field; their number, or none if one can't be.
-fn prefixes(field: &[u8], widest: u8, mut each: impl FnMut(u8, &[u8])) -> Option<u32> {
+fn prefixes(field: &[u8], family: Family, mut each: impl FnMut(IpNet)) -> Option<u32> {
     let (mut field, mut count) = (Cut(field), 0);
     while let Some(bits) = field.byte() {
+        let widest = if family == Family::V4 { 32 } else { 128 };
         if bits > widest {
             return None;
         }
-        each(bits, field.take(usize::from(bits).div_ceil(8))?);
+        let octets = field.take(usize::from(bits).div_ceil(8))?;
+        let mut all = [0; 16];
+        all[..octets.len()].copy_from_slice(octets);
+        let net = match family {
+            Family::V4 => {
+                Ipv4Net::new(Ipv4Addr::new(all[0], all[1], all[2], all[3]), bits).ok().map(IpNet::V4)
+            }
+            Family::V6 => Ipv6Net::new(Ipv6Addr::from(all), bits).ok().map(IpNet::V6),
+        };
+        // Bits beyond the length are of no account (RFC 4271 section 4.3).
+        net.into_iter().for_each(|net| each(net.trunc()));
         count += 1;
     }
     Some(count)
@@ -356,7 +391,7 @@
 ///
 /// # Errors
 /// If the fields themselves can't be told apart, or a prefix can't be read: the session has to end (section 5.3).
-pub fn read_routes(body: &[u8], four_octets: bool) -> Result<Routes, Refusal> {
+pub fn read_routes(body: &[u8], four_octets: bool, watch: &Watch) -> Result<Routes, Refusal> {
     let malformed = || Refusal(Notification::new(code::UPDATE, code::MALFORMED_ATTRIBUTES));
     let mut rest = Cut(body);
     let length = rest.pair().ok_or_else(malformed)?;
@@ -364,11 +399,19 @@
     let length = rest.pair().ok_or_else(malformed)?;
     let attributes = rest.take(usize::from(length)).ok_or_else(malformed)?;
     let bad_field = || Refusal(Notification::new(code::UPDATE, 10));
+    let mut watched: Vec<(IpNet, bool)> = Vec::new();
+    let mut note = |net: IpNet, reach: bool| {
+        // A prefix counts once a message and way, so that no message costs more than is watched.
+        if watch.prefixes.contains(&net) && !watched.contains(&(net, reach)) {
+            watched.push((net, reach));
+        }
+    };
     let mut routes = Routes {
-        withdrawn: prefixes(withdrawn, 32, |_, _| {}).ok_or_else(bad_field)?,
-        announced: prefixes(rest.0, 32, |_, _| {}).ok_or_else(bad_field)?,
-        faulty: 0,
+        withdrawn: prefixes(withdrawn, Family::V4, |net| note(net, false)).ok_or_else(bad_field)?,
+        announced: prefixes(rest.0, Family::V4, |net| note(net, true)).ok_or_else(bad_field)?,
+        ..Routes::default()
     };
+    let mut told = Seen::default();
     let (mut seen, mut treat_as_withdrawn) = ([false; 256], false);
     let (mut multi_announced, mut unreadable) = (0, false);
     let mut field = Cut(attributes);
@@ -402,14 +445,17 @@
             5 => value.len() == 4,
             8 => class == 0xC0 && !value.is_empty() && value.len().is_multiple_of(4),
             32 => class == 0xC0 && !value.is_empty() && value.len().is_multiple_of(12),
+            9 => class == 0x80 && value.len() == 4,
             14 => {
-                multi_announced =
-                    read_multi(value, true).ok_or_else(|| Refusal(Notification::new(code::UPDATE, 9)))?;
+                let (count, hop) = read_multi(value, true, |net| note(net, true))
+                    .ok_or_else(|| Refusal(Notification::new(code::UPDATE, 9)))?;
+                multi_announced = count;
+                told.next_hop = hop.or(told.next_hop);
                 class == 0x80
             }
             15 => {
-                let gone =
-                    read_multi(value, false).ok_or_else(|| Refusal(Notification::new(code::UPDATE, 9)))?;
+                let (gone, _) = read_multi(value, false, |net| note(net, false))
+                    .ok_or_else(|| Refusal(Notification::new(code::UPDATE, 9)))?;
                 routes.withdrawn += gone;
                 class == 0x80
             }
@@ -419,6 +465,14 @@
         if !sound {
             routes.faulty += 1;
             treat_as_withdrawn = true;
+            continue;
+        }
+        match kind {
+            2 => told.own_as = path_holds(value, four_octets, watch.asn),
+            3 => told.next_hop = four(value).map(|hop| IpAddr::V4(Ipv4Addr::from(hop))),
+            8 => told.last = value.chunks(4).any(|c| four(c) == Some(GRACEFUL_SHUTDOWN)),
+            9 => told.originator = four(value).map(Ipv4Addr::from),
+            _ => {}
         }
     }
     let announces = routes.announced + multi_announced > 0;
@@ -432,6 +486,10 @@
     if treat_as_withdrawn {
         routes.withdrawn += std::mem::take(&mut routes.announced);
     }
+    let seen = |reach: bool| Some(told).filter(|_| reach && !treat_as_withdrawn);
+    routes.watched = watched.into_iter().map(|(net, reach)| (net, seen(reach))).collect();
+    // Of a prefix in both fields, the announcement counts (RFC 4271 section 4.3).
+    routes.watched.sort_by_key(|(net, seen)| (*net, seen.is_some()));
     Ok(routes)
 }
 
@@ -447,20 +505,37 @@
     true
 }
 
-/// MP_REACH_NLRI and MP_UNREACH_NLRI (RFC 4760 sections 3 and 4): the number of prefixes.
-fn read_multi(value: &[u8], reach: bool) -> Option<u32> {
+fn path_holds(value: &[u8], four_octets: bool, asn: u32) -> bool {
+    let mut path = Cut(value);
+    let size = if four_octets { 4 } else { 2 };
+    while let (Some(_), Some(count)) = (path.byte(), path.byte()) {
+        let Some(numbers) = path.take(usize::from(count) * size) else { return false };
+        let number = |n: &[u8]| n.iter().fold(0, |sum, b| sum << 8 | u32::from(*b));
+        if numbers.chunks(size).any(|n| number(n) == asn) {
+            return true;
+        }
+    }
+    false
+}
+
+/// MP_REACH_NLRI and MP_UNREACH_NLRI (RFC 4760 sections 3 and 4): the number of prefixes, and the next hop.
+fn read_multi(value: &[u8], reach: bool, each: impl FnMut(IpNet)) -> Option<(u32, Option<IpAddr>)> {
     let mut field = Cut(value);
     let (afi, safi) = (field.pair()?, field.byte()?);
+    let mut hop = None;
     if reach {
         let length = field.byte()?;
-        field.take(usize::from(length))?;
+        let octets = field.take(usize::from(length))?;
+        // A link-local address may follow the global one (RFC 2545 section 3).
+        let wide = octets.get(..16).and_then(|o| <[u8; 16]>::try_from(o).ok()).map(Ipv6Addr::from);
+        hop = wide.map(IpAddr::V6).or_else(|| four(octets).map(|hop| IpAddr::V4(Ipv4Addr::from(hop))));
         field.byte()?;
     }
-    match Family::read(afi, safi) {
-        Some(Family::V4) => prefixes(field.0, 32, |_, _| {}),
-        Some(Family::V6) => prefixes(field.0, 128, |_, _| {}),
-        None => Some(0),
-    }
+    let count = match Family::read(afi, safi) {
+        Some(family) => prefixes(field.0, family, each)?,
+        None => 0,
+    };
+    Some((count, hop))
 }
 
 fn framed(kind: u8, body: impl FnOnce(&mut Vec<u8>)) -> Vec<u8> {
@@ -670,22 +745,12 @@
 /// The prefixes of an UPDATE as a stand-in or a test wants to see them: withdrawn, then announced.
 pub fn routes_of(message: &[u8]) -> Option<(Vec<IpNet>, Vec<IpNet>)> {
     let mut rest = Cut(message.get(HEADER..)?);
-    let v4 = |bits: u8, octets: &[u8]| {
-        let mut all = [0; 4];
-        all[..octets.len()].copy_from_slice(octets);
-        Ipv4Net::new(Ipv4Addr::from(all), bits).ok().map(IpNet::V4)
-    };
-    let v6 = |bits: u8, octets: &[u8]| {
-        let mut all = [0; 16];
-        all[..octets.len()].copy_from_slice(octets);
-        Ipv6Net::new(Ipv6Addr::from(all), bits).ok().map(IpNet::V6)
-    };
     let (mut withdrawn, mut announced) = (Vec::new(), Vec::new());
     let length = rest.pair()?;
-    prefixes(rest.take(usize::from(length))?, 32, |bits, octets| withdrawn.extend(v4(bits, octets)))?;
+    prefixes(rest.take(usize::from(length))?, Family::V4, |net| withdrawn.push(net))?;
     let length = rest.pair()?;
     let mut field = Cut(rest.take(usize::from(length))?);
-    prefixes(rest.0, 32, |bits, octets| announced.extend(v4(bits, octets)))?;
+    prefixes(rest.0, Family::V4, |net| announced.push(net))?;
     while let Some(flags) = field.byte() {
         let kind = field.byte()?;
         let length = if flags & 0x10 != 0 { field.pair()? } else { u16::from(field.byte()?) };
@@ -693,10 +758,10 @@
         match (kind, value) {
             (14, [0, 2, 1, hop, rest @ ..]) => {
                 let rest = rest.get(usize::from(*hop) + 1..)?;
-                prefixes(rest, 128, |bits, octets| announced.extend(v6(bits, octets)))?;
+                prefixes(rest, Family::V6, |net| announced.push(net))?;
             }
             (15, [0, 2, 1, rest @ ..]) => {
-                prefixes(rest, 128, |bits, octets| withdrawn.extend(v6(bits, octets)))?;
+                prefixes(rest, Family::V6, |net| withdrawn.push(net))?;
             }
             _ => {}
         }
--- a/crates/bgp/src/session.rs
+++ b/crates/bgp/src/session.rs
@@ -20,7 +20,9 @@
 
 use std::net::Ipv4Addr;
 
-use crate::message::{Family, Message, Notification, Open, Refusal, code, keepalive};
+use ipnet::IpNet;
+
+use crate::message::{Family, Message, Notification, Open, Refusal, Seen, code, keepalive, refresh};
 
 /// What a session is set up with.
 #[derive(Clone, Debug, PartialEq)]
@@ -63,8 +65,11 @@
 pub enum Input {
     /// Events 1 and 3 of section 8.1.2.
     Start,
-    /// Event 2: the words are told to the peer.
-    Stop(String),
+    /// Event 2: what is told to the peer.
+    Stop(Notification),
+    /// The operator has changed them. A session stays up unless who speaks with whom has changed; a new hold time counts
+    /// from the next OPEN on.
+    Terms(Terms),
     /// Events 16 and 17.
     Connected(Way),
     /// Event 18, before or after it was up; also a connection on which nothing can be written any more.
@@ -72,6 +77,8 @@
     Heard(Way, Message),
     /// Events 21, 22 and 28: what answers it.
     Unreadable(Way, Refusal),
+    /// The peer is to tell all its routes again, where it understands that: more of them are watched now.
+    Ask,
     /// Time has come to [`Session::due`].
     Timer,
 }
@@ -95,6 +102,8 @@
     Down(String),
     /// The peer wants all routes of a family again.
     Refresh(Family),
+    /// The peer holds a route of a watched prefix; or does no more.
+    Watched(IpNet, Option<Seen>),
 }
 
 /// An idle hold is doubled so often at most: from 5 s to over 5 minutes.
@@ -195,11 +204,13 @@
                 self.begin(&mut out);
             }
             Input::Start => {}
-            Input::Stop(words) => self.stop(&words, &mut out),
+            Input::Stop(told) => self.stop(told, &mut out),
+            Input::Terms(terms) => self.change(terms, &mut out),
             Input::Connected(way) => self.connected(way, &mut out),
             Input::Closed(way) => self.closed(way, &mut out),
             Input::Heard(way, message) => self.heard(way, message, &mut out),
             Input::Unreadable(way, refusal) => self.fault(way, refusal.0, &mut out),
+            Input::Ask => self.ask(&mut out),
             Input::Timer => self.timer(&mut out),
         }
         out
@@ -222,7 +233,35 @@
         }
     }
 
-    fn stop(&mut self, words: &str, out: &mut Vec<Effect>) {
+    fn change(&mut self, terms: Terms, out: &mut Vec<Effect>) {
+        let before = std::mem::replace(&mut self.terms, terms);
+        let who = |terms: &Terms| (terms.asn, terms.id, terms.peer_asn, terms.families.clone());
+        let started = self.started;
+        if who(&before) != who(&self.terms) {
+            self.stop(Notification::new(code::CEASE, code::RECONFIGURED), out);
+            // What the old terms met is no sign of the new ones.
+            (self.flaps, self.idle_until) = (0, self.now);
+        } else if started && self.terms.connects && !before.connects && self.state() == State::Active {
+            self.retry_at = self.now;
+            self.timer(out);
+        }
+        if started && !self.started {
+            self.started = true;
+            self.begin(out);
+        }
+    }
+
+    fn ask(&self, out: &mut Vec<Effect>) {
+        for way in [Way::Out, Way::In] {
+            let link = self.links[way as usize].as_ref().filter(|l| l.state == State::Established);
+            if let Some(open) = link.and_then(|l| l.open.as_ref()).filter(|o| o.refresh) {
+                let both = open.families.iter().filter(|f| self.terms.families.contains(f));
+                out.extend(both.map(|family| Effect::Send(way, refresh(*family))));
+            }
+        }
+    }
+
+    fn stop(&mut self, told: Notification, out: &mut Vec<Effect>) {
         self.started = false;
         self.retry_at = f64::INFINITY;
         // A connection that is still being opened is given up; its end is no news.
@@ -231,7 +270,7 @@
         }
         for way in [Way::Out, Way::In] {
             if self.links[way as usize].is_some() {
-                self.part(way, Some(Notification::shutdown(words)), out);
+                self.part(way, Some(told.clone()), out);
             }
         }
         self.down("stopped".to_owned(), false, out);
@@ -309,6 +348,7 @@
                 self.alive(way);
                 let kept = self.heard_routes.saturating_sub(u64::from(routes.withdrawn));
                 self.heard_routes = kept + u64::from(routes.announced);
+                out.extend(routes.watched.into_iter().map(|(at, seen)| Effect::Watched(at, seen)));
                 if self.heard_routes > self.terms.most_routes {
                     self.fault(way, Notification::new(code::CEASE, code::MOST_PREFIXES), out);
                 }
--- a/crates/bgp/tests/announce.rs
+++ b/crates/bgp/tests/announce.rs
@@ -3,14 +3,26 @@
 use std::fmt::Write;
 
 use insta::assert_snapshot;
-use pewterwharf_bgp::announce::{Address, Announcer, Effect, Health, Input, Phase, Stance, Terms};
+use ipnet::IpNet;
+use pewterwharf_bgp::announce::{
+    Address, Announcer, Effect, Health, Input, Phase, Stance, Terms, others, served,
+};
+use pewterwharf_bgp::message::Seen;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+fn prefix(nth: usize) -> IpNet {
+    format!("198.51.100.{nth}/32").parse().expect("a prefix")
+}
+
 fn terms() -> Terms {
-    let address = |table_types: &[usize], keep_last| Address { table_types: table_types.to_vec(), keep_last };
+    let address = |nth: usize, table_types: &[usize], keep_last| Address {
+        prefix: prefix(nth),
+        table_types: table_types.to_vec(),
+        keep_last,
+    };
     Terms {
-        addresses: vec![address(&[], false), address(&[0], true)],
+        addresses: vec![address(0, &[], false), address(1, &[0], true)],
         up_share: 0.9,
         down_share: 0.6,
         up_ms: 5000.0,
@@ -55,7 +67,11 @@
 
     fn tell(&mut self, input: Input) {
         for effect in self.announcer.step(self.now, input) {
-            let _ = writeln!(self.out, "{:>7.0} {effect:?}", self.now);
+            let told = match effect {
+                Effect::Stand { prefix, stance, reason } => format!("{prefix} {stance:?}: {reason:?}"),
+                Effect::MayStop => "scans may stop".to_owned(),
+            };
+            let _ = writeln!(self.out, "{:>7.0} {told}", self.now);
         }
     }
 
@@ -113,7 +129,13 @@
     rig.tell(Input::Health(usable(0.3, 0.3)));
     rig.pass(10_000.0);
     rig.out += "another announces it too\n";
-    rig.tell(Input::Others(1, true));
+    rig.tell(Input::Others(prefix(1), true));
+    rig.pass(10_000.0);
+    rig.out += "that other is gone\n";
+    rig.tell(Input::Others(prefix(1), false));
+    rig.pass(10_000.0);
+    rig.out += "nothing at all is usable\n";
+    rig.tell(Input::Health(usable(0.0, 0.0)));
     rig.pass(10_000.0);
     assert_snapshot!(rig.out);
 }
@@ -190,7 +212,7 @@
             let share = if share < 0.4 { 0.0 } else { share.min(1.0) };
             let input = match event {
                 0 => Input::Sessions(usize::from(share > 0.3)),
-                1 => Input::Others(1, share > 0.5),
+                1 => Input::Others(prefix(1), share > 0.5),
                 2 if share > 0.9 => { drains = true; Input::Drain }
                 3 if share >= 1.0 => { drains = true; Input::Hurry }
                 _ => {
@@ -210,7 +232,8 @@
                 };
                 for effect in effects {
                     match effect {
-                        Effect::Stand { address, stance, .. } => {
+                        Effect::Stand { prefix: at, stance, .. } => {
+                            let address = usize::from(at == prefix(1));
                             prop_assert!(!stopped, "a change after the end");
                             let old = std::mem::replace(&mut stances[address], stance);
                             prop_assert!(!drains || stance < old, "a drain made it better");
@@ -234,3 +257,95 @@
         }
     }
 }
+
+/// Who else announces: nobody, unless it is sure.
+#[test]
+fn a_route_that_may_be_the_mixers_own_is_nobody_elses() {
+    let id = "10.0.0.1".parse().expect("an identifier");
+    let hop = |last: u8| Some(format!("192.0.2.{last}").parse().expect("an address"));
+    let own = hop(1);
+    let by = |seen: Seen| others(&seen, id, own);
+    let other = Seen { next_hop: hop(2), ..Seen::default() };
+    assert!(by(other), "another next hop and no own AS in the path");
+    assert!(!by(Seen { next_hop: own, ..other }), "the own next hop");
+    assert!(!by(Seen { own_as: true, ..other }), "its path leads through the own AS");
+    assert!(!by(Seen { last: true, ..other }), "itself a last resort");
+    assert!(!by(Seen::default()), "it says nothing of itself");
+    let reflected = |last: u8| Some(format!("10.0.0.{last}").parse().expect("an identifier"));
+    assert!(by(Seen { originator: reflected(2), own_as: true, ..other }), "a reflector names another");
+    assert!(!by(Seen { originator: reflected(1), ..other }), "a reflector names this mixer");
+}
+
+#[test]
+fn a_table_type_is_served_as_far_as_what_it_needs_is_usable() {
+    // Whole with three fifths of its parts, and no answer under two.
+    assert_eq!(
+        [0.0, 0.3, 0.4, 0.6, 1.0].map(|usable| served(usable, 0.6, 0.4)),
+        [0.0, 0.0, 0.4 / 0.6, 1.0, 1.0]
+    );
+    assert_eq!(served(0.99, 1.0, 1.0), 0.0, "one that needs all fails without");
+    assert_eq!(served(1.0 - 1e-12, 1.0, 1.0), 1.0 - 1e-12);
+    assert_eq!(served(0.5, 0.0, 0.0), 0.5);
+}
+
+/// Two that announce the same, both cut to a third of their searchers at once, and told of each other late.
+#[test]
+fn two_that_fall_together_do_not_leave_nobody() {
+    let keep = || {
+        let mut terms = terms();
+        terms.addresses.remove(0);
+        Announcer::new(terms)
+    };
+    let (mut both, mut stances) = ([keep(), keep()], [Stance::Withdrawn; 2]);
+    let mut told = [false; 2]; // whether each knows of the other
+    let (mut nobody_since, mut longest, mut alone) = (None, 0.0f64, 0);
+    let mut share = 1.0;
+    for ms in 0..600 {
+        let now = f64::from(ms) * 100.0;
+        if ms == 200 {
+            share = 0.3;
+        }
+        for me in 0..2 {
+            let mut effects = both[me].step(now, Input::Sessions(1));
+            effects.extend(both[me].step(now, Input::Health(usable(share, share))));
+            effects.extend(both[me].step(now, Input::Others(prefix(1), told[me])));
+            for effect in effects {
+                if let Effect::Stand { stance, .. } = effect {
+                    stances[me] = stance;
+                }
+            }
+        }
+        if ms % 5 == 0 {
+            // What the other announces as more than a last resort, half a second late.
+            told = [1, 0].map(|other: usize| stances[other] == Stance::Announced);
+        }
+        if stances == [Stance::Withdrawn; 2] {
+            let since = *nobody_since.get_or_insert(now);
+            longest = longest.max(if ms >= 200 { now - since } else { 0.0 });
+        } else {
+            nobody_since = None;
+            alone += 1;
+        }
+    }
+    assert!(alone > 0 && longest <= 5500.0, "nobody for {longest} ms");
+    assert_eq!(stances, [Stance::Depreferenced; 2]);
+}
+
+#[test]
+fn what_stays_in_the_operators_file_keeps_its_standing() {
+    let mut rig = Rig::ready();
+    let mut new = terms();
+    new.addresses.remove(0);
+    new.addresses.push(Address { prefix: prefix(2), table_types: vec![1], keep_last: false });
+    new.down_ms = 100.0;
+    rig.tell(Input::Terms(new.clone()));
+    rig.pass(60_000.0);
+    rig.out += "the second table type is unusable; worse lasts 100 ms now\n";
+    rig.tell(Input::Health(usable(1.0, 0.0)));
+    rig.pass(60_000.0);
+    rig.out += "in a drain, a new address stays where it is\n";
+    rig.tell(Input::Drain);
+    rig.tell(Input::Terms(terms()));
+    rig.pass(60_000.0);
+    assert_snapshot!(rig.out);
+}
--- /dev/null
+++ b/crates/bgp/tests/fuzz.rs
@@ -0,0 +1,332 @@
+//! Byte streams as a peer may send them, into the reader and the sessions behind it. The kept corpus is in `corpus.txt`, a
+//! stream a line, in hexadecimal: each was kept because it did something that none before it did.
+//!
+//! CI runs the corpus and a stated number of mutants of it, from one seed. For longer, and to keep what is new:
+//! `FUZZ=2000000 cargo test --release -p pewterwharf-bgp --test fuzz -- --ignored`.
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::net::Ipv4Addr;
+use std::path::PathBuf;
+
+use ipnet::IpNet;
+use oorandom::Rand32;
+use pewterwharf_bgp::announce::{self, Address, Health, Phase};
+use pewterwharf_bgp::message::{
+    self, Attributes, Family, LONGEST, Message, Notification, Open, Update, Watch, routes_of,
+};
+use pewterwharf_bgp::session::{self, Way};
+use pewterwharf_bgp::speaker::{Carried, Effect, Input, Peer, Speaker, Terms};
+
+/// Mutants that CI runs.
+const IN_CI: u32 = 20_000;
+/// A stream is no longer than this.
+const STREAM: usize = 3 * LONGEST;
+
+fn net(text: &str) -> IpNet {
+    text.parse().expect("a prefix")
+}
+
+fn terms() -> Terms {
+    let session = session::Terms {
+        asn: 64_512,
+        id: Ipv4Addr::new(10, 0, 0, 1),
+        peer_asn: 64_513,
+        hold_s: 9,
+        families: vec![Family::V4, Family::V6],
+        connects: true,
+        retry_ms: 1000.0,
+        idle_ms: 1000.0,
+        most_routes: 50,
+    };
+    let hop = |text: &str| Some(text.parse().expect("an address"));
+    let address = |text: &str| Address { prefix: net(text), table_types: vec![], keep_last: true };
+    Terms {
+        peers: vec![Peer {
+            address: "192.0.2.254:179".parse().expect("an address"),
+            session,
+            next_hop_v4: hop("192.0.2.1"),
+            next_hop_v6: hop("2001:db8::1"),
+        }],
+        announce: announce::Terms {
+            addresses: vec![address("198.51.100.1/32"), address("2001:db8:1::1/128")],
+            up_share: 0.9,
+            down_share: 0.5,
+            up_ms: 1.0,
+            down_ms: 1.0,
+            stale_ms: 1e9,
+            pressure: 0.5,
+            changes: 1000,
+            depreferenced_ms: 1.0,
+            leave_ms: 1.0,
+        },
+        carried: Carried {
+            communities: vec![1],
+            large: vec![(1, 2, 3)],
+            med: 0,
+            depreferenced_med: 1,
+            local_pref: 100,
+            depreferenced_pref: 0,
+            prepend: 1,
+        },
+    }
+}
+
+/// Runs one stream as a connection that the mixer opened, with scarcely enough searchers, and says what it did. What must
+/// hold whatever comes is asserted on the way.
+fn run(stream: &[u8]) -> String {
+    let mut speaker = Speaker::new(&terms(), 1);
+    let mut did = String::new();
+    let mut watch = Watch::default();
+    let mut closed = false;
+    let mut step = |speaker: &mut Speaker, now: f64, input: Input, did: &mut String| {
+        for effect in speaker.step(now, input) {
+            match effect {
+                Effect::Send(_, _, bytes) => {
+                    assert!(!closed, "sent after the end");
+                    assert!(message::length(&bytes) == Ok(Some(bytes.len())), "what is sent is whole");
+                    let sent = message::read(&bytes, true, &Watch::default()).expect("it is well formed");
+                    match sent {
+                        Message::Notification(told) => {
+                            let _ = write!(did, " !{}/{}", told.code, told.subcode);
+                        }
+                        Message::Update(routes) => {
+                            let _ = write!(did, " >{}-{}", routes.announced, routes.withdrawn);
+                        }
+                        other => {
+                            let _ = write!(did, " >{}", &format!("{other:?}")[..4]);
+                        }
+                    }
+                }
+                Effect::Close(..) | Effect::Refuse(..) => closed = true,
+                Effect::Watch(new) => watch = new,
+                Effect::Connect(..) | Effect::MayStop | Effect::Note(_) => {}
+            }
+        }
+        closed
+    };
+    let health = |share: f64| Health {
+        phase: Phase::Ready,
+        usable: vec![share],
+        pressure: 0.0,
+        places: true,
+        list_age_ms: 0.0,
+    };
+    step(&mut speaker, 0.0, Input::Terms(Box::new(terms())), &mut did);
+    step(&mut speaker, 0.0, Input::Announce(announce::Input::Health(health(1.0))), &mut did);
+    step(&mut speaker, 2.0, Input::Timer, &mut did);
+    step(&mut speaker, 2.0, Input::Announce(announce::Input::Health(health(0.3))), &mut did);
+    step(&mut speaker, 4.0, Input::Timer, &mut did);
+    let session = |input| Input::Session(0, input);
+    step(&mut speaker, 5.0, session(session::Input::Connected(Way::Out)), &mut did);
+    let watch =
+        Watch { prefixes: terms().announce.addresses.iter().map(|a| a.prefix).collect(), asn: 64_512 };
+    let (mut rest, mut four_octets, mut now) = (stream, true, 5.0);
+    loop {
+        let input = match message::length(rest) {
+            Ok(Some(length)) if rest.len() >= length => {
+                let (bytes, after) = rest.split_at(length);
+                rest = after;
+                let _ = routes_of(bytes);
+                match message::read(bytes, four_octets, &watch) {
+                    Ok(message) => {
+                        if let Message::Open(open) = &message {
+                            four_octets = open.four_octets;
+                        }
+                        if let Message::Update(routes) = &message {
+                            assert!(routes.watched.len() <= 2 * watch.prefixes.len(), "{routes:?}");
+                            assert!(u64::from(routes.announced + routes.withdrawn) <= LONGEST as u64);
+                            let _ = write!(
+                                did,
+                                " <{}-{}x{}w{}",
+                                routes.announced.min(3),
+                                routes.withdrawn.min(3),
+                                routes.faulty.min(3),
+                                routes.watched.len()
+                            );
+                        }
+                        session::Input::Heard(Way::Out, message)
+                    }
+                    Err(refusal) => session::Input::Unreadable(Way::Out, refusal),
+                }
+            }
+            Ok(_) => break,
+            Err(refusal) => session::Input::Unreadable(Way::Out, refusal),
+        };
+        now += 10.0;
+        if step(&mut speaker, now, session(input), &mut did) {
+            break;
+        }
+    }
+    // The peer says nothing more: the session, if there is one, ends by its own clock, and all ends.
+    for _ in 0..50 {
+        let due = speaker.due();
+        if !due.is_finite() || due > 60_000.0 {
+            break;
+        }
+        now = now.max(due);
+        if step(&mut speaker, now, Input::Timer, &mut did) {
+            break;
+        }
+    }
+    let shown = speaker.show(now);
+    assert!(shown.peers.len() == 1 && shown.changes.len() <= pewterwharf_bgp::speaker::KEPT);
+    let others = shown.addresses.iter().filter(|a| a.others).count();
+    let _ = write!(did, " {:?} others {others}", shown.peers[0].state);
+    did
+}
+
+/// Streams to begin with: what a sound peer says.
+fn seeds() -> Vec<Vec<u8>> {
+    let open = Open {
+        asn: 64_513,
+        hold_s: 30,
+        id: Ipv4Addr::new(10, 0, 0, 9),
+        families: vec![Family::V4, Family::V6],
+        four_octets: true,
+        refresh: true,
+    };
+    let update = |last: bool, v6: bool| {
+        let attributes = Attributes {
+            path: vec![64_513, 7],
+            next_hop: if v6 { "2001:db8::9".parse() } else { "192.0.2.9".parse() }.expect("an address"),
+            med: Some(1),
+            local_pref: None,
+            communities: if last { vec![message::GRACEFUL_SHUTDOWN] } else { vec![9] },
+            large: vec![(1, 1, 1)],
+        };
+        let announced =
+            if v6 { vec![net("2001:db8:1::1/128")] } else { vec![net("198.51.100.1/32"), net("10.0.0.0/8")] };
+        let withdrawn = vec![net("198.51.100.1/32"), net("2001:db8:1::1/128")];
+        Update { withdrawn, announced, attributes: Some(attributes) }.write(true).concat()
+    };
+    let up = [open.write(), message::keepalive()].concat();
+    let then = |more: &[u8]| [&up[..], more].concat();
+    vec![
+        up.clone(),
+        then(&update(false, false)),
+        then(&update(true, false)),
+        then(&update(false, true)),
+        then(&message::refresh(Family::V6)),
+        then(&Notification::shutdown("bye").write()),
+        Open { four_octets: false, refresh: false, families: vec![Family::V4], ..open }.write(),
+    ]
+}
+
+fn mutate(chance: &mut Rand32, corpus: &[Vec<u8>]) -> Vec<u8> {
+    let pick = |chance: &mut Rand32| &corpus[chance.rand_range(0..corpus.len() as u32) as usize];
+    let mut bytes = pick(chance).clone();
+    for _ in 0..chance.rand_range(1..5) {
+        let at = chance.rand_range(0..bytes.len().max(1) as u32) as usize;
+        match chance.rand_range(0..6) {
+            0 if at < bytes.len() => bytes[at] ^= 1 << chance.rand_range(0..8),
+            1 if at < bytes.len() => bytes[at] = chance.rand_u32() as u8,
+            2 if at < bytes.len() => drop(bytes.remove(at)),
+            3 => bytes
+                .insert(at.min(bytes.len()), [0, 1, 4, 0x40, 0xC0, 0xFF][chance.rand_range(0..6) as usize]),
+            4 => bytes.truncate(at.max(1)),
+            _ => {
+                let other = pick(chance).clone();
+                let from = chance.rand_range(0..other.len() as u32) as usize;
+                bytes.extend(&other[from..]);
+            }
+        }
+    }
+    // A message whose length no longer fits is read no further: mostly it is made to fit.
+    if chance.rand_float() < 0.8 {
+        fit(&mut bytes);
+    }
+    bytes.truncate(STREAM);
+    bytes
+}
+
+/// Sets the lengths in the headers to where the next marker begins.
+fn fit(bytes: &mut [u8]) {
+    let starts: Vec<usize> = (0..bytes.len()).filter(|at| bytes[*at..].starts_with(&[0xFF; 16])).collect();
+    for (nth, start) in starts.iter().enumerate() {
+        let end = starts.get(nth + 1).copied().unwrap_or(bytes.len());
+        if end - start >= 19 && end - start <= LONGEST {
+            bytes[start + 16..start + 18].copy_from_slice(&((end - start) as u16).to_be_bytes());
+        }
+    }
+}
+
+fn corpus_file() -> PathBuf {
+    PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/corpus.txt"))
+}
+
+fn corpus() -> Vec<Vec<u8>> {
+    let text = std::fs::read_to_string(corpus_file()).expect("the corpus");
+    let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).expect("ASCII"), 16).expect("hex");
+    text.lines().map(|line| line.as_bytes().chunks(2).map(byte).collect()).collect()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// Whether it did something that was not seen before; all that it did is seen from then on.
+fn new_in(did: &str, seen: &mut BTreeSet<String>) -> bool {
+    let words: Vec<&str> = did.split_whitespace().collect();
+    let before = seen.len();
+    seen.extend(words.into_iter().map(str::to_owned));
+    seen.len() > before
+}
+
+/// Runs so many mutants; those that did something new.
+fn search(count: u32, seed: u64, from: Vec<Vec<u8>>) -> Vec<Vec<u8>> {
+    let mut chance = Rand32::new(seed);
+    let mut seen = BTreeSet::new();
+    for stream in &from {
+        new_in(&run(stream), &mut seen);
+    }
+    let mut corpus = from;
+    let mut found = Vec::new();
+    for _ in 0..count {
+        let stream = mutate(&mut chance, &corpus);
+        let did = std::panic::catch_unwind(|| run(&stream));
+        let Ok(did) = did else { panic!("this stream breaks a promise: {}", hex(&stream)) };
+        if new_in(&did, &mut seen) {
+            corpus.push(stream.clone());
+            found.push(stream);
+        }
+    }
+    found
+}
+
+#[test]
+fn the_corpus_and_mutants_of_it_keep_what_is_promised() {
+    let corpus = corpus();
+    assert!(corpus.len() >= 50, "the corpus has {} streams", corpus.len());
+    // None was kept for nothing.
+    let mut seen = BTreeSet::new();
+    let idle = corpus.iter().filter(|stream| !new_in(&run(stream), &mut seen)).count();
+    assert!(idle * 10 <= corpus.len(), "{idle} of {} streams do nothing new", corpus.len());
+    search(IN_CI, 23, corpus);
+}
+
+/// What a sound peer says does what it should: else the fuzzing looks at nothing.
+#[test]
+fn what_a_sound_peer_says_gets_through() {
+    let did: Vec<String> = seeds().iter().map(|stream| run(stream)).collect();
+    insta::assert_snapshot!(did.join("\n"));
+}
+
+#[test]
+#[ignore = "as long as it is given; keeps what is new"]
+fn for_long() {
+    let count = std::env::var("FUZZ").ok().and_then(|n| n.parse().ok()).unwrap_or(200_000);
+    let mut kept = if corpus_file().exists() { corpus() } else { Vec::new() };
+    if kept.is_empty() {
+        kept = seeds();
+    }
+    let found = search(count, 29, kept.clone());
+    println!("{} new among {count}", found.len());
+    kept.extend(found);
+    // Short ones first, and only what does something that none before it does.
+    kept.sort_by_key(Vec::len);
+    let mut seen = BTreeSet::new();
+    kept.retain(|stream| stream.len() <= 1500 && new_in(&run(stream), &mut seen));
+    let lines: Vec<String> = kept.iter().map(|stream| hex(stream) + "\n").collect();
+    std::fs::write(corpus_file(), lines.concat()).expect("the corpus is written");
+}
--- a/crates/bgp/tests/message.rs
+++ b/crates/bgp/tests/message.rs
@@ -4,8 +4,8 @@
 
 use ipnet::IpNet;
 use pewterwharf_bgp::message::{
-    self, Attributes, Family, HEADER, LONGEST, Message, Notification, Open, Refusal, Routes, Update,
-    routes_of,
+    self, Attributes, Family, HEADER, LONGEST, Message, Notification, Open, Refusal, Routes, Seen, Update,
+    Watch, routes_of,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -31,7 +31,7 @@
         let mut families = vec![Family::V4];
         families.extend(v6.then_some(Family::V6));
         let open = Open { asn, hold_s: hold, id: id.into(), families, four_octets: true, refresh };
-        prop_assert_eq!(message::read(&open.write(), false), Ok(Message::Open(open)));
+        prop_assert_eq!(message::read(&open.write(), false, &Watch::default()), Ok(Message::Open(open)));
     }
 
     #[test]
@@ -52,8 +52,8 @@
             prop_assert!(bytes.len() <= LONGEST);
             prop_assert_eq!(message::length(&bytes), Ok(Some(bytes.len())));
             let (w, a) = routes_of(&bytes).expect("it can be read");
-            let counted = message::read(&bytes, four_octets);
-            let routes = Routes { announced: a.len() as u32, withdrawn: w.len() as u32, faulty: 0 };
+            let counted = message::read(&bytes, four_octets, &Watch::default());
+            let routes = Routes { announced: a.len() as u32, withdrawn: w.len() as u32, ..Routes::default() };
             prop_assert_eq!(counted, Ok(Message::Update(routes)));
             gone.extend(w);
             told.extend(a);
@@ -74,7 +74,7 @@
         framed.extend(((HEADER + noise.len()) as u16).to_be_bytes());
         framed.push(kind);
         framed.extend(&noise);
-        let _ = message::read(&framed, true);
+        let _ = message::read(&framed, true, &Watch::default());
         let _ = message::length(&noise);
         let announced = vec!["10.0.0.0/8".parse().expect("a prefix"), "2001:db8::/32".parse().expect("a prefix")];
         let update = Update { withdrawn: vec![], announced, attributes: Some(attributes(vec![1, 70_000], vec![3])) };
@@ -83,14 +83,14 @@
                 let at = at.index(bytes.len());
                 bytes[at] = *byte;
             }
-            let _ = message::read(&bytes, true);
+            let _ = message::read(&bytes, true, &Watch::default());
             let _ = routes_of(&bytes);
         }
     }
 }
 
 fn told(bytes: &[u8]) -> String {
-    match message::read(bytes, true) {
+    match message::read(bytes, true, &Watch::default()) {
         Ok(Message::Update(routes)) => format!("{routes:?}"),
         Ok(message) => format!("{message:?}"),
         Err(Refusal(told)) => format!("{told} {:?}", told.data),
@@ -122,7 +122,7 @@
     assert_eq!(told(&nobody.write()), "2/3 bad BGP identifier []");
     assert_eq!(with(29, 1), "2/4 unsupported optional parameter []");
     let bed = Notification::shutdown("off to bed");
-    assert_eq!(message::read(&bed.write(), true), Ok(Message::Notification(bed)));
+    assert_eq!(message::read(&bed.write(), true, &Watch::default()), Ok(Message::Notification(bed)));
     let words = Notification::shutdown(&"é".repeat(200));
     assert_eq!(words.words().map(str::len), Some(254));
     assert_eq!(Notification::shutdown("off to bed").to_string(), "6/2 administrative shutdown: off to bed");
@@ -142,7 +142,9 @@
         told(&bytes)
     };
     let sound = [0x40, 1, 1, 0, 0x40, 2, 0, 0x40, 3, 4, 10, 0, 0, 1];
-    let routes = |announced, withdrawn, faulty| format!("{:?}", Routes { announced, withdrawn, faulty });
+    let routes = |announced, withdrawn, faulty| {
+        format!("{:?}", Routes { announced, withdrawn, faulty, watched: Vec::new() })
+    };
     assert_eq!(update(&sound), routes(1, 0, 0));
     assert_eq!(update(&sound[..7]), routes(0, 1, 1), "no next hop");
     assert_eq!(update(&[&sound[..3], &[9], &sound[4..]].concat()), routes(0, 1, 1), "an origin that is none");
@@ -159,3 +161,30 @@
         "communities of three bytes"
     );
 }
+
+/// What is watched is told with whose it is; what is faulty counts as gone; the rest is only counted.
+#[test]
+fn watched_prefixes_are_told_of_and_no_others() {
+    let net = |text: &str| -> IpNet { text.parse().expect("a prefix") };
+    let watch = Watch { prefixes: vec![net("198.51.100.1/32"), net("2001:db8::1/128")], asn: 64_512 };
+    let read = |update: &Update| {
+        let mut watched = Vec::new();
+        for bytes in update.write(true) {
+            match message::read(&bytes, true, &watch) {
+                Ok(Message::Update(routes)) => watched.extend(routes.watched),
+                other => panic!("{other:?}"),
+            }
+        }
+        watched
+    };
+    let mut update = Update {
+        withdrawn: vec![net("198.51.100.0/24"), net("2001:db8::1/128")],
+        announced: vec![net("198.51.100.1/32"), net("198.51.100.2/32")],
+        attributes: Some(attributes(vec![1, 64_512], vec![message::GRACEFUL_SHUTDOWN])),
+    };
+    let hop = update.attributes.as_ref().map(|a| a.next_hop);
+    let seen = Seen { next_hop: hop, originator: None, own_as: true, last: true };
+    assert_eq!(read(&update), [(net("198.51.100.1/32"), Some(seen)), (net("2001:db8::1/128"), None)]);
+    update.attributes = Some(attributes(vec![1, 2], vec![]));
+    assert_eq!(read(&update)[0], (net("198.51.100.1/32"), Some(Seen { own_as: false, last: false, ..seen })));
+}
--- a/crates/bgp/tests/session.rs
+++ b/crates/bgp/tests/session.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use insta::assert_snapshot;
-use pewterwharf_bgp::message::{self, Family, Message, Notification, Open, Refusal, Routes};
+use pewterwharf_bgp::message::{self, Family, Message, Notification, Open, Refusal, Routes, Watch};
 use pewterwharf_bgp::session::{Effect, Input, Session, State, Terms, Way};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -37,7 +37,7 @@
 fn told(effects: &[Effect]) -> String {
     let words = effects.iter().map(|effect| match effect {
         Effect::Connect => "connect".to_owned(),
-        Effect::Send(way, bytes) => match message::read(bytes, true) {
+        Effect::Send(way, bytes) => match message::read(bytes, true, &Watch::default()) {
             Ok(Message::Open(_)) => format!("{way:?} OPEN"),
             Ok(Message::Keepalive) => format!("{way:?} KEEPALIVE"),
             Ok(Message::Notification(n)) => format!("{way:?} NOTIFICATION {n}"),
@@ -48,6 +48,7 @@
         Effect::Up { way, families, .. } => format!("up {way:?} {families:?}"),
         Effect::Down(why) => format!("down: {why}"),
         Effect::Refresh(family) => format!("refresh {family:?}"),
+        Effect::Watched(at, seen) => format!("watched {at} {seen:?}"),
     });
     words.collect::<Vec<_>>().join(", ")
 }
@@ -81,7 +82,7 @@
     let refusal = Refusal(Notification::new(1, 2));
     let events = [
         ("1 start", Input::Start),
-        ("2 stop", Input::Stop("bye".to_owned())),
+        ("2 stop", Input::Stop(Notification::shutdown("bye"))),
         ("9 to 13 timers after a day", Input::Timer),
         ("16 connected", Input::Connected(Way::Out)),
         ("17 came in", Input::Connected(Way::In)),
@@ -172,7 +173,7 @@
 #[test]
 fn a_million_routes_are_counted_and_end_the_session_at_its_limit() {
     let mut session = at(State::Established);
-    let some = |announced, withdrawn| Message::Update(Routes { announced, withdrawn, faulty: 0 });
+    let some = |announced, withdrawn| Message::Update(Routes { announced, withdrawn, ..Routes::default() });
     for _ in 0..10 {
         session.step(1.0, Input::Heard(Way::Out, some(200, 0)));
         session.step(1.0, Input::Heard(Way::Out, some(0, 200)));
@@ -201,7 +202,7 @@
             let way = if event % 2 == 0 { Way::Out } else { Way::In };
             let input = match event {
                 0 | 1 => Input::Start,
-                2 => Input::Stop("x".to_owned()),
+                2 => Input::Stop(Notification::shutdown("x")),
                 3 | 4 => Input::Heard(way, Message::Keepalive),
                 5 | 6 => Input::Heard(way, Message::Open(open(if event == 5 { 9 } else { 0 }))),
                 7 | 8 => Input::Closed(way),
@@ -225,10 +226,41 @@
                     }
                     Effect::Up { .. } => prop_assert!(!std::mem::replace(&mut up, true)),
                     Effect::Down(_) => prop_assert!(std::mem::replace(&mut up, false)),
-                    Effect::Connect | Effect::Refresh(_) => {}
+                    Effect::Connect | Effect::Refresh(_) | Effect::Watched(..) => {}
                 }
             }
             prop_assert_eq!(up, session.state() == State::Established);
         }
     }
 }
+
+/// The operator's changes in each state: who speaks with whom ends the session, all else leaves it.
+#[test]
+fn new_terms_in_every_state() {
+    let mut out = String::new();
+    type Change = fn(&mut Terms);
+    let changes: [(&str, Change); 4] = [
+        ("hold", |t| t.hold_s = 3),
+        ("retry and routes", |t| (t.retry_ms, t.most_routes) = (1.0, 1)),
+        ("passive", |t| t.connects = false),
+        ("AS of the peer", |t| t.peer_asn = 64_514),
+    ];
+    for (name, change) in changes {
+        for state in STATES {
+            let mut session = at(state);
+            let mut terms = terms();
+            change(&mut terms);
+            let effects = session.step(1.0, Input::Terms(terms));
+            let _ = writeln!(out, "{name:17} {state:?} -> {:?}: {}", session.state(), told(&effects));
+        }
+    }
+    assert_snapshot!(out);
+}
+
+#[test]
+fn a_peer_that_understands_it_is_asked_for_its_routes_again() {
+    let mut session = at(State::Established);
+    let effects = session.step(1.0, Input::Ask);
+    assert_eq!(effects, [Effect::Send(Way::Out, message::refresh(Family::V4))]);
+    assert_eq!(at(State::OpenConfirm).step(1.0, Input::Ask), []);
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit status: 0 all holds, 1 something does not, 2 something can't be read or done. What was asked for goes to
 //! standard output, all else to standard error.
 
+mod bgp;
 mod check;
 mod load;
 mod plan;
@@ -32,10 +33,19 @@
     /// Checks expectations about routing without sending anything
     #[command(args_conflicts_with_subcommands = true)]
     Check(Box<Check>),
+    /// Asks a running mixer for its announcements of service addresses
+    #[command(subcommand)]
+    Bgp(BgpVerb),
     /// Starts searchers, discovery and a mixer in one process, sends scans and prints what happened
     Try(trial::Trial),
 }
 
+#[derive(Subcommand)]
+enum BgpVerb {
+    /// Prints sessions, addresses, the reasons of their standing, the last changes and counts
+    Show(bgp::Show),
+}
+
 #[derive(Args)]
 struct Check {
     #[command(subcommand)]
@@ -76,6 +86,7 @@
             Some(CheckVerb::Replay(asked)) => check::replay(&asked),
             None => check::run(&check.asked, &settings),
         },
+        Verb::Bgp(BgpVerb::Show(asked)) => bgp::show(&asked, &settings),
         Verb::Try(asked) => trial::run(&asked),
     }
 }
--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -1,14 +1,16 @@
 //! `pewterwharf try`: a mixer, searchers and discovery in one process on loopback.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result, bail, ensure};
+use anyhow::{Context, Result, anyhow, bail, ensure};
 use clap::Args;
-use pewterwharf_mixer::service::{self, Service};
+use pewterwharf_mixer::service::{self, Again, Service};
+use pewterwharf_settings::Settings;
+use pewterwharf_standins::bgp::{Manner as PeerManner, Peer};
 use pewterwharf_standins::{self as standins, Lists, Manner};
 use pewterwharf_terms::Start;
 use serde_json::json;
@@ -26,11 +28,24 @@
     /// Scans to send, half of them replayable
     #[arg(long, value_name = "N", default_value_t = 6, value_parser = clap::value_parser!(u32).range(1..=1000))]
     scans: u32,
+    /// Announces two service addresses to a stand-in peer, drains under load and prints when what happened
+    #[arg(long)]
+    bgp: bool,
 }
 
 /// How long the mixer may take to be ready.
 const READY: Duration = Duration::from_secs(10);
 
+const LOOKUP: &str = r#"{"parts":[{"id":0,"w":0.5},{"id":1,"w":0.25},{"id":2,"w":0.25}],"expr":"find"}"#;
+
+fn request(table_type: &str, id: &str, body: &str) -> String {
+    format!(
+        "POST /{table_type} HTTP/1.1\r\nHost: mixer\r\nReq-Id: {id}\r\nReq-Owner: acme\r\n\
+         Req-Deadline-Ms: 1500\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 fn ask(at: SocketAddr, request: &str) -> Result<(u16, String)> {
     let mut stream = TcpStream::connect(at)?;
     stream.set_read_timeout(Some(READY))?;
@@ -78,6 +93,79 @@
     .to_string()
 }
 
+/// The operator's file of the trial, with the stand-in peer in place of the one that it names.
+fn announcements(peer: &Peer) -> Result<Settings> {
+    const EXAMPLE: &str = include_str!("../../../examples/bgp/pewterwharf.lisp");
+    let text = EXAMPLE.replace("192.0.2.254:179", &peer.address.to_string());
+    Settings::read(&text).map_err(|fault| anyhow!("examples/bgp/pewterwharf.lisp:{fault}"))
+}
+
+/// Scans one after the other on connections of their own, until one is refused: when, and how many were answered 200 and
+/// how many otherwise.
+fn load(client: u32, mixer: SocketAddr) -> (Instant, u32, u32) {
+    let (mut whole, mut other) = (0, 0);
+    loop {
+        let id = format!("l{client}-{}", whole + other);
+        match ask(mixer, &request("lookup", &id, LOOKUP)) {
+            Ok((200, _)) => whole += 1,
+            Err(error) if refused(&error) => return (Instant::now(), whole, other),
+            Ok(_) | Err(_) => other += 1,
+        }
+    }
+}
+
+fn refused(error: &anyhow::Error) -> bool {
+    error.downcast_ref::<io::Error>().is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+}
+
+/// A drain under load, as the peer and the clients see it. Whether the withdrawals came before the first connection was
+/// refused, and every scan was answered.
+fn drain(peer: &Peer, mixer: SocketAddr, mixer_runs: thread::JoinHandle<Result<()>>) -> Result<bool> {
+    let mut events: Vec<(Instant, String)> = Vec::new();
+    for at in ["announce 198.51.100.1", "announce 198.51.100.2"] {
+        events.push((peer.until(at).0.at, format!("the peer heard {at}")));
+    }
+    let clients: Vec<_> = (0..4).map(|client| thread::spawn(move || load(client, mixer))).collect();
+    let asked = Instant::now();
+    raise(SIGTERM)?;
+    events.push((asked, "SIGTERM; scans keep coming".to_owned()));
+    let mut withdrawn = Vec::new();
+    loop {
+        let heard = peer.next();
+        if heard.what.starts_with("withdraw") {
+            withdrawn.push(heard.at);
+        }
+        let ends = heard.what == "closed";
+        events.push((heard.at, format!("the peer heard {}", heard.what)));
+        if ends {
+            break;
+        }
+    }
+    let (mut whole, mut other, mut refused) = (0, 0, None);
+    for client in clients {
+        let Ok((at, w, o)) = client.join() else { bail!("a client panicked") };
+        (whole, other) = (whole + w, other + o);
+        refused = Some(refused.map_or(at, |first: Instant| first.min(at)));
+    }
+    let refused = refused.context("no client")?;
+    events.push((refused, "a connection was refused for the first time".to_owned()));
+    match mixer_runs.join() {
+        Ok(ended) => ended.context("the mixer")?,
+        Err(_) => bail!("the mixer's thread panicked"),
+    }
+    events.push((Instant::now(), "the mixer has ended".to_owned()));
+    events.sort_by_key(|e| e.0);
+    for (at, what) in &events {
+        let ms = at.saturating_duration_since(asked).as_millis() as i64
+            - asked.saturating_duration_since(*at).as_millis() as i64;
+        println!("{ms:>7} ms {what}");
+    }
+    println!("{whole} scans were answered 200 meanwhile, {other} otherwise");
+    let first = withdrawn.len() == 2 && withdrawn.iter().all(|at| *at < refused);
+    println!("withdrawn before the first refusal: {}", if first { "yes" } else { "no" });
+    Ok(first && other == 0)
+}
+
 /// Whether every scan was answered once and the mixer ended by itself.
 pub fn run(asked: &Trial) -> Result<bool> {
     let lists = Lists::default();
@@ -100,9 +188,13 @@
     let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
     let start = Start::read(&start(discovery_at, listen), |_| None)?;
     // The decision module stays in the thread that opens it.
-    let mixer = thread::spawn(move || {
-        Service::open(start, signals, |_| bail!("a trial has no file to read again"))?.run()
-    });
+    let again = Again {
+        start: |_| bail!("a trial has no file to read again"),
+        settings: || bail!("a trial has no file to read again"),
+    };
+    let peer = asked.bgp.then(|| Peer::start(&[PeerManner::Speaks]));
+    let settings = peer.as_ref().map(announcements).transpose()?.unwrap_or_default();
+    let mixer = thread::spawn(move || Service::open(start, &settings, signals, again)?.run());
     let begun = Instant::now();
     while !ask(listen, "GET /-/ready HTTP/1.1\r\nHost: mixer\r\n\r\n").is_ok_and(|(status, _)| status == 200)
     {
@@ -114,17 +206,10 @@
     let mut answered = 0;
     for nth in 0..asked.scans {
         let (table_type, body) = match nth % 2 {
-            0 => (
-                "lookup",
-                r#"{"parts":[{"id":0,"w":0.5},{"id":1,"w":0.25},{"id":2,"w":0.25}],"expr":"find"}"#,
-            ),
+            0 => ("lookup", LOOKUP),
             _ => ("entry", r#"{"parts":[{"id":3,"w":1.0}],"expr":"enter"}"#),
         };
-        let request = format!(
-            "POST /{table_type} HTTP/1.1\r\nHost: mixer\r\nReq-Id: q{nth}\r\nReq-Owner: acme\r\n\
-             Req-Deadline-Ms: 1500\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
+        let request = request(table_type, &format!("q{nth}"), body);
         let asked_at = Instant::now();
         let (status, answer) = ask(listen, &request)?;
         answered += 1;
@@ -134,6 +219,9 @@
             println!("    a searcher heard {}", frame.replace('\n', " | "));
         }
     }
+    if let Some(peer) = peer {
+        return Ok(drain(&peer, listen, mixer)? && answered == asked.scans);
+    }
     raise(SIGTERM)?;
     match mixer.join() {
         Ok(ended) => ended.context("the mixer")?,
--- a/crates/mixer/src/announcing.rs
+++ b/crates/mixer/src/announcing.rs
@@ -1,17 +1,22 @@
 //! The service's side of BGP: what the operator's file says becomes the speaker's terms, what the mixer can serve is
 //! reported to it, and a drain is held up until no route leads here any more. Off unless the operator's file has it.
 
-use std::io;
-use std::net::IpAddr;
+use std::fmt::Write;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
 
-use ipnet::IpNet;
-use pewterwharf_bgp::announce::{Address, Health, Phase as Announced, Terms as AnnounceTerms};
+use anyhow::{Context, Result};
+use pewterwharf_bgp::announce::{Address, Health, Phase as Announced, Terms as AnnounceTerms, served};
 use pewterwharf_bgp::message::Family;
 use pewterwharf_bgp::session;
-use pewterwharf_bgp::speaker::{Peer, Terms};
-use pewterwharf_settings::{Bgp, BgpPeer};
-use pewterwharf_speaker::{Place, Speaker};
+use pewterwharf_bgp::speaker::{Carried, Peer, Terms};
+use pewterwharf_console::{Console, Said};
+use pewterwharf_settings::{Bgp, BgpPeer, Settings, near};
+use pewterwharf_speaker::{Show, Speaker};
+use tracing::warn;
 
+use crate::discovery::Watches;
 use crate::reducer::{Phase, Reducer};
 use crate::service::{STACK, Tell, spawn};
 
@@ -19,15 +24,21 @@
 const REPORT_MS: f64 = 250.0;
 /// Scans from which on a share of refusals says something.
 const ENOUGH: u64 = 20;
-/// Routes that a peer may announce; none is kept.
-const MOST_ROUTES: u64 = 10_000;
-/// Milliseconds between attempts to connect, and of the first rest after a fault.
-const RETRY_MS: f64 = 5000.0;
 
-/// The announcements of this mixer.
+/// The announcements of this mixer, where it makes any, and the console at which it tells of them.
 pub struct Announcing {
-    speaker: Speaker,
+    on: Option<On>,
     stop: Stop,
+    seed: u64,
+    type_names: Vec<String>,
+    console: Option<Console>,
+    console_at: Option<PathBuf>,
+}
+
+/// A speaker that runs.
+struct On {
+    speaker: Speaker,
+    listen: Option<SocketAddr>,
     report_at: f64,
     /// Scans taken and throttled at the last look, and the share refused since the one before.
     seen: (u64, u64),
@@ -51,68 +62,86 @@
         peer_asn: peer.asn,
         hold_s: peer.hold_s,
         families: vec![Family::V4, Family::V6],
-        connects: true,
-        retry_ms: RETRY_MS,
-        idle_ms: RETRY_MS,
-        most_routes: MOST_ROUTES,
+        connects: !peer.passive,
+        retry_ms: peer.retry_ms,
+        idle_ms: peer.rest_ms,
+        most_routes: u64::from(peer.routes),
     };
     let hop = |wanted: bool| Some(peer.next_hop).filter(|_| wanted);
     let v4 = matches!(peer.next_hop, IpAddr::V4(_));
-    Peer { session, next_hop_v4: hop(v4), next_hop_v6: hop(!v4) }
+    Peer { address: peer.address, session, next_hop_v4: hop(v4), next_hop_v6: hop(!v4) }
+}
+
+/// The places of table types among those that the platform names.
+fn places(named: &[String], type_names: &[String]) -> Result<Vec<usize>, String> {
+    let place = |name: &String| {
+        let found = type_names.iter().position(|t| t == name);
+        found.ok_or_else(|| {
+            let hint = near(name, type_names.iter().map(String::as_str));
+            let hint = hint.map(|other| format!("; did you mean {other}?")).unwrap_or_default();
+            format!("bgp announce table-types: {name} is no table type of this mixer{hint}")
+        })
+    };
+    named.iter().map(place).collect()
 }
 
-fn terms(bgp: &Bgp) -> Terms {
-    let prefixes = bgp.addresses.iter().filter_map(|a| IpNet::new(a.prefix.0, a.prefix.1).ok());
-    let addresses = bgp.addresses.iter().map(|a| Address { table_types: Vec::new(), keep_last: a.keep_last });
-    Terms {
+fn terms(bgp: &Bgp, type_names: &[String]) -> Result<Terms, String> {
+    let mut addresses = Vec::new();
+    for a in &bgp.addresses {
+        let table_types = places(&a.table_types, type_names)?;
+        addresses.push(Address { prefix: a.prefix, table_types, keep_last: a.keep_last });
+    }
+    Ok(Terms {
         peers: bgp.peers.iter().map(|p| peer(bgp, p)).collect(),
-        prefixes: prefixes.collect(),
         announce: AnnounceTerms {
-            addresses: addresses.collect(),
+            addresses,
             up_share: bgp.up.0,
             down_share: bgp.down.0,
             up_ms: bgp.up.1,
             down_ms: bgp.down.1,
-            // The watch does not tell a quiet list from a lost one: no age is reported yet, and none depreferences.
-            stale_ms: f64::INFINITY,
+            stale_ms: bgp.stale_ms,
             pressure: bgp.pressure,
             changes: bgp.changes,
             depreferenced_ms: bgp.drain.0,
             leave_ms: bgp.drain.1,
         },
-        communities: Vec::new(),
-        large: Vec::new(),
-        med: 0,
-        depreferenced_med: 1000,
-        prepend: 2,
+        carried: Carried {
+            communities: bgp.communities.clone(),
+            large: bgp.large.clone(),
+            med: bgp.med.0,
+            depreferenced_med: bgp.med.1,
+            local_pref: bgp.local_pref.0,
+            depreferenced_pref: bgp.local_pref.1,
+            prepend: bgp.prepend,
+        },
+    })
+}
+
+/// What is said at the console.
+fn answer(question: &str, show: Option<&Show>, type_names: &[String]) -> Said {
+    match (question, show) {
+        ("bgp show", Some(show)) => {
+            let shown = show.ask().ok_or("the speaker does not answer")?;
+            Ok(format!("{shown}table types, in the order above\n  {}\n", type_names.join(" ")))
+        }
+        ("bgp show", None) => Err("bgp is not set in the operator's file".to_owned()),
+        (other, _) => Err(format!("\"{other}\" is not known here; known is bgp show")),
     }
 }
 
-impl Announcing {
-    /// # Errors
-    /// If the speaker's listener or a thread can't be had.
-    pub fn open(bgp: &Bgp, seed: u64, tell: Tell) -> io::Result<Self> {
-        let places = bgp.peers.iter().map(|p| Place { address: p.address }).collect();
-        let speaker = Speaker::start(terms(bgp), places, bgp.listen, seed)?;
-        let may_stop = speaker.may_stop().clone();
+impl On {
+    fn start(bgp: &Bgp, terms: Terms, seed: u64, tell: &Tell) -> Result<Self> {
+        let speaker = Speaker::start(terms, bgp.listen, seed).context("bgp")?;
+        let (may_stop, tell) = (speaker.may_stop().clone(), tell.clone());
         spawn("routes left", STACK, move || {
             if may_stop.recv().is_ok() {
                 tell.may_stop();
             }
         })?;
-        Ok(Self { speaker, stop: Stop::No, report_at: 0.0, seen: (0, 0), pressure: 0.0 })
+        Ok(Self { speaker, listen: bgp.listen, report_at: 0.0, seen: (0, 0), pressure: 0.0 })
     }
 
-    /// When it wants to be asked to [`Announcing::report`] again.
-    pub fn due(&self) -> f64 {
-        if self.stop == Stop::Over { f64::INFINITY } else { self.report_at }
-    }
-
-    /// Reports what the mixer can serve, if it is time.
-    pub fn report(&mut self, now: f64, reducer: &Reducer) {
-        if now < self.due() {
-            return;
-        }
+    fn report(&mut self, now: f64, watches: &Watches, reducer: &Reducer) {
         self.report_at = now + REPORT_MS;
         let phase = match reducer.phase() {
             Phase::Opening => Announced::Opening,
@@ -127,35 +156,135 @@
             self.seen = (counters.scans_taken, counters.scans_throttled);
         }
         let usable = reducer.usable();
+        let said = watches.said.load(Ordering::Acquire);
         self.speaker.health(Health {
             phase,
-            usable: vec![usable; reducer.table_types()],
+            usable: reducer.needs().map(|(need, floor)| served(usable, need, floor)).collect(),
             pressure: self.pressure,
-            places: true,
-            list_age_ms: 0.0,
+            places: reducer.places_left(),
+            // Before the first word there is a list from before the start, of an age that nobody knows.
+            list_age_ms: if said == 0 { f64::INFINITY } else { (now - said as f64).max(0.0) },
         });
     }
+}
+
+impl Announcing {
+    /// # Errors
+    /// If the file names what is not there, or the console, the speaker's listener or a thread can't be had.
+    pub fn open(settings: &Settings, type_names: &[String], seed: u64, tell: &Tell) -> Result<Self> {
+        let mut announcing = Self {
+            on: None,
+            stop: Stop::No,
+            seed,
+            type_names: type_names.to_vec(),
+            console: None,
+            console_at: None,
+        };
+        if let Some(bgp) = &settings.bgp {
+            let terms = terms(bgp, type_names).map_err(anyhow::Error::msg)?;
+            announcing.on = Some(On::start(bgp, terms, seed, tell)?);
+        }
+        announcing.console(settings)?;
+        Ok(announcing)
+    }
+
+    fn console(&mut self, settings: &Settings) -> Result<()> {
+        self.console = None; // its socket may be wanted again
+        self.console_at.clone_from(&settings.console);
+        if let Some(path) = &settings.console {
+            let (show, names) = (self.on.as_ref().map(|on| on.speaker.shows()), self.type_names.clone());
+            let console = Console::open(path, move |question| answer(question, show.as_ref(), &names));
+            self.console = Some(console.with_context(|| format!("console {}", path.display()))?);
+        }
+        Ok(())
+    }
+
+    /// Goes by the operator's file as it now is; sessions of peers that stay are kept wherever BGP allows it.
+    ///
+    /// # Errors
+    /// Why nothing, or not all of it, has changed.
+    pub fn change(&mut self, settings: &Settings, tell: &Tell) -> Result<(), String> {
+        if self.stop != Stop::No {
+            return Err("the mixer is about to end".to_owned());
+        }
+        let new = settings.bgp.as_ref().map(|bgp| terms(bgp, &self.type_names)).transpose()?;
+        let was_on = self.on.is_some();
+        match (&mut self.on, settings.bgp.as_ref().zip(new)) {
+            (Some(on), Some((bgp, terms))) => {
+                if bgp.listen != on.listen {
+                    warn!("bgp listen has changed: it counts from the next start");
+                }
+                on.speaker.change(terms);
+            }
+            (on @ None, Some((bgp, terms))) => {
+                *on = Some(On::start(bgp, terms, self.seed, tell).map_err(|error| format!("{error:#}"))?);
+            }
+            (on @ Some(_), None) => {
+                if let Some(on) = on.take() {
+                    // Last words take their time, and scans go on meanwhile.
+                    let end = move || on.speaker.end("bgp was taken out of the operator's file");
+                    spawn("bgp end", STACK, end).map_err(|error| error.to_string())?;
+                }
+            }
+            (None, None) => {}
+        }
+        if settings.console != self.console_at || was_on != self.on.is_some() {
+            self.console(settings).map_err(|error| format!("{error:#}"))?;
+        }
+        Ok(())
+    }
+
+    /// When it wants to be asked to [`Announcing::report`] again.
+    pub fn due(&self) -> f64 {
+        match &self.on {
+            Some(on) if self.stop != Stop::Over => on.report_at,
+            _ => f64::INFINITY,
+        }
+    }
+
+    /// Reports what the mixer can serve, if it is time.
+    pub fn report(&mut self, now: f64, watches: &Watches, reducer: &Reducer) {
+        if now >= self.due() {
+            self.on.iter_mut().for_each(|on| on.report(now, watches, reducer));
+        }
+    }
 
     /// The mixer is asked to end: whether it may at once. If not, [`Announcing::left`] is called when it may.
     pub fn stop(&mut self) -> bool {
-        match self.stop {
-            Stop::No => {
+        match (self.stop, &self.on) {
+            (_, None) => self.stop = Stop::Over,
+            (Stop::No, Some(on)) => {
                 self.stop = Stop::Leaving;
-                self.speaker.drain();
+                on.speaker.drain();
             }
-            Stop::Leaving => self.speaker.hurry(),
-            Stop::Over => {}
+            (Stop::Leaving, Some(on)) => on.speaker.hurry(),
+            (Stop::Over, _) => {}
         }
         self.stop == Stop::Over
     }
 
     /// No route leads here any more; whether that was still awaited.
     pub fn left(&mut self) -> bool {
-        std::mem::replace(&mut self.stop, Stop::Over) == Stop::Leaving
+        match self.stop {
+            Stop::Leaving => {
+                self.stop = Stop::Over;
+                true
+            }
+            Stop::No | Stop::Over => false,
+        }
+    }
+
+    /// Counts of the announcements, a line each; nothing, where there are none.
+    pub fn counts(&self) -> String {
+        let mut text = String::new();
+        for (name, count) in self.on.iter().flat_map(|on| on.speaker.counts().named()) {
+            let _ = writeln!(text, "{name} {count}"); // a String takes it
+        }
+        text
     }
 
     /// Ends all sessions.
     pub fn end(self) {
-        self.speaker.end("the mixer has drained");
+        self.on.into_iter().for_each(|on| on.speaker.end("the mixer has drained"));
     }
 }
--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -31,6 +31,8 @@
 pub struct Watches {
     pub wanted: AtomicU64,
     pub heard: AtomicU64,
+    /// When a watch that counts last said anything, in whole milliseconds; zero before.
+    pub said: AtomicU64,
 }
 
 impl Watches {
@@ -89,6 +91,8 @@
         let mut line = Vec::new();
         loop {
             let Some(data) = input.chunk()? else { return Ok(()) };
+            // An empty line is a word too: the list is as it was.
+            watches.said.store(tell.now() as u64, Ordering::Release);
             for byte in data {
                 if byte == b'\n' {
                     self.heard(&std::mem::take(&mut line), tell)?;
--- a/crates/mixer/src/main.rs
+++ b/crates/mixer/src/main.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, Result, anyhow};
-use pewterwharf_mixer::service::{self, Service};
+use pewterwharf_mixer::service::{self, Again, Service};
 use pewterwharf_settings::Settings;
 use pewterwharf_terms::{Change, Start};
 use tracing::level_filters::LevelFilter;
@@ -37,12 +37,7 @@
     let (path, text) = file()?;
     let mut start = Start::read(&text, said).with_context(|| format!("in {path}"))?;
     start.hold_to(&std::fs::read_to_string("/proc/self/limits").unwrap_or_default());
-    let (seed, bgp) = (start.seed, settings()?.bgp);
-    let service = Service::open(start, signals, again)?;
-    match bgp {
-        Some(bgp) => service.announcing(&bgp, seed)?.run(),
-        None => service.run(),
-    }
+    Service::open(start, &settings()?, signals, Again { start: again, settings })?.run()
 }
 
 /// Lines go to standard error; `RUST_LOG` names the level, or targets with theirs, and `RUST_LOG_FORM=json` makes each
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -242,9 +242,14 @@
         self.module.usable()
     }
 
-    /// Number of table types.
-    pub fn table_types(&self) -> usize {
-        self.terms.types.len()
+    /// Of each table type, the weight of parts that makes a whole answer, and the least for any.
+    pub fn needs(&self) -> impl Iterator<Item = (f64, f64)> {
+        self.terms.types.iter().map(|t| (t.need, t.floor))
+    }
+
+    /// The names of table types, in the same order.
+    pub fn type_names(&self) -> &[String] {
+        &self.terms.type_names
     }
 
     /// When it wants to be called at the latest.
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Whether a further client would get a place: one is free, or somebody who waits for nothing would leave it.
+    pub fn places_left(&self) -> bool {
+        self.clients.len() < self.clients_cap || self.clients.values().any(|c| c.scan.is_none() && !c.hung)
+    }
+
     fn hang_up_idle(&mut self) {
         let idle: Vec<u64> = self.clients.iter().filter(|c| c.1.idle()).map(|c| *c.0).collect();
         idle.into_iter().for_each(|conn| self.hang_up(conn));
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -10,7 +10,7 @@
 
 use anyhow::{Context, Result};
 use crossbeam_channel::{Receiver, Sender, bounded};
-use pewterwharf_settings::Bgp;
+use pewterwharf_settings::Settings;
 use pewterwharf_terms::{Change, Start};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
@@ -33,6 +33,8 @@
     Input(f64, Input),
     /// No route leads here any more.
     RoutesLeft,
+    /// The operator's own file was read anew; why it can't be used.
+    Settings(Result<Box<Settings>, String>),
 }
 
 /// The way to the service, with the clock that all go by.
@@ -48,6 +50,11 @@
         self.to.send(Told::Input(self.clock.now(), input)).is_ok()
     }
 
+    /// The time by the service's clock.
+    pub fn now(&self) -> f64 {
+        self.clock.now()
+    }
+
     pub fn link(&self, link: u64, stream: Arc<TcpStream>) {
         let _ = self.to.send(Told::Link(self.clock.now(), link, stream)); // or the program has ended
     }
@@ -96,11 +103,17 @@
     watches: Arc<Watches>,
     /// What the service itself has met and the reducer is still to hear.
     met: Vec<(f64, Input)>,
-    announcing: Option<Announcing>,
+    announcing: Announcing,
 }
 
-/// Reads the configuration anew, for a mixer that was started on this one.
-pub type Again = fn(&Start) -> Result<Change>;
+/// Reads files anew, for a mixer that runs.
+#[derive(Clone, Copy)]
+pub struct Again {
+    /// The platform's, of a mixer that was started on this one.
+    pub start: fn(&Start) -> Result<Change>,
+    /// The operator's own.
+    pub settings: fn() -> Result<Settings>,
+}
 
 /// Catches the signals that a mixer goes by.
 pub fn signals() -> Result<Signals> {
@@ -109,7 +122,7 @@
 
 impl Service {
     /// Opens what it needs; the signals it goes by must be caught before, so that none ends it meanwhile.
-    pub fn open(start: Start, mut signals: Signals, again: Again) -> Result<Self> {
+    pub fn open(start: Start, settings: &Settings, mut signals: Signals, again: Again) -> Result<Self> {
         let clock = Clock::start();
         let (to, heard) = bounded(WAITING);
         let tell = Tell { to, clock };
@@ -129,6 +142,8 @@
             Err(_) => {}
         }
         reducer.watches(start.discovery);
+        // Before the signals are heard: a fault in it is told at the start, like any other.
+        let announcing = Announcing::open(settings, reducer.type_names(), start.seed, &tell)?;
         let watches = Arc::new(Watches::default());
         let first = Watch { number: 0, at: start.discovery, index: Some(index) };
         let (told, counted) = (tell.clone(), watches.clone());
@@ -150,7 +165,12 @@
             for signal in signals.forever() {
                 told.say(match signal {
                     SIGUSR1 => Input::Report,
-                    SIGHUP => Input::Reloaded(again(&start).map_err(|error| format!("{error:#}"))),
+                    SIGHUP => {
+                        let settings = (again.settings)().map(Box::new);
+                        let settings = Told::Settings(settings.map_err(|error| format!("{error:#}")));
+                        let _ = told.to.send(settings); // or the program has ended
+                        Input::Reloaded((again.start)(&start).map_err(|error| format!("{error:#}")))
+                    }
                     _ => Input::Stop,
                 });
             }
@@ -168,27 +188,18 @@
             room,
             watches,
             met,
-            announcing: None,
+            announcing,
         };
         effects.into_iter().for_each(|effect| service.carry_out(effect));
         Ok(service)
     }
 
-    /// Announces service addresses for as long as it runs.
-    ///
-    /// # Errors
-    /// If the speaker can't be started.
-    pub fn announcing(mut self, bgp: &Bgp, seed: u64) -> Result<Self> {
-        self.announcing = Some(Announcing::open(bgp, seed, self.tell.clone()).context("bgp")?);
-        Ok(self)
-    }
-
     /// Runs until it is asked to end and all is answered.
     pub fn run(mut self) -> Result<()> {
         while self.reducer.phase() != Phase::Closed {
             let mut inputs = std::mem::take(&mut self.met);
             let due = if inputs.is_empty() { self.reducer.next_due() } else { Some(0.0) };
-            let report = self.announcing.as_ref().map(Announcing::due).filter(|at| at.is_finite());
+            let report = Some(self.announcing.due()).filter(|at| at.is_finite());
             let due = due.into_iter().chain(report).reduce(f64::min);
             let wait = due.map_or(Duration::MAX, |at| self.clock.until(at));
             if let Ok(told) = self.heard.recv_timeout(wait) {
@@ -202,10 +213,11 @@
             let effects = self.reducer.step(self.clock.now(), inputs);
             effects.into_iter().for_each(|effect| self.carry_out(effect));
             let now = self.clock.now();
-            self.announcing.iter_mut().for_each(|a| a.report(now, &self.reducer));
+            self.announcing.report(now, &self.watches, &self.reducer);
         }
-        self.announcing.into_iter().for_each(Announcing::end);
-        eprint!("{}", self.reducer.counters());
+        let routes = self.announcing.counts();
+        self.announcing.end();
+        eprint!("{}{routes}", self.reducer.counters());
         Ok(())
     }
 
@@ -227,15 +239,21 @@
             }
             // What leads clients here goes first.
             Told::Input(at, Input::Stop) => {
-                if self.announcing.as_mut().is_none_or(Announcing::stop) {
+                if self.announcing.stop() {
                     inputs.push((at, Input::Stop));
                 }
             }
             Told::RoutesLeft => {
-                if self.announcing.as_mut().is_some_and(Announcing::left) {
+                if self.announcing.left() {
                     inputs.push((self.clock.now(), Input::Stop));
                 }
             }
+            Told::Settings(read) => {
+                let read = read.and_then(|settings| self.announcing.change(&settings, &self.tell));
+                if let Err(why) = read {
+                    warn!("the operator's file changes nothing: {why}");
+                }
+            }
             Told::Input(at, input) => inputs.push((at, input)),
         }
     }
@@ -282,7 +300,7 @@
                 }
             }
             Effect::Heard { watch } => self.watches.heard.store(watch, Ordering::Release),
-            Effect::Print(text) => eprint!("{text}"),
+            Effect::Print(text) => eprint!("{text}{}", self.announcing.counts()),
         }
     }
 }
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -2,11 +2,12 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{self, Receiver};
 use std::time::Instant;
 
+use pewterwharf_console::ask;
 use pewterwharf_standins::bgp::{Manner as PeerManner, Peer};
 use pewterwharf_standins::{self as standins, Manner};
 use serde_json::Value;
@@ -81,6 +82,11 @@
     (child, log, addr)
 }
 
+fn signal(child: &Child, name: &str) {
+    let kill = format!("kill -{name} {}", child.id());
+    assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+}
+
 /// The first line that holds these words.
 fn wait(log: &mut impl BufRead, words: &str) -> String {
     let mut line = String::new();
@@ -105,8 +111,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let kill = format!("kill -{name} {}", self.child.id());
-        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell").success());
+        signal(&self.child, name);
     }
 
     /// The exit status, and the counters that it printed and that are not zero.
@@ -364,18 +369,45 @@
     insta::assert_snapshot!(format!("{status:?} {counts}"));
 }
 
-/// A mixer that announces one address to a peer; the file is gone once it has been read.
-fn announcing(peer: &Peer, searchers: &[Manner]) -> Mixer {
-    let file = std::env::temp_dir().join(format!("bgp-{}-{}.lisp", std::process::id(), peer.address.port()));
-    let text = format!(
+/// A file of the operator's own, for as long as the test runs.
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> Self {
+        let file = Self(std::env::temp_dir().join(format!("{name}-{}", std::process::id())));
+        file.write(text);
+        file
+    }
+
+    fn write(&self, text: &str) {
+        std::fs::write(&self.0, text).expect("a file");
+    }
+
+    fn path(&self) -> String {
+        self.0.display().to_string()
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0); // or it was
+    }
+}
+
+/// The section `bgp` with one peer and short waits, and these further keys.
+fn bgp(peer: &Peer, more: &str) -> String {
+    format!(
         "(bgp (as 64512) (id \"10.0.0.1\") (up 0.9 20ms) (down 0.5 20ms) (drain 40ms 40ms)
-           (peer (address \"{}\") (as 64513) (next-hop \"192.0.2.1\")) (announce \"198.51.100.1/32\"))",
+           (peer (address \"{}\") (as 64513) (next-hop \"192.0.2.1\") (rest 20ms) (retry 20ms)) {more})",
         peer.address
-    );
-    std::fs::write(&file, text).expect("a file");
-    let mixer = start_with(EXAMPLE, Some(&file), searchers);
-    std::fs::remove_file(file).expect("it was read");
-    mixer
+    )
+}
+
+/// A mixer that announces one address to a peer; the file is gone once it has been read.
+fn announcing(peer: &Peer, searchers: &[Manner]) -> Mixer {
+    let text = bgp(peer, "(announce \"198.51.100.1/32\")");
+    let file = File::new(&format!("bgp-{}", peer.address.port()), &text);
+    start_with(EXAMPLE, Some(&file.0), searchers)
 }
 
 /// One drain under load: when the peer heard the withdrawal, when a connection was first refused, and the counts.
@@ -495,3 +527,171 @@
     took.iter_mut().for_each(|t| t.sort_unstable());
     println!("withdrawn after {:?} ms, announced after {:?} ms", took[0], took[1]);
 }
+
+/// What is asked at a console is told; SIGHUP changes addresses, attributes and peers and leaves sessions up.
+#[test]
+fn the_console_tells_of_routes_and_a_hang_up_changes_them_without_a_reset() {
+    let (peer, second) = (Peer::start(&[PeerManner::Speaks]), Peer::start(&[PeerManner::Speaks]));
+    let console = File::new("console-hup", "");
+    std::fs::remove_file(&console.0).expect("the name is free");
+    let also = format!("\n(console \"{}\")", console.path());
+    let file = File::new("bgp-hup", &(bgp(&peer, "(announce \"198.51.100.1/32\")") + &also));
+    let mixer = start_with(EXAMPLE, Some(&file.0), &[Manner::Answers]);
+    peer.until("announce 198.51.100.1/32, path of 1");
+    let shown = ask(&console.0, "bgp show").expect("it answers").expect("it is set");
+    for line in
+        ["Established, up 1 times", "198.51.100.1/32 Announced: Serves", "can serve by table type: 1.00 1.00"]
+    {
+        assert!(shown.contains(line), "{line:?} is not in {shown}");
+    }
+    let said = ask(&console.0, "bgp hide").expect("it answers");
+    assert_eq!(said, Err("\"bgp hide\" is not known here; known is bgp show".to_owned()));
+
+    // A faulty file changes nothing, whatever is wrong with it.
+    let mut mixer = mixer;
+    let kept = "the operator's file changes nothing: ";
+    for (text, why) in [
+        ("(bgp (as 0))", "found 0, expected bgp as"),
+        (
+            "(bgp (as 64512) (id \"10.0.0.1\") (announce \"198.51.100.1/32\" (table-types \"lokup\")))",
+            "lokup is no table type of this mixer; did you mean lookup?",
+        ),
+    ] {
+        file.write(text);
+        mixer.signal("HUP");
+        let line = wait(&mut mixer.log, kept);
+        assert!(line.contains(why), "{line}");
+    }
+
+    let more = "(announce \"198.51.100.1/32\") (announce \"198.51.100.2/32\") (communities \"64512:7\")";
+    let both = bgp(&peer, more).replace(
+        "(bgp ",
+        &format!("(bgp (peer (address \"{}\") (as 64513) (next-hop \"192.0.2.1\")) ", second.address),
+    );
+    file.write(&(both + &also));
+    mixer.signal("HUP");
+    peer.until("announce 198.51.100.2/32, path of 1");
+    second.until("announce 198.51.100.2/32, path of 1");
+    // Taken out whole: routes go, and scans go on.
+    file.write("");
+    mixer.signal("HUP");
+    let (told, before) = peer.until("notification");
+    assert!(told.what.contains("AdministrativeShutdown"), "{}", told.what);
+    // One session all along: it opened once, and was told the changed attributes on the way.
+    assert!(before.iter().all(|b| !b.starts_with("open") && b != "closed"), "{before:?}");
+    let mut client = TcpStream::connect(mixer.addr).expect("the mixer accepts");
+    client.write_all(scan("lookup", 1).as_bytes()).expect("it takes bytes");
+    assert!(answer(&client).starts_with("HTTP/1.1 200"));
+    assert!(ask(&console.0, "bgp show").is_err(), "the console went with its key");
+    // And put in again.
+    file.write(&(bgp(&peer, "(announce \"198.51.100.1/32\")") + &also));
+    mixer.signal("HUP");
+    peer.until("announce 198.51.100.1/32, path of 1");
+}
+
+/// Three slices, a searcher each: `lookup` is whole with six tenths, `entry` needs all.
+#[test]
+fn an_address_goes_with_its_table_type_and_another_stays() {
+    let config = std::fs::read_to_string(EXAMPLE).expect("the example");
+    let config = config.replace("\"positions\": 1", "\"positions\": 3");
+    let config = File::new("mixer-types", &config);
+    let peer = Peer::start(&[PeerManner::Speaks]);
+    let more = "(announce \"198.51.100.1/32\" (table-types \"lookup\"))
+                (announce \"198.51.100.2/32\" (table-types \"entry\"))";
+    let file = File::new("bgp-types", &bgp(&peer, more));
+    let mut mixer = start_with(&config.path(), Some(&file.0), &[Manner::Answers; 3]);
+    let tell = |mixer: &Mixer, index: u64, whole: bool| {
+        let mut list = standins::list(index, whole, &mixer.searchers);
+        for (slice, entry) in list["endpoints"].as_array_mut().into_iter().flatten().enumerate() {
+            entry["group"] = Value::from(slice);
+        }
+        mixer.lists.tell(list);
+    };
+    tell(&mixer, 2, true);
+    peer.until("announce 198.51.100.2/32, path of 1");
+    mixer.searchers[2].1 = "draining";
+    tell(&mixer, 3, false);
+    let (_, before) = peer.until("withdraw 198.51.100.2/32");
+    assert!(before.iter().all(|b| b.starts_with("announce")), "{before:?}");
+    mixer.searchers[2].1 = "up";
+    tell(&mixer, 4, false);
+    let (_, before) = peer.until("announce 198.51.100.2/32, path of 1");
+    assert!(before.is_empty(), "the other stayed as it was: {before:?}");
+}
+
+/// Discovery falls silent while searchers answer: depreferenced, not withdrawn, and preferred again once it speaks.
+#[test]
+fn a_list_that_goes_stale_depreferences_while_searchers_answer() {
+    let peer = Peer::start(&[PeerManner::Speaks]);
+    // An empty line comes every two seconds; the list is stale just before the next.
+    let file = File::new("bgp-stale", &bgp(&peer, "(stale 900ms) (announce \"198.51.100.1/32\")"));
+    let mixer = start_with(EXAMPLE, Some(&file.0), &[Manner::Answers]);
+    peer.until("announce 198.51.100.1/32, path of 1");
+    peer.until("announce 198.51.100.1/32, path of 3, depreferenced");
+    let mut client = mixer.connect();
+    client.write_all(scan("lookup", 1).as_bytes()).expect("it takes bytes");
+    assert!(answer(&client).starts_with("HTTP/1.1 200"));
+    let (_, before) = peer.until("announce 198.51.100.1/32, path of 1");
+    assert!(before.is_empty(), "{before:?}");
+}
+
+#[test]
+fn a_fault_in_the_operators_file_ends_the_start() {
+    for (name, text, why) in [
+        ("key", "(bgp (pear))", "1:6: found pear, expected one of"),
+        (
+            "type",
+            "(bgp (as 1) (id \"10.0.0.1\") (announce \"10.0.0.0/8\" (table-types \"entri\")))",
+            "entri is no table type of this mixer; did you mean entry?",
+        ),
+        ("console", "(console \"/nowhere/at/all\")", "console /nowhere/at/all: "),
+    ] {
+        let file = File::new(&format!("bgp-fault-{name}"), text);
+        let ended = Command::new(env!("CARGO_BIN_EXE_pewterwharf-mixer"))
+            .env("PEWTERWHARF_SETTINGS", &file.0)
+            .env("ROUTER_CONFIG", EXAMPLE)
+            .env("ROUTER_LISTEN", "127.0.0.1:0")
+            .output()
+            .expect("the mixer starts");
+        let told = String::from_utf8_lossy(&ended.stderr).into_owned();
+        assert!(ended.status.code() == Some(1) && told.contains(why), "{name}: {told}");
+    }
+}
+
+/// The figures of `docs/bgp.md`: what announcing costs a mixer that knows two hundred searchers, idle for ten seconds.
+#[test]
+#[ignore = "a measurement"]
+fn what_peers_cost() {
+    for count in [None, Some(0), Some(1), Some(8)] {
+        let peers: Vec<Peer> = (0..count.unwrap_or(0)).map(|_| Peer::start(&[PeerManner::Speaks])).collect();
+        let mut text = String::new();
+        if count.is_some() {
+            text += "(bgp (as 64512) (id \"10.0.0.1\") (up 0.9 20ms) (announce \"198.51.100.1/32\")";
+            for peer in &peers {
+                text += &format!(
+                    "(peer (address \"{}\") (as 64513) (next-hop \"192.0.2.1\") (hold 9s))",
+                    peer.address
+                );
+            }
+            text += ")";
+        }
+        let file = File::new("bgp-cost", &text);
+        let mixer = start_with(EXAMPLE, Some(&file.0), &[Manner::Answers; 200]);
+        peers.iter().for_each(|peer| drop(peer.until("announce 198.51.100.1/32")));
+        let stat = || {
+            let read = |of: &str| {
+                std::fs::read_to_string(format!("/proc/{}/{of}", mixer.child.id())).expect("it runs")
+            };
+            let ticks = read("stat").rsplit(") ").next().map(|rest| {
+                rest.split(' ').skip(11).take(2).filter_map(|n| n.parse::<u64>().ok()).sum::<u64>()
+            });
+            let memory = read("status").lines().find(|l| l.starts_with("VmRSS")).unwrap_or("").to_owned();
+            let threads = read("status").lines().find(|l| l.starts_with("Threads")).unwrap_or("").to_owned();
+            (ticks.unwrap_or(0), memory, threads)
+        };
+        let before = stat().0;
+        std::thread::sleep(std::time::Duration::from_secs(10));
+        let (after, memory, threads) = stat();
+        println!("{count:?} peers: {} ticks of 10 ms in 10 s, {memory}, {threads}", after - before);
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,9 +5,11 @@
 //! as well. [`Settings`] is the operator's file under `deploy/`. What the platform tells a mixer stays JSON and is
 //! read by `pewterwharf-terms`. Nothing here does I/O.
 
+mod bgp;
 pub mod form;
 mod names;
 mod settings;
 
+pub use bgp::{Bgp, BgpAddress, BgpPeer};
 pub use names::near;
-pub use settings::{Bgp, BgpAddress, BgpPeer, Explore, Log, LogForm, Settings};
+pub use settings::{Explore, Log, LogForm, Settings};
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -45,7 +45,7 @@
         (4_200_000_000, (0.8, 4000.0), (1000.0, 2000.0), 1)
     );
     assert_eq!(
-        bgp.addresses.iter().map(|a| (a.prefix.1, a.keep_last)).collect::<Vec<_>>(),
+        bgp.addresses.iter().map(|a| (a.prefix.prefix_len(), a.keep_last)).collect::<Vec<_>>(),
         [(32, true), (128, false)]
     );
     let faults = [
@@ -54,14 +54,31 @@
         ("(bgp (up 1.5 1s))", "1:10: found 1.5, expected bgp up, a share up to 1"),
         (
             "(bgp (pear))",
-            "1:6: found pear, expected one of as, id, listen, peer, announce, up, down, pressure, changes, drain; did you mean peer?",
+            "1:6: found pear, expected one of as, id, listen, peer, announce, up, down, stale, pressure, changes, drain, communities, large-communities, med, local-pref, prepend; did you mean peer?",
         ),
         (
             "(bgp (announce \"10.0.0.0/33\"))",
             "1:16: found \"10.0.0.0/33\", expected a prefix, as 198.51.100.1/32",
         ),
         ("(bgp (peer (as 1)))", "1:6: expected (address ...) in (peer ...)"),
-        ("(bgp (peer (hold 2s)))", "1:18: peer hold is under 3s"),
+        ("(bgp (peer (hold 2s)))", "1:18: expected peer hold, whole seconds from 3s on"),
+        ("(bgp (announce \"10.0.0.1/8\") (announce \"10.0.0.2/8\"))", "1:40: 10.0.0.0/8 is announced twice"),
+        ("(bgp (announce \"10.0.0.0/8\" (table-types)))", "1:29: table-types names none"),
+        ("(bgp (announce \"10.0.0.0/8\" (table-types \"a\" \"a\")))", "1:46: a is given twice"),
+        (
+            "(bgp (communities \"64512:1\" \"64512:65536\"))",
+            "1:29: found \"64512:65536\", expected a community, as 64512:1",
+        ),
+        (
+            "(bgp (large-communities \"1:2\"))",
+            "1:25: found \"1:2\", expected a large community, as 64512:1:2",
+        ),
+        (
+            "(bgp (as 1) (id \"10.0.0.1\") (peer (address \"10.0.0.2:179\") (as 2) (next-hop \"10.0.0.1\") (passive)))",
+            "1:1: a peer is passive, and bgp listen is not set",
+        ),
+        ("(bgp (med 1))", "1:6: med has 1 values, which do not fit it"),
+        ("(console)", "1:1: console has 0 values, expected one"),
     ];
     for (text, fault) in faults {
         assert_eq!(told(text), fault);
--- a/crates/speaker/src/lib.rs
+++ b/crates/speaker/src/lib.rs
@@ -9,16 +9,17 @@
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{Builder, JoinHandle};
 use std::time::{Duration, Instant};
 use std::{io, thread};
 
 use crossbeam_channel::{Receiver, Sender, bounded};
 use pewterwharf_bgp::announce::{self, Health};
-use pewterwharf_bgp::message::{self, LONGEST, Message, Refusal};
+use pewterwharf_bgp::message::{self, LONGEST, Message, Refusal, Watch};
 use pewterwharf_bgp::session::{self, Way};
-use pewterwharf_bgp::speaker::{AddressShown, Effect, Input, PeerShown, Speaker as Core, Terms};
+pub use pewterwharf_bgp::speaker::{Counts, Shown, Terms};
+use pewterwharf_bgp::speaker::{Effect, Input, Speaker as Core};
 use tracing::{debug, info};
 
 /// Stack of each thread.
@@ -32,29 +33,39 @@
 /// How long the last words of sessions may take to leave at the end.
 const GOODBYE: Duration = Duration::from_secs(2);
 
-/// Where a peer is.
-#[derive(Clone, Debug)]
-pub struct Place {
-    pub address: SocketAddr,
-}
-
 /// A mixer's speaker, running.
 pub struct Speaker {
     to: Sender<Told>,
     may_stop: Receiver<()>,
     core: Option<JoinHandle<()>>,
     listens: Option<SocketAddr>,
+    counts: Arc<Mutex<Counts>>,
+}
+
+/// A way to ask a speaker how it stands, for another thread than the speaker's owner.
+#[derive(Clone)]
+pub struct Show(Sender<Told>);
+
+impl Show {
+    /// Peers and addresses as they stand; none once it has ended.
+    pub fn ask(&self) -> Option<Shown> {
+        let (to, shown) = bounded(1);
+        self.0.send_timeout(Told::Show(to), PATIENCE).ok()?;
+        shown.recv_timeout(PATIENCE).ok()
+    }
 }
 
 enum Told {
     Core(Input),
-    /// A connection that came, or that was asked for.
-    Up(usize, Way, TcpStream),
+    /// A connection that came.
+    Came(TcpStream),
+    /// One that was asked for.
+    Up(usize, TcpStream),
     /// From a connection, by its number.
     Heard(u64, Result<Message, Refusal>),
     Ended(u64),
     NotConnected(usize),
-    Show(Sender<(Vec<PeerShown>, Vec<AddressShown>)>),
+    Show(Sender<Shown>),
     End(String),
 }
 
@@ -73,31 +84,26 @@
 }
 
 impl Speaker {
-    /// Starts all sessions. `places` are those of the terms' peers, in the same order; with `listen`, peers may open
-    /// connections too and are known by their address.
+    /// Starts all sessions; with `listen`, peers may open connections too and are known by their address.
     ///
     /// # Errors
     /// If the listener or a thread can't be had.
-    pub fn start(
-        terms: Terms,
-        places: Vec<Place>,
-        listen: Option<SocketAddr>,
-        seed: u64,
-    ) -> io::Result<Self> {
+    pub fn start(terms: Terms, listen: Option<SocketAddr>, seed: u64) -> io::Result<Self> {
         let (to, heard) = bounded(INPUTS);
         let (stops, may_stop) = bounded(1);
         let tell = Tell(to.clone());
         let listener = listen.map(TcpListener::bind).transpose()?;
         let listens = listener.as_ref().map(TcpListener::local_addr).transpose()?;
         if let Some(listener) = listener {
-            let (tell, places) = (tell.clone(), places.clone());
-            spawn("bgp accept", move || accept(&listener, &places, &tell))?;
+            let tell = tell.clone();
+            spawn("bgp accept", move || accept(&listener, &tell))?;
         }
-        let peers = terms.peers.len();
+        let counts = Arc::new(Mutex::new(Counts::default()));
         let mut shell = Shell {
-            core: Core::new(terms, seed),
+            core: Core::new(&terms, seed),
             begun: Instant::now(),
-            places,
+            watch: Arc::default(),
+            counts: counts.clone(),
             tell,
             heard,
             stops,
@@ -106,10 +112,10 @@
             next: 0,
         };
         let core = spawn("bgp", move || {
-            (0..peers).for_each(|peer| shell.step(Input::Session(peer, session::Input::Start)));
+            shell.step(Input::Terms(Box::new(terms)));
             shell.run();
         })?;
-        Ok(Self { to, may_stop, core: Some(core), listens })
+        Ok(Self { to, may_stop, core: Some(core), listens, counts })
     }
 
     /// Where peers may connect.
@@ -140,11 +146,24 @@
         &self.may_stop
     }
 
+    /// Goes by these from now on. Sessions of peers that stay go on wherever BGP allows it.
+    pub fn change(&self, terms: Terms) {
+        let _ = self.to.send(Told::Core(Input::Terms(Box::new(terms)))); // or it has ended
+    }
+
+    /// For whoever wants to ask it how it stands.
+    pub fn shows(&self) -> Show {
+        Show(self.to.clone())
+    }
+
     /// Peers and addresses as they stand; none once it has ended.
-    pub fn show(&self) -> Option<(Vec<PeerShown>, Vec<AddressShown>)> {
-        let (to, shown) = bounded(1);
-        self.to.send(Told::Show(to)).ok()?;
-        shown.recv_timeout(PATIENCE).ok()
+    pub fn show(&self) -> Option<Shown> {
+        self.shows().ask()
+    }
+
+    /// What has happened since the start.
+    pub fn counts(&self) -> Counts {
+        *self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Ends all sessions with these words, and its threads.
@@ -168,22 +187,13 @@
     }
 }
 
-fn accept(listener: &TcpListener, places: &[Place], tell: &Tell) {
+fn accept(listener: &TcpListener, tell: &Tell) {
     for stream in listener.incoming() {
         let Ok(stream) = stream else {
             thread::sleep(Duration::from_millis(50)); // no descriptor may be left; another comes free
             continue;
         };
-        let from = stream.peer_addr().map(|at| at.ip());
-        let peer = places.iter().position(|p| from.as_ref().is_ok_and(|ip| p.address.ip() == *ip));
-        let Some(peer) = peer else {
-            debug!("a connection from {from:?}, who is no peer");
-            if !tell.say(Told::Core(Input::Timer)) {
-                return;
-            }
-            continue;
-        };
-        if !tell.say(Told::Up(peer, Way::In, stream)) {
+        if !tell.say(Told::Came(stream)) {
             return;
         }
     }
@@ -201,7 +211,9 @@
 struct Shell {
     core: Core,
     begun: Instant,
-    places: Vec<Place>,
+    /// What readers tell of.
+    watch: Arc<Mutex<Arc<Watch>>>,
+    counts: Arc<Mutex<Counts>>,
     tell: Tell,
     heard: Receiver<Told>,
     stops: Sender<()>,
@@ -230,7 +242,14 @@
     fn hear(&mut self, told: Told) {
         match told {
             Told::Core(input) => self.step(input),
-            Told::Up(peer, way, stream) => self.up(peer, way, stream),
+            Told::Came(stream) => {
+                let from = stream.peer_addr().map(|at| at.ip());
+                match from.as_ref().ok().and_then(|from| self.core.peer_at(*from)) {
+                    Some(peer) => self.up(peer, Way::In, stream),
+                    None => debug!("a connection from {from:?}, who is no peer"),
+                }
+            }
+            Told::Up(peer, stream) => self.up(peer, Way::Out, stream),
             Told::Heard(number, read) => {
                 let Some(link) = self.links.get(&number) else { return };
                 let (peer, way) = (link.peer, link.way);
@@ -252,7 +271,7 @@
             }
             Told::NotConnected(peer) => self.step(Input::Session(peer, session::Input::Closed(Way::Out))),
             Told::Show(to) => {
-                let _ = to.send((self.core.peers(), self.core.addresses())); // or nobody waits any more
+                let _ = to.send(self.core.show(self.now())); // or nobody waits any more
             }
             Told::End(_) => {}
         }
@@ -276,6 +295,7 @@
             self.links.get_mut(&number).into_iter().for_each(|l| l.write = None);
         }
         effects.into_iter().for_each(|effect| self.carry_out(effect));
+        self.count();
     }
 
     fn link(&self, number: u64, peer: usize, way: Way, stream: TcpStream) -> io::Result<Link> {
@@ -284,6 +304,7 @@
         let stream = Arc::new(stream);
         let (write, messages) = bounded::<Vec<u8>>(WAITING);
         let (reads, writes, tell) = (stream.clone(), stream.clone(), self.tell.clone());
+        let watch = self.watch.clone();
         let writer = spawn("bgp write", move || {
             for bytes in messages {
                 if (&*writes).write_all(&bytes).is_err() {
@@ -293,7 +314,7 @@
             let _ = writes.shutdown(Shutdown::Both); // the reader hears of it
         })?;
         spawn("bgp read", move || {
-            read(&reads, number, &tell);
+            read(&reads, number, &watch, &tell);
             let _ = reads.shutdown(Shutdown::Both); // or it was
             tell.say(Told::Ended(number));
         })?;
@@ -303,15 +324,20 @@
     fn step(&mut self, input: Input) {
         let effects = self.core.step(self.now(), input);
         effects.into_iter().for_each(|effect| self.carry_out(effect));
+        self.count();
+    }
+
+    fn count(&self) {
+        *self.counts.lock().unwrap_or_else(PoisonError::into_inner) = *self.core.counts();
     }
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Connect(peer) => {
-                let (tell, address) = (self.tell.clone(), self.places[peer].address);
+            Effect::Connect(peer, address) => {
+                let tell = self.tell.clone();
                 let attempt = move || {
                     let told = match TcpStream::connect_timeout(&address, PATIENCE) {
-                        Ok(stream) => Told::Up(peer, Way::Out, stream),
+                        Ok(stream) => Told::Up(peer, stream),
                         Err(error) => {
                             debug!("no connection to {address}: {error}");
                             Told::NotConnected(peer)
@@ -341,6 +367,9 @@
                 }
             }
             Effect::Refuse(..) => {}
+            Effect::Watch(watch) => {
+                *self.watch.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(watch);
+            }
             Effect::MayStop => drop(self.stops.try_send(())),
             Effect::Note(line) => info!("{line}"),
         }
@@ -362,15 +391,20 @@
 }
 
 /// Reads messages until the connection ends or one can't be read.
-fn read(stream: &TcpStream, number: u64, tell: &Tell) {
+fn read(stream: &TcpStream, number: u64, watch: &Mutex<Arc<Watch>>, tell: &Tell) {
     let mut buffer = Vec::with_capacity(LONGEST);
     let mut piece = [0; 2048];
+    // Whether numbers of AS have four octets: as the peer's OPEN says, for we always know them.
+    let mut four_octets = true;
     loop {
-        // Numbers of AS have four octets wherever the peer knows them, and no path is kept where it does not.
         loop {
             let told = match message::length(&buffer) {
                 Ok(Some(length)) if buffer.len() >= length => {
-                    let read = message::read(&buffer[..length], true);
+                    let watch = watch.lock().unwrap_or_else(PoisonError::into_inner).clone();
+                    let read = message::read(&buffer[..length], four_octets, &watch);
+                    if let Ok(Message::Open(open)) = &read {
+                        four_octets = open.four_octets;
+                    }
                     buffer.drain(..length);
                     read
                 }
--- a/crates/speaker/tests/loopback.rs
+++ b/crates/speaker/tests/loopback.rs
@@ -1,16 +1,16 @@
 //! The speaker on loopback, against a peer with a codec of its own.
 
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use pewterwharf_bgp::announce::{self, Address, Health, Phase};
 use pewterwharf_bgp::message::Family;
 use pewterwharf_bgp::session::{self, State};
-use pewterwharf_bgp::speaker::{Peer as PeerTerms, Terms};
-use pewterwharf_speaker::{Place, Speaker};
-use pewterwharf_standins::bgp::{Manner, Peer};
+use pewterwharf_bgp::speaker::{Carried, Peer as PeerTerms, Terms};
+use pewterwharf_speaker::{Shown, Speaker};
+use pewterwharf_standins::bgp::{self as standin, Manner, Peer, Wire};
 
-fn terms() -> Terms {
+fn terms(address: SocketAddr) -> Terms {
     let session = session::Terms {
         asn: 4_200_000_000,
         id: Ipv4Addr::new(10, 0, 0, 1),
@@ -23,19 +23,20 @@
         most_routes: 5000,
     };
     let peer = PeerTerms {
+        address,
         session,
         next_hop_v4: Some(IpAddr::V4(Ipv4Addr::new(192, 0, 2, 1))),
         next_hop_v6: Some(IpAddr::V6(Ipv6Addr::new(0x2001, 0xdb8, 0, 0, 0, 0, 0, 1))),
     };
-    let any = || Address { table_types: vec![], keep_last: false };
+    let any = |prefix: &str| Address {
+        prefix: prefix.parse().expect("a prefix"),
+        table_types: vec![],
+        keep_last: false,
+    };
     Terms {
         peers: vec![peer],
-        prefixes: vec![
-            "198.51.100.1/32".parse().expect("a prefix"),
-            "2001:db8:1::1/128".parse().expect("a prefix"),
-        ],
         announce: announce::Terms {
-            addresses: vec![any(), any()],
+            addresses: vec![any("198.51.100.1/32"), any("2001:db8:1::1/128")],
             up_share: 0.9,
             down_share: 0.5,
             up_ms: 20.0,
@@ -46,11 +47,15 @@
             depreferenced_ms: 60.0,
             leave_ms: 60.0,
         },
-        communities: vec![0xFBF5_0001],
-        large: vec![(4_200_000_000, 1, 2)],
-        med: 10,
-        depreferenced_med: 1000,
-        prepend: 2,
+        carried: Carried {
+            communities: vec![0xFBF5_0001],
+            large: vec![(4_200_000_000, 1, 2)],
+            med: 10,
+            depreferenced_med: 1000,
+            local_pref: 100,
+            depreferenced_pref: 0,
+            prepend: 2,
+        },
     }
 }
 
@@ -59,11 +64,11 @@
 }
 
 fn start(peer: &Peer) -> Speaker {
-    Speaker::start(terms(), vec![Place { address: peer.address }], None, 7).expect("it starts")
+    Speaker::start(terms(peer.address), None, 7).expect("it starts")
 }
 
 fn state(speaker: &Speaker) -> State {
-    speaker.show().expect("it runs").0[0].state
+    speaker.show().expect("it runs").peers[0].state
 }
 
 #[test]
@@ -116,7 +121,8 @@
     }
     peer.until("announce 198.51.100.1/32, path of 1");
     peer.until("announce 2001:db8:1::1/128, path of 1");
-    let (peers, addresses) = speaker.show().expect("it runs");
+    let Shown { peers, addresses, counts, .. } = speaker.show().expect("it runs");
+    assert_eq!((counts.sessions_up, counts.sessions_lost), (4, 3));
     assert_eq!((peers[0].ups, peers[0].flaps, peers[0].announced.len()), (4, 3, 2));
     assert!(addresses.iter().all(|a| a.reason == announce::Reason::Serves), "{addresses:?}");
 }
@@ -131,14 +137,13 @@
     ];
     for (manner, reason) in cases {
         let peer = Peer::start(&[manner, Manner::Speaks]);
-        let mut terms = terms();
+        let mut terms = terms(peer.address);
         terms.peers[0].session.hold_s = 3;
-        let places = vec![Place { address: peer.address }];
-        let speaker = Speaker::start(terms, places, None, 7).expect("it starts");
+        let speaker = Speaker::start(terms, None, 7).expect("it starts");
         speaker.health(health(1.0));
         // A peer that floods may have its connection reset before it reads why.
         let first = peer.until(if matches!(manner, Manner::Floods(_)) { "closed" } else { "notification" }).0;
-        let error = speaker.show().expect("it runs").0[0].last_error.clone().unwrap_or_default();
+        let error = speaker.show().expect("it runs").peers[0].last_error.clone().unwrap_or_default();
         assert!(
             first.what.contains(reason) || error.contains("6/1"),
             "{manner:?}: {} and {error}",
@@ -152,13 +157,13 @@
 #[test]
 fn a_peer_that_reads_no_more_holds_up_no_drain() {
     let peer = Peer::start(&[Manner::Deaf]);
-    let mut terms = terms();
+    let mut terms = terms(peer.address);
     terms.announce.depreferenced_ms = 5.0;
     terms.announce.leave_ms = 5.0;
-    let speaker = Speaker::start(terms, vec![Place { address: peer.address }], None, 7).expect("it starts");
+    let speaker = Speaker::start(terms, None, 7).expect("it starts");
     peer.until("up");
     speaker.health(health(1.0));
-    while speaker.show().expect("it runs").0[0].announced.len() < 2 {
+    while speaker.show().expect("it runs").peers[0].announced.len() < 2 {
         std::thread::yield_now();
     }
     let begun = Instant::now();
@@ -171,9 +176,211 @@
 #[test]
 fn with_no_peer_there_a_drain_waits_for_nobody() {
     let nobody = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
-    let speaker = Speaker::start(terms(), vec![Place { address: nobody }], None, 7).expect("it starts");
+    let speaker = Speaker::start(terms(nobody), None, 7).expect("it starts");
     speaker.health(health(1.0));
     speaker.drain();
     speaker.may_stop().recv_timeout(Duration::from_secs(5)).expect("scans may stop");
     assert_ne!(state(&speaker), State::Established);
 }
+
+/// Notifications before the peer's OPEN, after it and once it is up; a twin of the mixer itself.
+#[test]
+fn a_peer_that_ends_the_session_in_any_state_is_tried_again() {
+    let cases = [
+        (Manner::ResetsUnopened, "the peer said 6/4"),
+        (Manner::ResetsOpened, "the peer said 6/4"),
+        (Manner::ResetsUp, "the peer said 6/4"),
+        (Manner::Twin, "we said 2/3"),
+    ];
+    for (manner, reason) in cases {
+        let peer = Peer::start(&[manner, Manner::Speaks]);
+        let mut terms = terms(peer.address);
+        if manner == Manner::Twin {
+            (terms.peers[0].session.asn, terms.peers[0].session.peer_asn) = (64_512, 64_512);
+        }
+        let speaker = Speaker::start(terms, None, 7).expect("it starts");
+        speaker.health(health(1.0));
+        peer.until("closed");
+        loop {
+            let shown = speaker.show().expect("it runs").peers[0].clone();
+            if let Some(error) = shown.last_error {
+                assert!(error.starts_with(reason), "{manner:?}: {error}");
+                break;
+            }
+        }
+        if manner != Manner::Twin {
+            peer.until("announce 2001:db8:1::1/128");
+            assert_eq!(state(&speaker), State::Established);
+        }
+    }
+}
+
+/// A drain while the session is in each of its states: nobody hears it, so nobody is waited for.
+#[test]
+fn a_drain_in_each_state_of_the_session_ends() {
+    for (manner, reached) in [
+        (Manner::Silent, State::OpenSent),
+        (Manner::OpensOnly, State::OpenConfirm),
+        (Manner::Speaks, State::Established),
+    ] {
+        let peer = Peer::start(&[manner]);
+        let speaker = start(&peer);
+        speaker.health(health(1.0));
+        while state(&speaker) != reached {
+            std::thread::yield_now();
+        }
+        speaker.drain();
+        speaker.may_stop().recv_timeout(Duration::from_secs(5)).expect("scans may stop");
+        speaker.end("off");
+        let (told, before) = peer.until("notification");
+        assert!(told.what.contains("AdministrativeShutdown"), "{reached:?}: {}", told.what);
+        assert!(
+            reached == State::Established || before.iter().all(|b| !b.starts_with("announce")),
+            "{before:?}"
+        );
+    }
+    // Idle, Connect and Active: with_no_peer_there_a_drain_waits_for_nobody.
+}
+
+/// Both sides connect. The peer takes the mixer's connection, opens one of its own, and sends its OPENs in either order:
+/// the connection of the higher identifier stays, whichever came first.
+#[test]
+fn of_two_connections_that_collide_the_higher_identifier_s_stays() {
+    for (peer_id, mixers_stays) in [(9, false), (0, true)] {
+        for mixers_first in [true, false] {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let any = "127.0.0.1:0".parse().expect("an address");
+            let speaker = Speaker::start(terms(address), Some(any), 7).expect("it starts");
+            speaker.health(health(1.0));
+            let (stream, _) = listener.accept().expect("the mixer connects");
+            let mut out = Wire::new(stream);
+            assert_eq!(out.words(), "open 4200000000 hold 9");
+            let at = speaker.listens().expect("it listens");
+            let mut came = Wire::new(TcpStream::connect(at).expect("the mixer listens"));
+            assert_eq!(came.words(), "open 4200000000 hold 9");
+            let id = Ipv4Addr::new(10, 0, 0, peer_id);
+            let order = if mixers_first { [&mut out, &mut came] } else { [&mut came, &mut out] };
+            for wire in order {
+                assert!(wire.open(64_513, id));
+            }
+            let (stays, goes) = if mixers_stays { (&mut out, &mut came) } else { (&mut came, &mut out) };
+            let mut last = String::new();
+            while !last.contains("notification") {
+                last = goes.words();
+                assert_ne!(last, "closed", "id {peer_id}, mixer's first {mixers_first}");
+            }
+            assert!(last.contains("ConnectionCollisionResolution"), "{last}");
+            assert_eq!(stays.words(), "keepalive");
+            assert!(stays.keepalive());
+            assert!(stays.words().starts_with("announce 198.51.100.1/32"));
+        }
+    }
+}
+
+#[test]
+fn what_a_peer_reflects_decides_whether_a_last_announcer_goes() {
+    let peer = Peer::start(&[Manner::Speaks]);
+    let mut terms = terms(peer.address);
+    terms.announce.addresses.truncate(1);
+    terms.announce.addresses[0].keep_last = true;
+    let speaker = Speaker::start(terms.clone(), None, 7).expect("it starts");
+    speaker.health(health(1.0));
+    peer.until("announce 198.51.100.1/32, path of 1");
+    speaker.health(health(0.3));
+    peer.until("announce 198.51.100.1/32, path of 3, depreferenced");
+    let (address, other) = (Ipv4Addr::new(198, 51, 100, 1), Ipv4Addr::new(192, 0, 2, 2));
+    // One more last resort, and then one's own route come back: neither is a reason to go.
+    peer.say(&standin::route(address, other, true));
+    peer.say(&standin::route(address, Ipv4Addr::new(192, 0, 2, 1), false));
+    peer.say(&standin::route(Ipv4Addr::new(198, 51, 100, 2), other, false));
+    while speaker.show().expect("it runs").peers[0].heard_routes < 3 {
+        std::thread::yield_now();
+    }
+    assert!(!speaker.show().expect("it runs").addresses[0].others);
+    peer.say(&standin::route(address, other, false));
+    peer.until("withdraw 198.51.100.1/32");
+    peer.say(&standin::gone(address));
+    peer.until("announce 198.51.100.1/32, path of 3, depreferenced");
+    // Named anew, an address is asked for: the peer may have told of it before.
+    let mut more = terms.clone();
+    more.announce.addresses.push(Address {
+        prefix: "198.51.100.7/32".parse().expect("a prefix"),
+        table_types: vec![],
+        keep_last: true,
+    });
+    speaker.change(more);
+    peer.until("refresh");
+}
+
+/// What the operator changes while sessions are up, and that none is lost by it.
+#[test]
+fn the_operators_changes_leave_sessions_up() {
+    let (peer, second) = (Peer::start(&[Manner::Speaks]), Peer::start(&[Manner::Speaks]));
+    let before = terms(peer.address);
+    let speaker = Speaker::start(before.clone(), None, 7).expect("it starts");
+    speaker.health(health(1.0));
+    peer.until("announce 2001:db8:1::1/128");
+    let mut new = before.clone();
+    new.announce.addresses.remove(1);
+    new.announce.addresses.push(Address {
+        prefix: "198.51.100.7/32".parse().expect("a prefix"),
+        table_types: vec![],
+        keep_last: false,
+    });
+    new.peers[0].session.hold_s = 30;
+    new.peers.push(terms(second.address).peers.remove(0));
+    speaker.change(new.clone());
+    peer.until("withdraw 2001:db8:1::1/128");
+    peer.until("announce 198.51.100.7/32");
+    second.until("up");
+    second.until("announce 198.51.100.7/32");
+    // A new next hop: all is told again, and nothing is withdrawn.
+    new.peers[0].next_hop_v4 = Some(IpAddr::V4(Ipv4Addr::new(192, 0, 2, 77)));
+    speaker.change(new.clone());
+    let (_, told) = peer.until("announce 198.51.100.7/32");
+    assert_eq!(told.last().map(String::as_str), Some("announce 198.51.100.1/32, path of 1"));
+    new.peers.remove(1);
+    speaker.change(new);
+    let (gone, _) = second.until("notification");
+    assert!(gone.what.contains("PeerDeConfigured"), "{}", gone.what);
+    let shown = speaker.show().expect("it runs");
+    assert_eq!((shown.peers.len(), shown.peers[0].ups, shown.peers[0].state), (1, 1, State::Established));
+}
+
+/// A peer shuts its window while more and more is to be told. Its connection ends once the queue for it is full; another
+/// peer hears all, and a drain waits for neither.
+#[test]
+fn a_peer_whose_window_is_shut_is_let_go_and_another_hears_the_drain() {
+    let (deaf, peer) = (Peer::start(&[Manner::Deaf, Manner::Silent]), Peer::start(&[Manner::Speaks]));
+    let mut terms = terms(peer.address);
+    terms.peers.push(self::terms(deaf.address).peers.remove(0));
+    terms.announce.addresses = (0..64)
+        .map(|nth| Address {
+            prefix: format!("2001:db8:2::{nth:x}/128").parse().expect("a prefix"),
+            table_types: vec![],
+            keep_last: false,
+        })
+        .collect();
+    let speaker = Speaker::start(terms.clone(), None, 7).expect("it starts");
+    speaker.health(health(1.0));
+    deaf.until("up");
+    peer.until("announce 2001:db8:2::3f/128");
+    let lost = |speaker: &Speaker| speaker.show().expect("it runs").counts.sessions_lost;
+    let mut rounds = 0;
+    while lost(&speaker) == 0 {
+        // A new MED: every route is told again, in one message to each peer.
+        terms.carried.med += 1;
+        speaker.change(terms.clone());
+        peer.until("announce 2001:db8:2::3f/128");
+        rounds += 1;
+        assert!(rounds < 100_000, "it is never let go");
+    }
+    let shown = speaker.show().expect("it runs");
+    assert_eq!(shown.peers.iter().map(|p| p.ups).collect::<Vec<_>>(), [1, 1]);
+    assert_eq!(shown.peers[0].state, State::Established);
+    speaker.drain();
+    peer.until("announce 2001:db8:2::3f/128, path of 3, depreferenced");
+    peer.until("withdraw 2001:db8:2::3f");
+    speaker.may_stop().recv_timeout(Duration::from_secs(10)).expect("scans may stop");
+}
--- a/crates/standins/src/bgp.rs
+++ b/crates/standins/src/bgp.rs
@@ -4,6 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -38,6 +39,16 @@
     Floods(u32),
     /// Is up, and never reads again.
     Deaf,
+    /// Says nothing at all.
+    Silent,
+    /// Sends its OPEN, and no KEEPALIVE.
+    OpensOnly,
+    /// Ends the session with an administrative reset: before its OPEN, after it, once it is up.
+    ResetsUnopened,
+    ResetsOpened,
+    ResetsUp,
+    /// Has the mixer's own AS and identifier.
+    Twin,
 }
 
 /// What was heard, and when.
@@ -51,6 +62,8 @@
 pub struct Peer {
     pub address: SocketAddr,
     heard: Receiver<Heard>,
+    /// The connection that is up, for what the test wants said on it.
+    up: Arc<Mutex<Option<TcpStream>>>,
 }
 
 impl Peer {
@@ -61,17 +74,19 @@
         let address = listener.local_addr().expect("an address");
         let (to, heard) = mpsc::channel();
         let manners = manners.to_vec();
+        let up: Arc<Mutex<Option<TcpStream>>> = Arc::default();
+        let held = up.clone();
         thread::spawn(move || {
             for (nth, stream) in listener.incoming().flatten().enumerate() {
                 let manner = manners[nth.min(manners.len() - 1)];
-                let to = to.clone();
+                let (to, held) = (to.clone(), held.clone());
                 thread::spawn(move || {
-                    serve(stream, manner, &to);
+                    serve(Wire::new(stream), manner, &to, &held);
                     let _ = to.send(Heard { at: Instant::now(), what: "closed".to_owned() }); // or the test is over
                 });
             }
         });
-        Self { address, heard }
+        Self { address, heard, up }
     }
 
     /// The next that is heard.
@@ -97,79 +112,176 @@
     pub fn rest(&self) -> Vec<Heard> {
         self.heard.try_iter().collect()
     }
+
+    /// Says this on the connection that is up.
+    ///
+    /// # Panics
+    /// If none is.
+    pub fn say(&self, bytes: &[u8]) {
+        let mut up = self.up.lock().expect("no holder fails");
+        up.as_mut().expect("a session is up").write_all(bytes).expect("it takes bytes");
+    }
+}
+
+/// An UPDATE by which somebody else's route to an address of /32 is told: over that next hop, by a path without the
+/// mixer's AS, and as a last resort if it is so.
+pub fn route(address: Ipv4Addr, next_hop: Ipv4Addr, last: bool) -> Vec<u8> {
+    let mut attributes = vec![0x40, 1, 1, 0, 0x40, 2, 6, 2, 1, 0, 0, 0xFC, 1, 0x40, 3, 4];
+    attributes.extend(next_hop.octets());
+    if last {
+        attributes.extend([0xC0, 8, 4]);
+        attributes.extend(GRACEFUL_SHUTDOWN.to_be_bytes());
+    }
+    let mut body = vec![0, 0, 0, attributes.len() as u8];
+    body.extend(attributes);
+    body.push(32);
+    body.extend(address.octets());
+    update(&body)
+}
+
+/// An UPDATE by which a route to an address of /32 goes.
+pub fn gone(address: Ipv4Addr) -> Vec<u8> {
+    let mut body = vec![0, 5, 32];
+    body.extend(address.octets());
+    body.extend([0, 0]);
+    update(&body)
+}
+
+fn update(body: &[u8]) -> Vec<u8> {
+    let mut bytes = vec![0xFF; 16];
+    bytes.extend((19 + body.len() as u16).to_be_bytes());
+    bytes.push(2);
+    bytes.extend(body);
+    bytes
+}
+
+/// One end of a connection, spoken with the other codec.
+pub struct Wire {
+    stream: TcpStream,
+    codec: BgpCodec,
+    buffer: BytesMut,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, codec: BgpCodec::new(true), buffer: BytesMut::new() }
+    }
+
+    fn write(&mut self, message: BgpMessage) -> bool {
+        let mut bytes = BytesMut::new();
+        self.codec.encode(message, &mut bytes).is_ok() && self.stream.write_all(&bytes).is_ok()
+    }
+
+    /// Sends an OPEN of both families with a hold time of 9 s; whether it went out.
+    pub fn open(&mut self, asn: u32, id: Ipv4Addr) -> bool {
+        let multi =
+            |family| BgpCapability::MultiProtocolExtensions(MultiProtocolExtensionsCapability::new(family));
+        let capabilities: Vec<BgpCapability> = vec![
+            multi(AddressType::Ipv4Unicast),
+            multi(AddressType::Ipv6Unicast),
+            BgpCapability::RouteRefresh,
+            BgpCapability::FourOctetAs(FourOctetAsCapability::new(asn)),
+        ];
+        let parameters = vec![BgpOpenMessageParameter::Capabilities(capabilities.into())];
+        self.write(BgpMessage::Open(BgpOpenMessage::new(asn as u16, 9, id, parameters)))
+    }
+
+    pub fn keepalive(&mut self) -> bool {
+        self.write(BgpMessage::KeepAlive)
+    }
+
+    /// Cease, administrative reset.
+    pub fn reset(&mut self) -> bool {
+        let mut bytes = vec![0xFF; 16];
+        bytes.extend([0, 21, 3, 6, 4]);
+        self.stream.write_all(&bytes).is_ok()
+    }
+
+    /// The next message; none at the connection's end, or where it can't be read.
+    pub fn message(&mut self) -> Result<Option<BgpMessage>, String> {
+        let mut piece = [0; 4096];
+        loop {
+            match self.codec.decode(&mut self.buffer) {
+                Ok(Some((message, _))) => return Ok(Some(message)),
+                Ok(None) => match self.stream.read(&mut piece) {
+                    Ok(count) if count > 0 => self.buffer.extend_from_slice(&piece[..count]),
+                    _ => return Ok(None),
+                },
+                Err(error) => return Err(format!("can't be read: {error}")),
+            }
+        }
+    }
+
+    /// The next message in words; `closed` at the end.
+    pub fn words(&mut self) -> String {
+        match self.message() {
+            Ok(Some(message)) => words(&message).join(", "),
+            Ok(None) => "closed".to_owned(),
+            Err(error) => error,
+        }
+    }
 }
 
-fn write(stream: &mut TcpStream, codec: &mut BgpCodec, message: BgpMessage) -> bool {
-    let mut bytes = BytesMut::new();
-    codec.encode(message, &mut bytes).is_ok() && stream.write_all(&bytes).is_ok()
+fn words(message: &BgpMessage) -> Vec<String> {
+    match message {
+        BgpMessage::Open(open) => vec![format!("open {} hold {}", open.my_asn4(), open.hold_time())],
+        BgpMessage::Update(update) => lines(update),
+        BgpMessage::Notification(told) => vec![format!("notification {told:?}")],
+        BgpMessage::KeepAlive => vec!["keepalive".to_owned()],
+        BgpMessage::RouteRefresh(_) => vec!["refresh".to_owned()],
+    }
 }
 
-fn serve(mut stream: TcpStream, manner: Manner, to: &Sender<Heard>) {
-    let mut codec = BgpCodec::new(true);
-    let (mut buffer, mut piece) = (BytesMut::new(), [0; 4096]);
+fn serve(mut wire: Wire, manner: Manner, to: &Sender<Heard>, held: &Mutex<Option<TcpStream>>) {
     let mut up = false;
-    let tell = |what: String| to.send(Heard { at: Instant::now(), what }).is_ok();
+    let tell = |what: String| drop(to.send(Heard { at: Instant::now(), what })); // or the test is over
     loop {
-        match codec.decode(&mut buffer) {
-            Ok(Some((message, _))) => match message {
-                BgpMessage::Open(open) => {
-                    tell(format!("open {} hold {}", open.my_asn4(), open.hold_time()));
-                    let asn = if manner == Manner::WrongAs { 64_999 } else { 64_513 };
-                    let multi = |family| {
-                        BgpCapability::MultiProtocolExtensions(MultiProtocolExtensionsCapability::new(family))
-                    };
-                    let capabilities: Vec<BgpCapability> = vec![
-                        multi(AddressType::Ipv4Unicast),
-                        multi(AddressType::Ipv6Unicast),
-                        BgpCapability::FourOctetAs(FourOctetAsCapability::new(asn)),
-                    ];
-                    let parameters = vec![BgpOpenMessageParameter::Capabilities(capabilities.into())];
-                    let id = Ipv4Addr::new(10, 0, 0, 9);
-                    let open = BgpOpenMessage::new(asn as u16, 9, id, parameters);
-                    if !write(&mut stream, &mut codec, BgpMessage::Open(open)) {
-                        return;
-                    }
-                    write(&mut stream, &mut codec, BgpMessage::KeepAlive);
+        let message = match wire.message() {
+            Ok(Some(message)) => message,
+            Ok(None) => return,
+            Err(error) => return tell(error),
+        };
+        match message {
+            BgpMessage::Open(_) => {
+                words(&message).into_iter().for_each(tell);
+                let (asn, id) = match manner {
+                    Manner::WrongAs => (64_999, Ipv4Addr::new(10, 0, 0, 9)),
+                    Manner::Twin => (64_512, Ipv4Addr::new(10, 0, 0, 1)),
+                    _ => (64_513, Ipv4Addr::new(10, 0, 0, 9)),
+                };
+                match manner {
+                    Manner::Silent => continue,
+                    Manner::ResetsUnopened => drop(wire.reset()),
+                    _ => drop(wire.open(asn, id)),
                 }
-                BgpMessage::KeepAlive => {
-                    if std::mem::replace(&mut up, true) {
-                        if manner != Manner::Half {
-                            write(&mut stream, &mut codec, BgpMessage::KeepAlive);
-                        }
-                        continue;
-                    }
-                    tell("up".to_owned());
-                    match manner {
-                        Manner::Flaps => return,
-                        Manner::Half => drop(stream.write_all(&[0xFF; 9])),
-                        Manner::Malformed => {
-                            let mut bytes = vec![0xFF; 16];
-                            bytes.extend([0, 23, 2, 0, 9, 0, 0]);
-                            drop(stream.write_all(&bytes));
-                        }
-                        Manner::Floods(routes) => flood(&mut stream, routes),
-                        Manner::Deaf => loop {
-                            thread::park();
-                        },
-                        Manner::Speaks | Manner::WrongAs => {}
-                    }
+                match manner {
+                    Manner::OpensOnly | Manner::ResetsUnopened => {}
+                    Manner::ResetsOpened => drop(wire.reset()),
+                    _ => drop(wire.keepalive()),
                 }
-                BgpMessage::Update(update) => {
-                    for line in lines(&update) {
-                        tell(line);
+            }
+            BgpMessage::KeepAlive => {
+                if manner == Manner::OpensOnly || std::mem::replace(&mut up, true) {
+                    if !matches!(manner, Manner::Half | Manner::OpensOnly) {
+                        wire.keepalive();
                     }
+                    continue;
+                }
+                *held.lock().expect("no holder fails") = wire.stream.try_clone().ok();
+                tell("up".to_owned());
+                match manner {
+                    Manner::Flaps => return,
+                    Manner::ResetsUp => drop(wire.reset()),
+                    Manner::Half => drop(wire.stream.write_all(&[0xFF; 9])),
+                    Manner::Malformed => drop(wire.stream.write_all(&update(&[0, 9, 0, 0]))),
+                    Manner::Floods(routes) => flood(&mut wire.stream, routes),
+                    Manner::Deaf => loop {
+                        thread::park();
+                    },
+                    _ => {}
                 }
-                BgpMessage::Notification(told) => drop(tell(format!("notification {told:?}"))),
-                BgpMessage::RouteRefresh(_) => drop(tell("refresh".to_owned())),
-            },
-            Ok(None) => match stream.read(&mut piece) {
-                Ok(count) if count > 0 => buffer.extend_from_slice(&piece[..count]),
-                _ => return,
-            },
-            Err(error) => {
-                tell(format!("can't be read: {error}"));
-                return;
             }
+            other => words(&other).into_iter().for_each(tell),
         }
     }
 }
@@ -183,11 +295,7 @@
         for n in from..(from + 1000).min(routes) {
             body.extend([24, (n >> 16) as u8, (n >> 8) as u8, n as u8]);
         }
-        let mut bytes = vec![0xFF; 16];
-        bytes.extend((19 + body.len() as u16).to_be_bytes());
-        bytes.push(2);
-        bytes.extend(body);
-        if stream.write_all(&bytes).is_err() {
+        if stream.write_all(&update(&body)).is_err() {
             return;
         }
     }
--- a/deploy/pewterwharf.lisp
+++ b/deploy/pewterwharf.lisp
@@ -19,4 +19,10 @@
 ; (bgp
 ;   (as 64512) (id "10.0.0.1")
 ;   (peer (address "192.0.2.254:179") (as 64513) (hold 9s) (next-hop "192.0.2.1"))
-;   (announce "198.51.100.1/32"))
+;   (announce "198.51.100.1/32" (table-types "lookup"))
+;   (up 0.9 5s) (down 0.5 1s) (stale 30s) (pressure 0.5) (changes 6) (drain 2s 5s)
+;   (med 0 1000) (local-pref 100 0) (prepend 2))
+
+; A Unix socket at which a running mixer answers `pewterwharf bgp show`; none unless it is there.
+;
+; (console "/run/pewterwharf/mixer.sock")
