Refusals no longer shut off their own evidence; an overtaken part is a lost answer

Cause: where answers were lost, the door refused on latencies and limits that only sent parts renew, and one silent part was filed at its whole patience into its searcher and its zone.

'pewterwharf beliefs' asks a mixer what it believes and why it refused.

--- a/crates/cli/src/bgp.rs
+++ b/crates/cli/src/bgp.rs
@@ -1,4 +1,4 @@
-//! `pewterwharf bgp`: what a running mixer tells of its announcements.
+//! `pewterwharf bgp` and `pewterwharf beliefs`: what a running mixer tells of itself.
 
 use std::path::PathBuf;
 
@@ -13,11 +13,11 @@
     console: Option<PathBuf>,
 }
 
-/// Prints sessions, addresses with the reason of their standing, and the last changes.
-pub fn show(asked: &Show, settings: &Settings) -> Result<bool> {
+/// Prints what the mixer says to a question.
+pub fn show(question: &str, asked: &Show, settings: &Settings) -> Result<bool> {
     let path = asked.console.as_ref().or(settings.console.as_ref());
     let path = path.context("no console: name it by --console, or by (console ...) in --settings")?;
-    match pewterwharf_console::ask(path, "bgp show").with_context(|| format!("asking {}", path.display()))? {
+    match pewterwharf_console::ask(path, question).with_context(|| format!("asking {}", path.display()))? {
         Ok(text) => print!("{text}"),
         Err(why) => bail!("the mixer refuses: {why}"),
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -36,6 +36,8 @@
     /// Asks a running mixer for its announcements of service addresses
     #[command(subcommand)]
     Bgp(BgpVerb),
+    /// Asks a running mixer what it believes of its searchers, and why it refused scans
+    Beliefs(bgp::Show),
     /// Starts searchers, discovery and a mixer in one process, sends scans and prints what happened
     Try(trial::Trial),
 }
@@ -86,7 +88,8 @@
             Some(CheckVerb::Replay(asked)) => check::replay(&asked),
             None => check::run(&check.asked, &settings),
         },
-        Verb::Bgp(BgpVerb::Show(asked)) => bgp::show(&asked, &settings),
+        Verb::Bgp(BgpVerb::Show(asked)) => bgp::show("bgp show", &asked, &settings),
+        Verb::Beliefs(asked) => bgp::show("beliefs", &asked, &settings),
         Verb::Try(asked) => trial::run(&asked),
     }
 }
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -13,7 +13,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::{Builder, JoinHandle};
+use std::thread::Builder;
 use std::time::{Duration, Instant};
 use std::{fs, thread};
 
@@ -35,7 +35,6 @@
 pub struct Console {
     path: PathBuf,
     ends: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
 }
 
 impl Console {
@@ -48,20 +47,18 @@
         let ends = Arc::new(AtomicBool::new(false));
         let told = ends.clone();
         let run = move || serve(&listener, &told, answer);
-        let thread = Builder::new().name("console".to_owned()).stack_size(STACK).spawn(run)?;
-        Ok(Self { path: path.to_owned(), ends, thread: Some(thread) })
+        Builder::new().name("console".to_owned()).stack_size(STACK).spawn(run)?;
+        Ok(Self { path: path.to_owned(), ends })
     }
 }
 
 impl Drop for Console {
     fn drop(&mut self) {
         self.ends.store(true, Ordering::Release);
-        // Wakes the thread, which then sees that it has to end.
-        let woken = UnixStream::connect(&self.path).is_ok();
+        // Wakes the thread, which then sees that it has to end. It is not waited for: it may be in the midst of a question
+        // to the very thread that drops this.
+        let _ = UnixStream::connect(&self.path); // or it is gone
         let _ = fs::remove_file(&self.path); // or somebody has
-        if let Some(thread) = self.thread.take().filter(|_| woken) {
-            let _ = thread.join(); // its panic was printed
-        }
     }
 }
 
--- a/crates/mixer/src/announcing.rs
+++ b/crates/mixer/src/announcing.rs
@@ -118,14 +118,15 @@
 }
 
 /// What is said at the console.
-fn answer(question: &str, show: Option<&Show>, type_names: &[String]) -> Said {
+fn answer(question: &str, show: Option<&Show>, type_names: &[String], tell: &Tell) -> Said {
     match (question, show) {
         ("bgp show", Some(show)) => {
             let shown = show.ask().ok_or("the speaker does not answer")?;
             Ok(format!("{shown}table types, in the order above\n  {}\n", type_names.join(" ")))
         }
         ("bgp show", None) => Err("bgp is not set in the operator's file".to_owned()),
-        (other, _) => Err(format!("\"{other}\" is not known here; known is bgp show")),
+        ("beliefs", _) => tell.beliefs().ok_or_else(|| "the mixer does not answer".to_owned()),
+        (other, _) => Err(format!("\"{other}\" is not known here; known are bgp show, beliefs")),
     }
 }
 
@@ -184,16 +185,17 @@
             let terms = terms(bgp, type_names).map_err(anyhow::Error::msg)?;
             announcing.on = Some(On::start(bgp, terms, seed, tell)?);
         }
-        announcing.console(settings)?;
+        announcing.console(settings, tell)?;
         Ok(announcing)
     }
 
-    fn console(&mut self, settings: &Settings) -> Result<()> {
+    fn console(&mut self, settings: &Settings, tell: &Tell) -> Result<()> {
         self.console = None; // its socket may be wanted again
         self.console_at.clone_from(&settings.console);
         if let Some(path) = &settings.console {
             let (show, names) = (self.on.as_ref().map(|on| on.speaker.shows()), self.type_names.clone());
-            let console = Console::open(path, move |question| answer(question, show.as_ref(), &names));
+            let tell = tell.clone();
+            let console = Console::open(path, move |question| answer(question, show.as_ref(), &names, &tell));
             self.console = Some(console.with_context(|| format!("console {}", path.display()))?);
         }
         Ok(())
@@ -229,7 +231,7 @@
             (None, None) => {}
         }
         if settings.console != self.console_at || was_on != self.on.is_some() {
-            self.console(settings).map_err(|error| format!("{error:#}"))?;
+            self.console(settings, tell).map_err(|error| format!("{error:#}"))?;
         }
         Ok(())
     }
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use pewterwharf::interface::{Action, Decide, Ending, Event, ListKind};
-use pewterwharf::logic::Mixer;
+use pewterwharf::logic::{Beliefs, Mixer};
 use pewterwharf_terms::{Change, Terms};
 use tracing::{debug, info, warn};
 
@@ -242,6 +242,11 @@
         self.module.usable()
     }
 
+    /// What the decision module believes, and why it refused.
+    pub fn beliefs(&self) -> Beliefs {
+        self.module.beliefs()
+    }
+
     /// Of each table type, the weight of parts that makes a whole answer, and the least for any.
     pub fn needs(&self) -> impl Iterator<Item = (f64, f64)> {
         self.terms.types.iter().map(|t| (t.need, t.floor))
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -33,6 +33,8 @@
     Input(f64, Input),
     /// No route leads here any more.
     RoutesLeft,
+    /// Somebody asks at the console what the module believes.
+    Beliefs(Sender<String>),
     /// The operator's own file was read anew; why it can't be used.
     Settings(Result<Box<Settings>, String>),
 }
@@ -59,6 +61,14 @@
         let _ = self.to.send(Told::Link(self.clock.now(), link, stream)); // or the program has ended
     }
 
+    /// What the module believes; nothing, if the service does not answer in time.
+    pub fn beliefs(&self) -> Option<String> {
+        const PATIENCE: Duration = Duration::from_secs(2);
+        let (to, told) = bounded(1);
+        self.to.send_timeout(Told::Beliefs(to), PATIENCE).ok()?;
+        told.recv_timeout(PATIENCE).ok()
+    }
+
     pub fn may_stop(&self) {
         let _ = self.to.send(Told::RoutesLeft); // or the program has ended
     }
@@ -248,6 +258,9 @@
                     inputs.push((self.clock.now(), Input::Stop));
                 }
             }
+            Told::Beliefs(to) => {
+                let _ = to.send(self.reducer.beliefs().to_string()); // or nobody waits any more
+            }
             Told::Settings(read) => {
                 let read = read.and_then(|settings| self.announcing.change(&settings, &self.tell));
                 if let Err(why) = read {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,13 +3,15 @@
 //! stand in `src/interface.rs`. Inside, every searcher is an actor, the [`Gauge`] knows what is normal, the
 //! [`Desk`] has the scans; they talk only by notes put into inboxes that [`Mixer::run`] empties.
 
+use std::cell::Cell;
 use std::cmp::Ordering::Equal;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use oorandom::Rand64;
 
 use crate::interface::*;
+pub use crate::state::Beliefs;
 use crate::state::*;
 
 impl Searcher {
@@ -42,10 +44,15 @@
                     slice.out.push((leg, kind, now));
                 }
             }
-            Note::Filed(leg, share, ending) => {
-                post.put(GAUGE, Note::Zone(self.zone, share));
+            Note::Filed(leg, share, ending, sent_at) => {
+                self.ok_from = if ending == Ending::Ok { self.ok_from.max(sent_at) } else { self.ok_from };
                 let lat = Self::faded(&self.tile, &self.norms, self.zone, now);
-                (self.tile.lat, self.tile.lat_at) = (lat + Self::SMOOTH * (share - lat), now);
+                // Of silence one part says no more than that it was beyond the multiple: a lost answer at its
+                // full time would outweigh a score of good ones, and lift what the next is held against.
+                let silent = matches!(ending, Ending::TimedOut | Ending::Cancelled);
+                let counts = if silent { share.min(self.norms.limit + lat) } else { share };
+                post.put(GAUGE, Note::Zone(self.zone, counts));
+                (self.tile.lat, self.tile.lat_at) = (lat + Self::SMOOTH * (counts - lat), now);
                 self.tile.down = matches!(ending, Ending::ConnectFailed | Ending::Reset);
                 // A lost connection marks and is probed at once: no slice need fill to tell the dead.
                 self.dead |= ending == Ending::ConnectFailed;
@@ -116,9 +123,16 @@
     /// searcher whose few parts are all heavy, until its next probe.
     fn judge(&mut self, post: &mut Post) {
         let (now, limit, mut worst) = (post.now, self.norms.limit, 0.0);
-        self.tile.age = self.slices.iter().flat_map(|s| &s.out).map(|l| now - l.2).fold(0.0, f64::max);
+        let lost = |l: &(Leg, usize, f64)| self.norms.overtaken(l.1, l.2, self.ok_from);
+        let out = self.slices.iter().flat_map(|s| &s.out).filter(|l| !lost(l));
+        self.tile.age = out.map(|l| now - l.2).fold(0.0, f64::max);
+        // Parts of one call leave at one time.
+        let calls = self.slices.iter().flat_map(|s| &s.out).filter(|l| lost(l)).map(|l| l.2.to_bits());
+        self.tile.lost = calls.collect::<BTreeSet<_>>().len() as u32;
         self.slices.retain(|slice| {
-            let aged: f64 = slice.out.iter().map(|l| (now - l.2) / self.norms.normal[l.1]).sum();
+            let most = |l: &(Leg, usize, f64)| if lost(l) { limit } else { f64::INFINITY };
+            let aged = slice.out.iter().map(|l| ((now - l.2) / self.norms.normal[l.1]).min(most(l)));
+            let aged: f64 = aged.sum();
             let mean = (slice.sum + aged) / f64::from(slice.sent);
             let over = now - slice.from >= Self::SLICE_MS && slice.out.is_empty();
             let ripe = slice.sent >= Self::FEW && (over || mean > limit);
@@ -300,8 +314,13 @@
         // Failing must never look fast: it is filed at no less than the time it was allowed. Called off, a
         // part counts with its age, and as normal at least.
         let normal = self.norms.normal[flight.kind];
+        let seat = &mut self.seats[flight.srv];
+        let silent = matches!(ending, Ending::Cancelled | Ending::TimedOut);
+        let lost = silent && self.norms.overtaken(flight.kind, flight.sent_at, seat.ok_from);
         let ms = match ending {
             Ending::Ok => took,
+            // It says that its searcher loses answers, not that it is slow: it cost the wait for another.
+            _ if lost => took.clamp(normal, self.norms.limit * normal),
             Ending::Cancelled | Ending::Moot => took.max(normal),
             _ => took.max(flight.allotted),
         };
@@ -309,11 +328,14 @@
             self.lines.judge(flight.idle, ending != Ending::Ok, post.now);
         }
         if ending == Ending::Ok {
-            self.seats[flight.srv].heard_at = post.now;
+            (seat.heard_at, seat.ok_from) = (post.now, seat.ok_from.max(flight.sent_at));
             post.put(GAUGE, Note::Heard(flight.kind, ms));
         }
-        self.adapt(&flight, ms, post.now);
-        post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ending));
+        // One silent part alone tells a lost answer from a jam by nothing: what comes next does.
+        if !(lost || silent && seat.busy() == 0) {
+            self.adapt(&flight, ms, post.now);
+        }
+        post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ending, flight.sent_at));
         let Some(&(at, nth)) = self.owners.get(&leg.0) else { return };
         let Some(scan) = self.scans.get_mut(&at) else { return };
         scan.deaths += u32::from(ending == Ending::Reset);
@@ -387,7 +409,8 @@
         }
         let doubted = !proved && (scan.deaths > 0 || self.door.tastes(scan.customer, now));
         let fresh = !scan.second && scan.parts.iter().all(|p| p.sent.is_empty());
-        if fresh && !self.admits(scan, now) {
+        if let Some(bar) = fresh.then(|| self.bars(scan, now)).flatten() {
+            self.barred[bar as usize] += 1;
             return self.end(at, post);
         }
         while self.scans.get(&at).is_some_and(|s| s.coming() + Self::HAIR < s.need) {
@@ -449,7 +472,7 @@
             let tried = part.sent.iter().any(|s| s.0 == srv);
             let able = seat.up() && self.room(seat, self.work(scan.kind, srv), now);
             let shared = self.shared(srv);
-            let calls = seat.calls - u32::from(shared);
+            let calls = seat.busy().saturating_sub(u32::from(shared));
             let late = seat.tile.age > self.norms.limit * self.norms.normal[scan.kind];
             let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried || late);
             let cost = Searcher::faded(&seat.tile, &self.norms, seat.zone, now) * f64::from(1 + calls);
@@ -504,10 +527,12 @@
         let late_counts = self.types[kind].late_share > 0.0;
         let end = if late_counts { scan.gone_at } else { scan.gone_at.min(scan.target_at) };
         let patience_ms = (end - now).max(1.0) + Self::AHEAD_MS / 2.0;
-        self.flights.insert(leg, Flight { srv, kind, call: call.clone(), allotted: patience_ms, idle });
+        self.flights
+            .insert(leg, Flight { srv, kind, call: call.clone(), sent_at: now, allotted: patience_ms, idle });
         let late = (self.norms.limit * self.norms.normal[kind]).min((scan.target_at - now) * 0.5);
         self.due.add(now + late.max(Self::AHEAD_MS), Due::Late(leg));
         let seat = &mut self.seats[srv];
+        seat.sent_at = now;
         self.flow += work / Self::FLOW_MS;
         if seat.since > 0.0 {
             trim(&mut seat.spent, |s| s.0 < now - self.guards.warm_ms);
@@ -529,7 +554,7 @@
         if ms <= Self::PRESSED * self.types[flight.kind].target_ms {
             seat.limit += 1.0 / seat.limit;
         } else if now - seat.cut_at > self.norms.normal[flight.kind] {
-            seat.limit = (seat.limit.min(f64::from(seat.calls + 1)) * Self::CUT).max(1.0);
+            seat.limit = (seat.limit.min(f64::from(seat.busy() + 1)) * Self::CUT).max(1.0);
             seat.cut_at = now;
         }
     }
@@ -539,19 +564,30 @@
 
     /// What cannot come in time is refused at the door: too few of the replicas that it needs have room
     /// under their limits and no old part of ours or, with no call of ours out, a cost in time by the replica
-    /// rule (it fades, so it is tried again). The latter harms for seconds after one very late part.
-    fn admits(&self, scan: &Scan, now: f64) -> bool {
+    /// rule. Refusing would keep that from being renewed, so who was sent nothing for a while is tried in any
+    /// case: by all mixers together a few times in a slice. Harms those scans while the cause lasts.
+    fn bars(&self, scan: &Scan, now: f64) -> Option<Bar> {
         let left = scan.target_at - now;
         let over = self.door.over(scan.customer);
-        let quick = |(_, cost, srv): (u8, f64, usize)| {
-            let Seat { tile, calls, limit, .. } = &self.seats[srv];
+        let tried = Searcher::SLICE_MS * self.mixers / f64::from(Searcher::FEW);
+        let bar = |(_, cost, srv): (u8, f64, usize)| {
+            let (seat, calls) = (&self.seats[srv], self.seats[srv].busy());
+            let Seat { tile, limit, sent_at, .. } = seat;
             let limit = if over { Door::OVER * limit } else { *limit };
             match calls {
-                0 => cost * self.norms.normal[scan.kind] <= Self::SLOW * left,
-                _ => tile.age <= Self::SLOW * left && f64::from(calls + 1) <= limit,
+                _ if now - sent_at >= tried => None,
+                0 => (cost * self.norms.normal[scan.kind] > Self::SLOW * left).then_some(Bar::Cost),
+                _ if tile.age > Self::SLOW * left => Some(Bar::Age),
+                _ => (f64::from(calls + 1) > limit).then_some(Bar::Limit),
             }
         };
-        scan.weight(|p| self.replica(scan, p, now).is_some_and(quick)) + Self::HAIR >= scan.need
+        let first = Cell::new(None);
+        let passes = |p: &Part| {
+            let met = self.replica(scan, p, now).map_or(Some(Bar::Nobody), bar);
+            first.set(first.get().or(met));
+            met.is_none()
+        };
+        (scan.weight(passes) + Self::HAIR < scan.need).then_some(first.get()).flatten()
     }
 
     fn complete(&mut self, at: usize, whole: bool, post: &mut Post) {
@@ -642,6 +678,11 @@
         self.desk.usable()
     }
 
+    /// For those who report on a mixer: what it believes now, and why it refused.
+    pub fn beliefs(&self) -> Beliefs {
+        self.desk.beliefs(self.post.now)
+    }
+
     /// The list: a searcher is known by its address; a new start voids its past.
     fn list(&mut self, kind: ListKind, lines: Vec<Listed>) {
         if kind == ListKind::Failed {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What the actors of the decision module hold and hand to each other. Nothing is decided here.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
@@ -19,6 +20,14 @@
     pub zones: BTreeMap<usize, f64>,
 }
 
+impl Norms {
+    /// Whether a part was overtaken: one sent later, by what is normal, has come back. It waits for nothing that its searcher
+    /// works on; its answer is lost, or it is itself heavy.
+    pub fn overtaken(&self, kind: usize, sent_at: f64, ok_from: f64) -> bool {
+        ok_from > sent_at + self.normal[kind]
+    }
+}
+
 /// What a searcher lets the desk know of itself.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Tile {
@@ -27,6 +36,8 @@
     pub lat_at: f64,
     /// Of its oldest part of ours.
     pub age: f64,
+    /// Calls out that were overtaken.
+    pub lost: u32,
     pub marked: bool,
     pub trial: bool,
     /// No connection, or a lost one, at its last part.
@@ -35,7 +46,8 @@
 
 impl Tile {
     /// A searcher that is not yet heard from counts as average.
-    pub const NEW: Self = Self { lat: 1.0, lat_at: 0.0, age: 0.0, marked: false, trial: false, down: false };
+    pub const NEW: Self =
+        Self { lat: 1.0, lat_at: 0.0, age: 0.0, lost: 0, marked: false, trial: false, down: false };
 }
 
 #[derive(Debug)]
@@ -43,8 +55,8 @@
     // To a searcher.
     Renewed,
     Sent(Leg, usize, Rc<Norms>),
-    /// A part's share of the normal latency, and how it ended.
-    Filed(Leg, f64, Ending),
+    /// A part's share of the normal latency, how it ended, and when it was sent.
+    Filed(Leg, f64, Ending, f64),
     Pong(Ending, f64),
     // To the gauge: of a table type, of a searcher.
     Heard(usize, f64),
@@ -141,6 +153,8 @@
     pub tile: Tile,
     pub slices: Vec<Slice>,
     pub probe_at: f64,
+    /// When the newest of the parts that came back well was sent.
+    pub ok_from: f64,
     /// It refused a connection since it last answered.
     pub dead: bool,
 }
@@ -148,7 +162,7 @@
 impl Searcher {
     pub fn new(me: usize, addr: SocketAddrV4, zone: u16, norms: Rc<Norms>) -> Self {
         let (tile, slices, zone) = (Tile::NEW, Vec::new(), usize::from(zone));
-        Self { me, zone, addr, norms, tile, slices, probe_at: 0.0, dead: false }
+        Self { me, zone, addr, norms, tile, slices, probe_at: 0.0, ok_from: 0.0, dead: false }
     }
 }
 
@@ -316,6 +330,65 @@
     pub touched: BTreeSet<usize>,
     /// Scans that lack parts and wait for room.
     pub short: BTreeSet<usize>,
+    /// Scans refused at the door, by [`Bar`].
+    pub barred: [u64; 4],
+}
+
+/// Why the door refused a scan: what the first of its parts met that no searcher could take in time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Bar {
+    /// No searcher is up and has room.
+    Nobody,
+    /// What its searcher is believed to take.
+    Cost,
+    /// The age of the oldest part there.
+    Age,
+    /// The limit on calls out there.
+    Limit,
+}
+
+/// What a mixer believes of its searchers, and why it refused scans: for people, and decides nothing.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Beliefs {
+    /// Listed as ready; of these, marked, without connection, on trial, and cold.
+    pub ready: usize,
+    pub marked: usize,
+    pub down: usize,
+    pub trial: usize,
+    pub cold: usize,
+    /// Whose limit on calls out is under three.
+    pub held: usize,
+    /// Calls out, and those among them that were overtaken.
+    pub calls: u32,
+    pub lost: u32,
+    /// Milliseconds since a searcher that is ready was last sent a part: the longest, of those that ever were.
+    pub unasked_ms: f64,
+    /// Highest smoothed latency of a searcher that is ready, in normals, as last confirmed.
+    pub latency: f64,
+    /// Scans refused at the door since the start, as no searcher was up, its cost, its oldest part, its limit.
+    pub refused: [u64; 4],
+}
+
+impl fmt::Display for Beliefs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { ready, marked, down, trial, cold, held, calls, lost, unasked_ms, latency, refused } = self;
+        writeln!(
+            f,
+            "searchers\n  ready {ready}, marked {marked}, without connection {down}, on trial {trial}"
+        )?;
+        writeln!(f, "  cold {cold}, held to fewer than three calls {held}")?;
+        writeln!(
+            f,
+            "  highest latency {latency:.1} normals, longest without a part {:.1} s",
+            unasked_ms / 1e3
+        )?;
+        writeln!(f, "calls out\n  {calls}, of these overtaken {lost}")?;
+        let [nobody, cost, age, limit] = refused;
+        writeln!(
+            f,
+            "scans refused at the door\n  nobody up {nobody}, cost {cost}, old part {age}, limit {limit}"
+        )
+    }
 }
 
 impl Desk {
@@ -354,6 +427,26 @@
             this_turn: BTreeMap::new(),
             touched: BTreeSet::new(),
             short: BTreeSet::new(),
+            barred: [0; 4],
+        }
+    }
+
+    pub fn beliefs(&self, now: f64) -> Beliefs {
+        let ready = || self.seats.iter().filter(|s| s.life == Life::Ready);
+        let count = |of: fn(&&Seat) -> bool| ready().filter(of).count();
+        let warm_ms = self.guards.warm_ms;
+        Beliefs {
+            ready: ready().count(),
+            marked: count(|s| s.tile.marked),
+            down: count(|s| s.tile.down),
+            trial: count(|s| s.tile.trial),
+            cold: ready().filter(|s| s.since > 0.0 && now - s.since < warm_ms).count(),
+            held: count(|s| s.limit < 3.0),
+            calls: ready().map(|s| s.calls).sum(),
+            lost: ready().map(|s| s.tile.lost).sum(),
+            unasked_ms: ready().filter(|s| s.sent_at > 0.0).map(|s| now - s.sent_at).fold(0.0, f64::max),
+            latency: ready().map(|s| s.tile.lat).fold(0.0, f64::max),
+            refused: self.barred,
         }
     }
 
@@ -393,8 +486,11 @@
     /// Decides between equals.
     pub lot: f64,
     pub calls: u32,
-    /// When a part of ours last came back.
+    /// When a part of ours last came back, and when the newest of those that did was sent.
     pub heard_at: f64,
+    pub ok_from: f64,
+    /// When a part of ours was last sent there.
+    pub sent_at: f64,
     /// Of own calls out.
     pub limit: f64,
     pub cut_at: f64,
@@ -405,8 +501,16 @@
 impl Seat {
     pub fn new(addr: SocketAddrV4, cell: u32, zone: u16, since: f64, life: Life, lot: f64) -> Self {
         let (zone, tile, limit, heard_at) = (usize::from(zone), Tile::NEW, f64::INFINITY, f64::INFINITY);
-        let (listed, calls, cut_at, spent) = (since, 0, 0.0, VecDeque::new());
-        Self { addr, cell, zone, listed, since, life, tile, lot, calls, heard_at, limit, cut_at, spent }
+        let (listed, calls, cut_at, ok_from, sent_at, spent) = (since, 0, 0.0, 0.0, 0.0, VecDeque::new());
+        #[rustfmt::skip]
+        let seat = Self { addr, cell, zone, listed, since, life, tile, lot, calls, heard_at, ok_from, sent_at, limit, cut_at,
+            spent };
+        seat
+    }
+
+    /// Own calls that it may be at work on.
+    pub fn busy(&self) -> u32 {
+        self.calls.saturating_sub(self.tile.lost)
     }
 
     /// Listed as ready, and not both marked and without connection.
@@ -514,6 +618,7 @@
     pub kind: usize,
     /// Shared by the parts of one call.
     pub call: Rc<()>,
+    pub sent_at: f64,
     pub allotted: f64,
     /// Sent on a connection that had long been idle; none once that was judged.
     pub idle: Option<bool>,
