--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -54,12 +54,30 @@
     pub scans_per_s: f64,
     /// Times that a client asks again after a refusal or an abandonment.
     pub retries: u32,
+    /// Target time of all table types, in milliseconds, and the share of the benefit that is left after it.
+    pub target_ms: f64,
+    pub late_share: f64,
 }
 
 impl Fleet {
     /// Small, loaded by half: four sets of four searchers, two mixers.
     pub fn small() -> Self {
-        Self { mixers: 2, sets: 4, in_set: 4, cores: 1, part_ms: 10.0, scans_per_s: 220.0, retries: 1 }
+        Self {
+            mixers: 2,
+            sets: 4,
+            in_set: 4,
+            cores: 1,
+            part_ms: 10.0,
+            scans_per_s: 220.0,
+            retries: 1,
+            target_ms: 300.0,
+            late_share: 0.3,
+        }
+    }
+
+    /// As the small one, with less time, nothing for late answers, and more asked of each searcher.
+    pub fn hasty() -> Self {
+        Self { sets: 3, cores: 2, scans_per_s: 320.0, target_ms: 200.0, late_share: 0.0, ..Self::small() }
     }
 
     pub fn searchers(&self) -> usize {
--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -23,12 +23,12 @@
 const CLIENT_MS: f64 = 1500.0;
 
 /// Whole with three fifths; needs all; non-replayable of one part.
-fn types() -> Vec<TableType> {
+fn types(fleet: &Fleet) -> Vec<TableType> {
     let of = |repeat, need: f64| TableType {
-        target_ms: 300.0,
+        target_ms: fleet.target_ms,
         query_timeout_ms: CLIENT_MS,
         benefit: 1.0,
-        late_share: 0.3,
+        late_share: fleet.late_share,
         target_stretch: 0.0,
         repeat,
         need,
@@ -138,7 +138,7 @@
             let berth = Berth { mixers: fleet.mixers as u32, zone: (nth % 2) as u16 };
             let customers = vec![Customer { scans_per_s: fleet.scans_per_s, over_share: 0.2 }];
             let seed = seed.wrapping_mul(1000).wrapping_add(nth as u64);
-            Mixer::open(seed, types(), customers, layout.clone(), guards.clone(), permits.clone(), berth)
+            Mixer::open(seed, types(fleet), customers, layout.clone(), guards.clone(), permits.clone(), berth)
         };
         let moments = vec![Moment::default(); (length_ms / MOMENT_MS) as usize];
         let mut world = Self {
@@ -447,8 +447,7 @@
         if self.now > held.gone_at {
             self.day.lost += 1;
         }
-        let in_time =
-            completed == Some(true) && self.now - held.asked_at <= types()[held.table_type].target_ms;
+        let in_time = completed == Some(true) && self.now - held.asked_at <= self.fleet.target_ms;
         if held.tries > 0 {
             return;
         }
--- a/crates/rehearse/tests/back.rs
+++ b/crates/rehearse/tests/back.rs
@@ -74,12 +74,14 @@
 }
 
 fn single() -> Vec<(String, Fleet, Vec<Trouble>)> {
-    let fleets = [2, 10].map(|mixers| Fleet { mixers, ..Fleet::small() });
-    let of = |fleet: Fleet| {
+    let fleets = [
+        ("2 mixers", Fleet::small()),
+        ("10 mixers", Fleet { mixers: 10, ..Fleet::small() }),
+        ("hasty", Fleet::hasty()),
+    ];
+    let of = |(kind, fleet): (&'static str, Fleet)| {
         let each = troubles(&fleet).into_iter();
-        each.map(move |(name, trouble)| {
-            (format!("{:>2} mixers, {name}", fleet.mixers), fleet.clone(), vec![trouble])
-        })
+        each.map(move |(name, trouble)| (format!("{kind:>9}, {name}"), fleet.clone(), vec![trouble]))
     };
     fleets.into_iter().flat_map(of).collect()
 }
