--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -26,6 +26,12 @@
     scans_throttled,
     /// Of the throttled, those turned away before the module, as the mixer held its full number.
     scans_turned_away,
+    /// Of the throttled, those refused by the module's door, by what their first part met: no searcher that is up and has
+    /// room; what its searcher is believed to take; a part of ours that waits there; the limit on calls out there.
+    door_nobody_up,
+    door_cost,
+    door_old_part,
+    door_limit,
     scans_abandoned,
     /// Their client went away before the answer.
     scans_gone,
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -269,7 +269,12 @@
 
     /// The counts, with what is open now.
     pub fn counters(&self) -> Counters {
+        let [door_nobody_up, door_cost, door_old_part, door_limit] = self.module.beliefs().refused;
         Counters {
+            door_nobody_up,
+            door_cost,
+            door_old_part,
+            door_limit,
             scans_open: self.scans.len() as u64,
             clients_open: self.clients.len() as u64,
             links_open: self.links.len() as u64,
