The trial of a drain takes a connection reset in the listener's queue for a shut door

Cause: a connection that stands in the listener's queue when the mixer closes it is reset by the system, unseen by the mixer. Once in 36,297 scans the trial counted that as a scan not answered and failed.

Change: such a reset ends that client's load as a refusal does, and counts for the time of the first refusal.

--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -114,8 +114,12 @@
     }
 }
 
+/// A connection that stands in the listener's queue when that closes is reset by the system, unseen by the mixer: the door
+/// was shut to it as to one that is refused.
 fn refused(error: &anyhow::Error) -> bool {
-    error.downcast_ref::<io::Error>().is_some_and(|e| e.kind() == io::ErrorKind::ConnectionRefused)
+    const SHUT: [io::ErrorKind; 3] =
+        [io::ErrorKind::ConnectionRefused, io::ErrorKind::ConnectionReset, io::ErrorKind::BrokenPipe];
+    error.downcast_ref::<io::Error>().is_some_and(|e| SHUT.contains(&e.kind()))
 }
 
 /// A drain under load, as the peer and the clients see it. Whether the withdrawals came before the first connection was
