Without probes evidence is kept longer; what never ran is sent again outside our own budget

A latency faded in 5 s and a new part weighed a fifth, so nothing learnt was left at the next part (Searcher::faded, Note::Filed); parts whose connection was refused waited for our own budget until their time was up (Desk::advance), though they cost no work; a timer's readmission after a refused connection was taken for a cold start (Searcher::readmit), with no probe behind it.

Change: where nobody may probe, a latency fades in 15 s and the newest part weighs the more the older the last is; a dispatch proved not to have run is repeated outside our own budget (a stated one counts as before); readmission by time alone says nothing of a cold start. The adapter passes on the busy share of load reports; the module takes its mean, and nothing goes by it yet.

--- a/crates/expect/src/explore/world.rs
+++ b/crates/expect/src/explore/world.rs
@@ -429,6 +429,7 @@
             searcher: self.arena.places[flight.place].addr,
             ending,
             took_ms: self.now - flight.sent_at,
+            busy: None,
         })
     }
 
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -263,7 +263,7 @@
             self.rest(now, flight.link);
         }
         let (part, dispatch) = leg;
-        self.events.push(Event::Ended { part, dispatch, searcher: flight.srv, ending, took_ms });
+        self.events.push(Event::Ended { part, dispatch, searcher: flight.srv, ending, took_ms, busy: None });
     }
 
     pub(super) fn frame(&mut self, now: f64, id: u64, frame: Frame) {
--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -275,7 +275,10 @@
 
     fn ended(&mut self, job: Job, searcher: usize, ending: Ending, took_ms: f64) {
         let Job { mixer, part, dispatch, .. } = job;
-        self.tell(mixer, Event::Ended { part, dispatch, searcher: address(searcher), ending, took_ms });
+        self.tell(
+            mixer,
+            Event::Ended { part, dispatch, searcher: address(searcher), ending, took_ms, busy: None },
+        );
     }
 
     fn spell(&mut self, nth: usize, begins: bool) {
--- a/crates/simhost/src/codec.rs
+++ b/crates/simhost/src/codec.rs
@@ -19,16 +19,38 @@
 #[derive(Debug)]
 pub enum Record {
     At(u32),
-    Create { seed: u64, settings: String },
-    Table { slot: u32, lines: Vec<Listed> },
-    PeersKnown { kind: ListKind, slot: u32 },
+    Create {
+        seed: u64,
+        settings: String,
+    },
+    Table {
+        slot: u32,
+        lines: Vec<Listed>,
+    },
+    PeersKnown {
+        kind: ListKind,
+        slot: u32,
+    },
     Knock(Knock),
     Exit,
     Begun,
-    Settled { part: u64, dispatch: u8, searcher: SocketAddrV4, ending: Ending, took_ms: f64 },
-    TimedOutClient { scan: u64 },
+    Settled {
+        part: u64,
+        dispatch: u8,
+        searcher: SocketAddrV4,
+        ending: Ending,
+        took_ms: f64,
+        report: Vec<f32>,
+    },
+    TimedOutClient {
+        scan: u64,
+    },
     Datagram,
-    Pong { searcher: SocketAddrV4, took_ms: f64, ending: Ending },
+    Pong {
+        searcher: SocketAddrV4,
+        took_ms: f64,
+        ending: Ending,
+    },
     Wakeup,
 }
 
@@ -123,8 +145,8 @@
             let ending = ending(r)?;
             let took_ms = finite(r)?;
             let _over = r.read_u8()?;
-            load_report(r)?;
-            Record::Settled { part, dispatch, searcher, ending, took_ms }
+            let report = load_report(r)?;
+            Record::Settled { part, dispatch, searcher, ending, took_ms, report }
         }
         6 => Record::TimedOutClient { scan: r.read_u64::<LE>()? },
         7 => {
@@ -188,10 +210,10 @@
     })
 }
 
-/// Load reports have no use on the ordinary path; their length is all that is read.
-fn load_report(r: &mut &[u8]) -> Result<()> {
-    let n = usize::from(r.read_u8()?);
-    bytes(r, 4 * n).map(drop)
+/// The values of a load report, in the order that the settings name.
+fn load_report(r: &mut &[u8]) -> Result<Vec<f32>> {
+    let n = r.read_u8()?;
+    (0..n).map(|_| Ok(r.read_f32::<LE>()?)).collect()
 }
 
 fn entry(r: &mut &[u8]) -> Result<Listed> {
--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -12,7 +12,8 @@
 /// The mixers of this process, and the numbered lists that the wire shares among them.
 #[derive(Default)]
 pub struct Host {
-    mixers: BTreeMap<u32, Mixer>,
+    /// With the place of the busy share in a load report.
+    mixers: BTreeMap<u32, (Mixer, Option<usize>)>,
     lists: BTreeMap<u32, Vec<Listed>>,
 }
 
@@ -35,7 +36,7 @@
         }
         let mut reply = Reply::to(batch.number);
         for (mixer, events) in heard {
-            if let Some(module) = self.mixers.get_mut(&mixer) {
+            if let Some((module, _)) = self.mixers.get_mut(&mixer) {
                 reply.actions(mixer, &module.turn(batch.now, events));
             }
         }
@@ -46,7 +47,7 @@
         let event = match record {
             Record::Create { seed, settings } => {
                 let terms = Terms::of_text(&settings).context("settings")?;
-                self.mixers.insert(mixer, terms.open(seed));
+                self.mixers.insert(mixer, (terms.open(seed), terms.busy_at));
                 heard.insert(mixer, Vec::new());
                 return Ok(());
             }
@@ -59,8 +60,10 @@
                 Event::List { kind, lines: self.lists.get(&slot).cloned().unwrap_or_default() }
             }
             Record::Knock(knock) => knocked(&knock),
-            Record::Settled { part, dispatch, searcher, ending, took_ms } => {
-                Event::Ended { part, dispatch, searcher, ending, took_ms }
+            Record::Settled { part, dispatch, searcher, ending, took_ms, report } => {
+                let at = self.mixers.get(&mixer).and_then(|m| m.1);
+                let busy = at.and_then(|at| report.get(at)).map(|share| f64::from(*share));
+                Event::Ended { part, dispatch, searcher, ending, took_ms, busy }
             }
             Record::TimedOutClient { scan } => Event::ClientGone { scan },
             Record::Pong { searcher, took_ms, ending } => Event::Probed { searcher, ending, took_ms },
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -116,6 +116,8 @@
     pub connect_timeout_ms: f64,
     /// From when on the other side may have closed an idle connection.
     pub idle_ms: f64,
+    /// Where in a load report the busy share of the cores stands, if answers bring it.
+    pub busy_at: Option<usize>,
 }
 
 impl Terms {
@@ -181,6 +183,10 @@
             permits,
             berth,
             zones: lines.words("zones"),
+            busy_at: match lines.0.get("report.via").map(String::as_str) {
+                Some("answers") => lines.words("report.names").iter().position(|n| n == "load_share"),
+                _ => None,
+            },
             open_cap: lines.maybe("permissions.open_cap")?.unwrap_or(usize::MAX),
             calls_per_link: lines.maybe("permissions.multiplex")?.unwrap_or(1),
             connect_timeout_ms: lines.number("permissions.connect_timeout_ms")?.unwrap_or(250.0),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -171,6 +171,8 @@
         searcher: SocketAddrV4,
         ending: Ending,
         took_ms: f64,
+        /// Share of its cores that its searcher reports as busy, 0 to 1 or a little over; where it does.
+        busy: Option<f64>,
     },
     ClientGone {
         scan: u64,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,6 +23,9 @@
     const SMOOTH: f64 = 0.2;
     /// A latency that nothing confirms fades to the average in about this time, some slices long.
     const FADE_MS: f64 = 5000.0;
+    /// Where nobody may probe, parts alone renew it, some seconds apart: as long as most troubles last, as half
+    /// and as much again did no better.
+    const FADE_UNPROBED_MS: f64 = 15_000.0;
     /// A marked searcher is probed as often as a slice is long; longer waits after relapses gained nothing.
     const PROBE_MS: f64 = 500.0;
 
@@ -52,7 +55,10 @@
                 let silent = matches!(ending, Ending::TimedOut | Ending::Cancelled);
                 let counts = if silent { share.min(self.norms.limit + lat) } else { share };
                 post.put(GAUGE, Note::Zone(self.zone, counts));
-                (self.tile.lat, self.tile.lat_at) = (lat + Self::SMOOTH * (counts - lat), now);
+                // What was confirmed long ago says little: the newest part then weighs more.
+                let old = 1.0 - ((self.tile.lat_at - now) / self.norms.fade_ms).exp();
+                let weight = if probing { Self::SMOOTH } else { Self::SMOOTH.max(old) };
+                (self.tile.lat, self.tile.lat_at) = (lat + weight * (counts - lat), now);
                 self.tile.down = matches!(ending, Ending::ConnectFailed | Ending::Reset);
                 // A lost connection marks and is probed at once: no slice need fill to tell the dead.
                 self.dead |= ending == Ending::ConnectFailed;
@@ -87,7 +93,9 @@
                     self.probe_at = now + Self::PROBE_MS;
                     post.out.push(Action::Probe { searcher: self.addr });
                 } else if due {
-                    self.readmit(post); // where nobody may probe, a part has to tell
+                    // Where nobody may probe a part has to tell, and the list alone tells of a cold start.
+                    self.dead = false;
+                    self.readmit(post);
                 }
             }
             _ => {}
@@ -115,7 +123,7 @@
     /// slow to reach, each searcher of which is seldom heard of; harms its good ones until they are.
     fn faded(tile: &Tile, norms: &Norms, zone: usize, now: f64) -> f64 {
         let average = norms.zones.get(&zone).copied().unwrap_or(1.0);
-        average + (tile.lat - average) * ((tile.lat_at - now) / Self::FADE_MS).exp()
+        average + (tile.lat - average) * ((tile.lat_at - now) / norms.fade_ms).exp()
     }
 
     /// A slice is judged when it is over and its parts have ended, or as soon as the ages of those still
@@ -186,10 +194,10 @@
                 *average += Self::TEN * (share - *average);
             }
             Note::Tick => {
-                self.zones.values_mut().for_each(|z| *z += (1.0 - *z) * Mixer::TICK_MS / Searcher::FADE_MS);
+                self.zones.values_mut().for_each(|z| *z += (1.0 - *z) * Mixer::TICK_MS / self.fade_ms);
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
                 let (limit, zones) = (Self::MULTIPLE * self.median.max(1.0), self.zones.clone());
-                let norms = Rc::new(Norms { normal, work, limit, zones });
+                let norms = Rc::new(Norms { normal, work, limit, zones, fade_ms: self.fade_ms });
                 post.awake.clone().into_iter().for_each(|to| post.put(to, Note::Norms(norms.clone())));
             }
             _ => {}
@@ -290,7 +298,9 @@
                 self.touched.insert(*at);
                 scan.parts.push(Part::new(id, shard, weight, now));
             }
-            Note::Told(Event::Ended { part, dispatch, ending, took_ms, .. }) => {
+            Note::Told(Event::Ended { part, dispatch, ending, took_ms, busy, .. }) => {
+                let mean = |b: f64| self.busy.map_or(b, |m| m + Gauge::TEN * (b - m));
+                self.busy = busy.map(mean).or(self.busy);
                 self.ended((part, dispatch), ending, took_ms, post);
             }
             Note::Told(Event::ClientGone { scan }) => {
@@ -423,7 +433,8 @@
                 let (first, copy) = (part.state == State::Unsent, part.state == State::Out);
                 let again = part.state == State::Broken
                     || part.caught && self.permits.second_copies && part.sent.len() == 1;
-                let again = again && self.may_repeat(scan, part, now) && affords;
+                let free = self.guards.budget.is_none() && part.proved_unrun();
+                let again = again && self.may_repeat(scan, part, now) && (affords || free);
                 let (tier, cost, srv) = self.replica(scan, part, now).filter(|_| first || again)?;
                 (!copy || tier == 0).then_some((tier, !first, cost / part.weight.max(Self::HAIR), nth, srv))
             });
@@ -519,7 +530,8 @@
         *parts += 1;
         let part = &mut scan.parts[nth];
         let leg = (part.id, part.sent.len() as u8);
-        if !part.sent.is_empty() {
+        // Our own budget is against work done twice: what never ran cost none.
+        if !part.sent.is_empty() && (self.guards.budget.is_some() || !part.proved_unrun()) {
             self.further.extras.push_back(now);
         }
         part.sent.push((srv, None));
@@ -658,9 +670,10 @@
     ) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
-        let gauge = Gauge { normal, means: BTreeMap::new(), median: 1.0, zones: BTreeMap::new() };
+        let fade_ms = if permits.probe { Searcher::FADE_MS } else { Searcher::FADE_UNPROBED_MS };
+        let gauge = Gauge { normal, means: BTreeMap::new(), median: 1.0, zones: BTreeMap::new(), fade_ms };
         let (limit, zones) = (Gauge::MULTIPLE, BTreeMap::new());
-        let norms = Rc::new(Norms { normal: start.clone(), work: start, limit, zones });
+        let norms = Rc::new(Norms { normal: start.clone(), work: start, limit, zones, fade_ms });
         let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
         let further = Purse::of(guards.budget.unwrap_or(Purse::OWN));
         let (mixers, late) = (f64::from(berth.mixers.max(1)), Purse::of(Purse::OWN));
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,8 @@
     pub limit: f64,
     /// The average share of each zone's parts.
     pub zones: BTreeMap<usize, f64>,
+    /// In what time a latency that nothing confirms fades.
+    pub fade_ms: f64,
 }
 
 impl Norms {
@@ -175,6 +177,7 @@
     pub means: BTreeMap<usize, f64>,
     pub median: f64,
     pub zones: BTreeMap<usize, f64>,
+    pub fade_ms: f64,
 }
 
 /// A budget: of further dispatches, stated or our own, and of parts caught for their own lateness.
@@ -315,6 +318,8 @@
     pub further: Purse,
     pub late: Purse,
     pub lines: Lines,
+    /// How busy searchers are, by the reports of the newest answers; none until one came.
+    pub busy: Option<f64>,
     /// Own work sent in a millisecond, and the searchers that are ready.
     pub flow: f64,
     pub ready: f64,
@@ -417,6 +422,7 @@
             late,
             seats: Vec::new(),
             lines: Lines::default(),
+            busy: None,
             flow: 0.0,
             ready: 0.0,
             next: 0,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -133,7 +133,14 @@
 
     pub fn ends(&mut self, part: u64, dispatch: u8, from: u8, ending: Ending, took_ms: f64) {
         let _ = writeln!(self.trace, "{:>6}   {part}/{dispatch} ends {ending:?}", self.now - 100_000.0);
-        self.tell(vec![Event::Ended { part, dispatch, searcher: searcher(from), ending, took_ms }]);
+        self.tell(vec![Event::Ended {
+            part,
+            dispatch,
+            searcher: searcher(from),
+            ending,
+            took_ms,
+            busy: None,
+        }]);
     }
 
     /// What was decided since the last call.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -247,8 +247,14 @@
     settle_in(&mut rig, 12);
     rig.scan(0, 4);
     rig.stall(900.0);
-    let ended =
-        |part| Event::Ended { part, dispatch: 0, searcher: searcher(1), ending: Ending::Ok, took_ms: 100.0 };
+    let ended = |part| Event::Ended {
+        part,
+        dispatch: 0,
+        searcher: searcher(1),
+        ending: Ending::Ok,
+        took_ms: 100.0,
+        busy: None,
+    };
     rig.tell((1301..=1304).map(ended).collect());
     assert_snapshot!(rig.trace());
 }
