Further dispatches shrink as searchers report less free; the program reads the new shape

Change: Purse::fits shrinks with what searchers report as free, nothing at 0.8 busy. A list that fails is asked for again after growing, spread waits within the stated time. Terms: discovery, report.via, weight_source, worth_by, rules.ask_within_ms and the shares are checked, a mix of the shapes is refused by its key; the program reads the busy share of reports. Loopback tests of a mixer without probes, of the floor, of a list asked for, of a refused start.

--- a/crates/mixer/src/frame.rs
+++ b/crates/mixer/src/frame.rs
@@ -14,12 +14,14 @@
 }
 
 /// What a searcher sent.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Frame {
     Part {
         id: String,
         verdict: Verdict,
         value: String,
+        /// How busy the searcher says its cores are, 1 for all; none where its report does not tell.
+        busy: Option<f64>,
     },
     /// What a probe was answered; none where the words are unknown.
     Probe(Option<Verdict>),
@@ -60,7 +62,7 @@
 fn part(body: &[u8]) -> Result<Frame, String> {
     let split = body.iter().position(|b| *b == b'\n').ok_or("an answer without a line")?;
     let mut words = body[..split].split(|b| *b == b' ').filter(|word| !word.is_empty());
-    let (Some(id), Some(end), Some(score), Some(_)) =
+    let (Some(id), Some(end), Some(score), Some(report)) =
         (words.next(), words.next(), words.next(), words.next())
     else {
         return Err(format!("an answer's line is {:?}", String::from_utf8_lossy(&body[..split])));
@@ -80,7 +82,17 @@
     if value.chars().any(|c| c.is_control() && !c.is_whitespace()) {
         return Err("a value with control characters".to_owned());
     }
-    Ok(Frame::Part { id: id.to_owned(), verdict, value: value.to_owned() })
+    Ok(Frame::Part { id: id.to_owned(), verdict, value: value.to_owned(), busy: busy(report) })
+}
+
+/// Words of a load report for the busy share: the protocol's own, and the settings'.
+const BUSY: [&str; 2] = ["util", "load_share"];
+
+/// The busy share in a report like `inflight=7,util=0.61`; what can't be read or can't be is no word on it.
+fn busy(report: &[u8]) -> Option<f64> {
+    let pairs = std::str::from_utf8(report).ok()?.split(',').filter_map(|pair| pair.split_once('='));
+    let share: f64 = pairs.filter(|(name, _)| BUSY.contains(name)).find_map(|(_, v)| v.parse().ok())?;
+    (share.is_finite() && share >= 0.0).then_some(share)
 }
 
 /// One part of a call.
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -237,8 +237,12 @@
         self.end_flight(now, leg, ending);
     }
 
-    /// The one ending of a dispatch.
     fn end_flight(&mut self, now: f64, leg: Leg, ending: Ending) {
+        self.end_reported(now, leg, ending, None);
+    }
+
+    /// The one ending of a dispatch, with the busy share that its searcher reported.
+    fn end_reported(&mut self, now: f64, leg: Leg, ending: Ending, busy: Option<f64>) {
         let Some(flight) = self.flights.remove(&leg) else { return };
         let count = match ending {
             Ending::Ok => &mut self.counters.ended_ok,
@@ -263,14 +267,14 @@
             self.rest(now, flight.link);
         }
         let (part, dispatch) = leg;
-        self.events.push(Event::Ended { part, dispatch, searcher: flight.srv, ending, took_ms, busy: None });
+        self.events.push(Event::Ended { part, dispatch, searcher: flight.srv, ending, took_ms, busy });
     }
 
     pub(super) fn frame(&mut self, now: f64, id: u64, frame: Frame) {
         let Some(link) = self.links.get_mut(&id) else { return };
         (link.heard_at, link.silent) = (now, false);
         match frame {
-            Frame::Part { id: name, verdict, value } => match link.out.get_mut(name.as_str()) {
+            Frame::Part { id: name, verdict, value, busy } => match link.out.get_mut(name.as_str()) {
                 Some(held) if let Some(leg) = held.leg() => {
                     *held = Awaits::Copy;
                     let ending = match verdict {
@@ -281,7 +285,7 @@
                     if let Some(part) = self.parts.get_mut(&leg.0).filter(|_| ending == Ending::Ok) {
                         part.value.get_or_insert(value);
                     }
-                    self.end_flight(now, leg, ending);
+                    self.end_reported(now, leg, ending, busy.filter(|_| self.terms.busy_at.is_some()));
                 }
                 Some(_) => self.counters.answers_stale += 1,
                 None => self.bad_frame(now, id, &format!("an answer for {name}, which never went out on it")),
--- a/crates/mixer/tests/codecs.rs
+++ b/crates/mixer/tests/codecs.rs
@@ -242,3 +242,19 @@
     drop(second);
     assert_snapshot!(format!("{sizes:?} {then:?} {}", room.left()));
 }
+
+#[test]
+fn the_busy_share_of_a_report_is_read_and_nothing_that_can_t_be_one() {
+    let busy = |report: &str| {
+        let body = format!("Oq1.0 200 1 {report}\nvalue");
+        let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+        bytes.extend_from_slice(body.as_bytes());
+        match frame::read(&bytes) {
+            Ok(Some((Frame::Part { busy, .. }, _))) => busy,
+            other => panic!("{other:?}"),
+        }
+    };
+    let read = ["inflight=7,util=0.61", "load_share=1.2", "-", "util=", "util=NaN", "util=-1", "inflight=7"]
+        .map(busy);
+    assert_eq!(read, [Some(0.61), Some(1.2), None, None, None, None, None]);
+}
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -698,3 +698,92 @@
         println!("{count:?} peers: {} ticks of 10 ms in 10 s, {memory}, {threads}", after - before);
     }
 }
+
+/// The example in the new shape: no probes, a list that is asked for, `lookup` answered from four fifths, reports in
+/// answers.
+fn moved(name: &str) -> File {
+    let mut config: Value =
+        serde_json::from_str(&std::fs::read_to_string(EXAMPLE).expect("the example")).expect("it is JSON");
+    let settings = &mut config["settings"];
+    settings["discovery"] = "ask".into();
+    settings["rules"]["ask_within_ms"] = 10_000.0.into();
+    settings["permissions"]["probing"] = false.into();
+    settings["services"][0]["late_worth"] = 0.0.into();
+    settings["family_info"]["class_need"] = serde_json::json!([1.0, 1.0]);
+    settings["family_info"]["floor_by_class"] = serde_json::json!([0.8, 1.0]);
+    settings["report"] = serde_json::json!({"via": "answers", "names": ["load_share"]});
+    File::new(name, &config.to_string())
+}
+
+#[test]
+fn without_probes_a_marked_searcher_is_readmitted_and_no_probe_goes_out() {
+    let config = moved("unprobed");
+    let mut mixer = start_on(&config.path(), &[Manner::Dies]);
+    let mut client = mixer.connect();
+    client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
+    answer(&client);
+    wait(&mut mixer.log, "marked at");
+    wait(&mut mixer.log, "readmitted on trial");
+    mixer.signal("TERM");
+    let heard: Vec<String> = mixer.heard.try_iter().collect();
+    assert!(heard.iter().any(|frame| frame.starts_with("D ")), "{heard:?}");
+    assert!(!heard.iter().any(|frame| frame.starts_with(['I', 'U'])), "{heard:?}");
+    assert_eq!(mixer.end().0, Some(0));
+}
+
+#[test]
+fn an_answer_at_the_floor_is_given_at_the_target_time_and_not_called_whole() {
+    let config = moved("floor");
+    let mixer = start_on(&config.path(), &[Manner::Below(4)]);
+    let mut client = mixer.connect();
+    client.write_all(scan("lookup", 5).as_bytes()).expect("it takes bytes");
+    let said = answer(&client);
+    assert!(said.starts_with("HTTP/1.1 200 OK") && said.contains("\"exact\":false"), "{said}");
+    mixer.signal("TERM");
+    assert_eq!(mixer.end(), (Some(0), "scans_taken 1, scans_completed 1".to_owned()));
+}
+
+#[test]
+fn a_list_that_is_asked_for_outlives_discovery_and_a_drained_searcher_gets_nothing_more() {
+    let (config, discovery, held) = (moved("asking"), port(), port());
+    let at = held.local_addr().expect("an address");
+    let (says, heard) = mpsc::channel();
+    standins::searcher(held, Manner::Answers, says);
+    let (mut child, mut log, addr) =
+        launch(discovery.local_addr().expect("an address").to_string(), &config.path());
+    let tell = |list: Value| {
+        let (mut stream, _) = discovery.accept().expect("it asks");
+        let mut asked = String::new();
+        BufReader::new(&stream).read_line(&mut asked).expect("a line");
+        let (head, list) = ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", format!("{list}\n"));
+        write!(stream, "{head}{:x}\r\n{list}\r\n", list.len()).expect("it takes bytes");
+        stream.shutdown(std::net::Shutdown::Write).expect("an end");
+        asked
+    };
+    assert!(tell(standins::list(7, true, &[(at, "up")])).contains("watch=1&after=0"));
+    wait(&mut log, "ready");
+    // Discovery is away: nobody takes the next watch, and scans are served by the list that is held.
+    let mut client = TcpStream::connect(addr).expect("the mixer accepts");
+    client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
+    assert!(answer(&client).starts_with("HTTP/1.1 200 OK"));
+    assert!(heard.recv().expect("a frame").starts_with("D q1.0"));
+    assert!(tell(standins::list(8, false, &[(at, "draining")])).contains("watch=1&after=7"));
+    wait(&mut log, "drains");
+    client.write_all(scan("entry", 1).as_bytes()).expect("it takes bytes");
+    assert!(answer(&client).starts_with("HTTP/1.1 503"));
+    assert!(heard.try_recv().is_err());
+    signal(&child, "TERM");
+    assert_eq!(child.wait().expect("it ends").code(), Some(0));
+}
+
+#[test]
+fn a_configuration_that_mixes_the_shapes_ends_the_start_by_its_key() {
+    let config = moved("mixed");
+    let text = std::fs::read_to_string(&config.0).expect("a file");
+    config.write(&text.replace("\"via\":\"answers\"", "\"via\":\"probe\""));
+    let mut mixer = Command::new(env!("CARGO_BIN_EXE_pewterwharf-mixer"));
+    let output = mixer.env("ROUTER_CONFIG", config.path()).output().expect("it runs");
+    let log = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(1), "{log}");
+    assert!(log.contains("report.via=probe can't go with permissions.probing=false"), "{log}");
+}
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -126,7 +126,7 @@
     }
 
     fn answers(&mut self, link: u64, id: &str, verdict: Verdict, value: &str) {
-        let frame = Frame::Part { id: id.to_owned(), verdict, value: value.to_owned() };
+        let frame = Frame::Part { id: id.to_owned(), verdict, value: value.to_owned(), busy: None };
         self.tell(Input::Frames { link, frames: vec![frame], bad: None });
     }
 
@@ -521,7 +521,8 @@
     rig.tell(Input::ClientOpen { conn: 2 });
     rig.asks(1, "once", "q1", 1);
     rig.tell(Input::LinkUp { link: 3 });
-    let answer = Frame::Part { id: "q1.0".to_owned(), verdict: Verdict::Ok, value: "a".to_owned() };
+    let answer =
+        Frame::Part { id: "q1.0".to_owned(), verdict: Verdict::Ok, value: "a".to_owned(), busy: None };
     let noise = Some("a frame of 2021161080 bytes".to_owned());
     // In the same turn somebody asks: it must not go out on what is being closed.
     let ask = ScanAsk { id: "q2".to_owned(), ..one_part() };
--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -132,7 +132,7 @@
             second_copies: true,
             dispatches: 3,
             back_in_ms: Some(500.0),
-            subscribe: false,
+            ask_within_ms: None,
         };
         let open = |nth: usize| {
             let berth = Berth { mixers: fleet.mixers as u32, zone: (nth % 2) as u16 };
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,6 +18,8 @@
 #[derive(Clone, Copy, PartialEq)]
 pub enum Manner {
     Answers,
+    /// Answers for shards under this one, and says nothing of others.
+    Below(u32),
     /// Takes it and says nothing.
     Hangs,
     /// Ends the connection.
@@ -50,7 +52,7 @@
             (b'K', _) | (_, Manner::Hangs) => {}
             (b'D', Manner::Dies) => return output.shutdown(std::net::Shutdown::Both),
             (b'D', Manner::Spoils) => send(&mut output, b'O', "nobody.0 200 1 -\nvalue")?,
-            (b'D', Manner::Answers) => {
+            (b'D', Manner::Answers | Manner::Below(_)) => {
                 while !rest.is_empty() {
                     let mut line = String::new();
                     rest.read_line(&mut line)?;
@@ -59,6 +61,9 @@
                     let length = words.last().and_then(|l| l.parse().ok()).unwrap_or(0);
                     let (text, more) = rest.split_at(rest.len().min(length));
                     rest = more;
+                    if matches!(manner, Manner::Below(end) if shard.parse().is_ok_and(|s: u32| s >= end)) {
+                        continue;
+                    }
                     let value = format!("{} in {shard}", String::from_utf8_lossy(text));
                     send(&mut output, b'O', &format!("{id} 200 1 -\n{value}"))?;
                 }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::str::FromStr;
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, bail, ensure};
 use pewterwharf::interface::{Berth, Budget, Customer, Guards, Layout, Permits, Repeat, TableType};
 use pewterwharf::logic::Mixer;
 use serde_json::Value;
@@ -87,6 +87,20 @@
         Ok(Some(value))
     }
 
+    /// As [`Lines::nth`], of a share of one.
+    fn share(&self, key: &str, i: usize) -> Result<Option<f64>> {
+        let share = self.nth(key, i)?;
+        ensure!(share.is_none_or(|s| (0.0..=1.0).contains(&s)), "{key} is not within 0 to 1 at {i}");
+        Ok(share)
+    }
+
+    /// A key that takes one of a few words; the first where it is absent.
+    fn one_of(&self, key: &str, words: &[&'static str]) -> Result<&'static str> {
+        let Some(text) = self.0.get(key) else { return Ok(words[0]) };
+        let word = words.iter().find(|word| *word == text);
+        word.copied().with_context(|| format!("{key}={text} is none of {}", words.join(", ")))
+    }
+
     fn words(&self, key: &str) -> Vec<String> {
         self.0.get(key).map(|text| text.split(',').map(str::to_owned).collect()).unwrap_or_default()
     }
@@ -144,6 +158,15 @@
 
     /// Keys that are not known are passed over.
     fn read(lines: &Lines) -> Result<Self> {
+        let asks = lines.one_of("discovery", &["push", "ask"])? == "ask";
+        let via = lines.one_of("report.via", &["none", "answers", "probe"])?;
+        lines.one_of("weight_source", &["none", "nominal", "rough", "live"])?;
+        lines.one_of("worth_by", &["request", "work"])?;
+        let probe: bool = lines.must("permissions.probing")?;
+        ensure!(probe || via != "probe", "report.via=probe can't go with permissions.probing=false");
+        let ask_within_ms = lines.number("rules.ask_within_ms")?;
+        ensure!(ask_within_ms.is_none_or(|ms| ms > 0.0), "rules.ask_within_ms is not above 0");
+        ensure!(!asks || ask_within_ms.is_some(), "rules.ask_within_ms is missing, and discovery=ask");
         let kinds: usize = lines.must("services.count")?;
         let types = (0..kinds).map(|i| table_type(lines, i)).collect::<Result<_>>()?;
         let name = |list: &str, i: usize| lines.0.get(&format!("{list}.{i}.name")).cloned();
@@ -162,14 +185,14 @@
         }
         let permits = Permits {
             cancel: lines.must("permissions.cancel")?,
-            probe: lines.must("permissions.probing")?,
+            probe,
             second_copies: lines.must("permissions.parallel_tries")?,
             dispatches: lines.must("permissions.max_attempts")?,
             back_in_ms: match lines.must("permissions.retry_after")? {
                 true => lines.number("permissions.max_retry_after_ms")?,
                 false => None,
             },
-            subscribe: lines.0.get("discovery").is_some_and(|how| how == "ask"),
+            ask_within_ms: ask_within_ms.filter(|_| asks),
         };
         let berth = Berth { mixers: lines.must("peers_total")?, zone: lines.must("zone")? };
         Ok(Self {
@@ -183,8 +206,8 @@
             permits,
             berth,
             zones: lines.words("zones"),
-            busy_at: match lines.0.get("report.via").map(String::as_str) {
-                Some("answers") => lines.words("report.names").iter().position(|n| n == "load_share"),
+            busy_at: match via {
+                "answers" => lines.words("report.names").iter().position(|n| n == "load_share"),
                 _ => None,
             },
             open_cap: lines.maybe("permissions.open_cap")?.unwrap_or(usize::MAX),
@@ -203,7 +226,12 @@
         "side_effect" => Repeat::NonReplayable,
         other => bail!("{}={other} can't be read", key("idempotency")),
     };
-    let need = lines.nth("family_info.class_need", i)?.unwrap_or(1.0);
+    let need = lines.share("family_info.class_need", i)?.unwrap_or(1.0);
+    let floor = lines.share("family_info.floor_by_class", i)?.unwrap_or(need);
+    ensure!(
+        floor <= need + 1e-4, // both come rounded
+        "family_info.floor_by_class={floor} is above family_info.class_need={need} for table type {i}"
+    );
     Ok(TableType {
         target_ms: lines.figure(&key("slo_ms"))?,
         query_timeout_ms: lines.figure(&key("hard_limit_ms"))?,
@@ -212,8 +240,8 @@
         target_stretch: lines.number(&key("aim_stretch"))?.unwrap_or(0.0),
         repeat,
         need,
-        floor: lines.nth("family_info.floor_by_class", i)?.unwrap_or(need),
-        partial_share: lines.nth("family_info.partial_earns", i)?.unwrap_or(0.0),
+        floor,
+        partial_share: lines.share("family_info.partial_earns", i)?.unwrap_or(0.0),
         second_step: lines.nth("family_info.class_fetch", i)?.unwrap_or(0.0) > 0.0,
     })
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -82,8 +82,9 @@
     pub dispatches: u32,
     /// The longest time to come back that clients respect; absent where none may be given.
     pub back_in_ms: Option<f64>,
-    /// The list has to be subscribed to.
-    pub subscribe: bool,
+    /// The list has to be asked for, at least this often, in milliseconds, while no subscription holds; absent
+    /// where it comes by itself.
+    pub ask_within_ms: Option<f64>,
 }
 
 /// This mixer among its peers.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -209,11 +209,18 @@
     /// Our own: a tenth of the parts, and a few; more was measured to feed overload.
     const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
 
-    fn fits(&mut self, now: f64) -> bool {
+    /// Searchers this busy get no further dispatches, of our own budgets; half as busy, they get all.
+    const FULL: f64 = 0.8;
+
+    /// Under load no work can be called back and each copy delays others: what fits shrinks with what searchers
+    /// report as free. Guards against jams fed by copies; harms scans with lost answers while it is busy.
+    fn fits(&mut self, now: f64, busy: Option<f64>) -> bool {
+        let part = busy.map_or(1.0, |b| (2.0 - 2.0 * b / Self::FULL).clamp(0.0, 1.0));
         let from = now - self.budget.window_ms;
         trim(&mut self.extras, |e| *e < from - 1.0);
         trim(&mut self.taken, |t| *t < from + 1.0);
-        self.extras.len() as f64 + 1.0 <= self.budget.free + self.budget.share * self.taken.len() as f64
+        self.extras.len() as f64 + 1.0
+            <= part * (self.budget.free + self.budget.share * self.taken.len() as f64)
     }
 }
 
@@ -379,7 +386,7 @@
                 Due::Late(leg) => {
                     let Some(flight) = self.flights.get_mut(&leg) else { continue };
                     self.lines.judge(flight.idle.take(), true, post.now);
-                    if self.late.fits(post.now) {
+                    if self.late.fits(post.now, self.busy) {
                         self.late.extras.push_back(post.now);
                         self.catch(leg.0);
                     }
@@ -424,7 +431,7 @@
             return self.end(at, post);
         }
         while self.scans.get(&at).is_some_and(|s| s.coming() + Self::HAIR < s.need) {
-            let affords = self.further.fits(now);
+            let affords = self.further.fits(now, self.busy);
             let Some(scan) = self.scans.get(&at) else { return };
             if doubted && scan.parts.iter().any(|p| p.state == State::Out && !p.caught) {
                 break;
@@ -647,7 +654,7 @@
 #[rustfmt::skip]
 #[derive(Debug)]
 pub struct Mixer {
-    seed: Rand64, zone: u16, roster: Roster, subscribe_at: f64, next_tick: f64,
+    seed: Rand64, zone: u16, roster: Roster, subscribe_at: f64, refused: u32, next_tick: f64,
     srvs: Vec<Searcher>, gauge: Gauge, desk: Desk, post: Post,
 }
 
@@ -656,8 +663,10 @@
     const TICK_MS: f64 = 20.0;
     /// Until parts have come, a table type's normal latency is taken for this share of its target time.
     const START: f64 = 0.25;
-    /// A failed subscription is asked for again after so long: often enough for a list seconds late.
+    /// A failed subscription is asked for again after so long, then twice so long: often enough for a list
+    /// seconds late, and so many times at least while what is not asked for does not count as told.
     const ASK_MS: f64 = 1000.0;
+    const ASKS: f64 = 4.0;
 
     pub fn open(
         seed: u64,
@@ -674,7 +683,7 @@
         let gauge = Gauge { normal, means: BTreeMap::new(), median: 1.0, zones: BTreeMap::new(), fade_ms };
         let (limit, zones) = (Gauge::MULTIPLE, BTreeMap::new());
         let norms = Rc::new(Norms { normal: start.clone(), work: start, limit, zones, fade_ms });
-        let subscribe_at = if permits.subscribe { 0.0 } else { f64::INFINITY };
+        let subscribe_at = if permits.ask_within_ms.is_some() { 0.0 } else { f64::INFINITY };
         let further = Purse::of(guards.budget.unwrap_or(Purse::OWN));
         let (mixers, late) = (f64::from(berth.mixers.max(1)), Purse::of(Purse::OWN));
         let desk =
@@ -682,8 +691,8 @@
         let mut post = Post::default();
         post.awake.extend([DESK, GAUGE]);
         let (seed, roster, srvs) = (Rand64::new(u128::from(seed)), Roster::default(), Vec::new());
-        let (zone, next_tick) = (berth.zone, f64::NEG_INFINITY);
-        Self { seed, zone, roster, subscribe_at, next_tick, srvs, gauge, desk, post }
+        let (zone, refused, next_tick) = (berth.zone, 0, f64::NEG_INFINITY);
+        Self { seed, zone, roster, subscribe_at, refused, next_tick, srvs, gauge, desk, post }
     }
 
     /// For those who report on a mixer: the share of the slices for which a searcher is usable.
@@ -699,9 +708,14 @@
     /// The list: a searcher is known by its address; a new start voids its past.
     fn list(&mut self, kind: ListKind, lines: Vec<Listed>) {
         if kind == ListKind::Failed {
-            self.subscribe_at = self.post.now + Self::ASK_MS;
+            // All were refused at once: spread, and waiting longer, they come when there is room for some.
+            self.refused = (self.refused + 1).min(8);
+            let most = self.desk.permits.ask_within_ms.unwrap_or(f64::INFINITY) / Self::ASKS;
+            let wait = (Self::ASK_MS * f64::from(1 << (self.refused - 1))).min(most);
+            self.subscribe_at = self.post.now + wait * (0.5 + self.seed.rand_float());
             return;
         }
+        self.refused = 0;
         if kind != ListKind::Changes {
             self.desk.seats.iter_mut().for_each(|s| s.life = Life::Gone); // but for those that it names
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -26,6 +26,8 @@
     now: f64,
     wake: f64,
     scans: u32,
+    /// How busy searchers report to be, where they do.
+    pub busy: Option<f64>,
     trace: String,
 }
 
@@ -40,18 +42,29 @@
 
 impl Rig {
     pub fn new(types: Vec<TableType>, budget: Option<Budget>) -> Self {
-        Self::with(types, budget, 1, true)
+        Self::with(types, budget, 1, true, None)
     }
 
     pub fn among(mixers: u32, types: Vec<TableType>) -> Self {
-        Self::with(types, None, mixers, true)
+        Self::with(types, None, mixers, true, None)
     }
 
     pub fn unprobed(types: Vec<TableType>) -> Self {
-        Self::with(types, None, 1, false)
+        Self::with(types, None, 1, false, None)
     }
 
-    fn with(types: Vec<TableType>, budget: Option<Budget>, mixers: u32, probe: bool) -> Self {
+    /// Where the list has to be asked for.
+    pub fn asking(within_ms: f64) -> Self {
+        Self::with(vec![table_type(Repeat::Replayable, 1.0)], None, 1, false, Some(within_ms))
+    }
+
+    fn with(
+        types: Vec<TableType>,
+        budget: Option<Budget>,
+        mixers: u32,
+        probe: bool,
+        ask_within_ms: Option<f64>,
+    ) -> Self {
         let layout = Layout { cells: 1, reach: 1, parts_per_call: 1, call_work_ms: 0.0 };
         let (cold_from, warm_ms, tip_multiple, fall_ms) = (0.2, 10_000.0, 2.0, 1000.0);
         let guards = Guards { cold_from, warm_ms, tip_multiple, fall_ms, budget };
@@ -61,12 +74,12 @@
             second_copies: true,
             dispatches: 4,
             back_in_ms: Some(500.0),
-            subscribe: false,
+            ask_within_ms,
         };
         let berth = Berth { mixers, zone: 0 };
         let customers = vec![Customer { scans_per_s: 100.0, over_share: 0.2 }];
         let mixer = Mixer::open(7, types, customers, layout, guards, permits, berth);
-        Self { mixer, now: 100_000.0, wake: 0.0, scans: 0, trace: String::new() }
+        Self { mixer, now: 100_000.0, wake: 0.0, scans: 0, busy: None, trace: String::new() }
     }
 
     /// Lists `n` warm searchers.
@@ -139,7 +152,7 @@
             searcher: searcher(from),
             ending,
             took_ms,
-            busy: None,
+            busy: self.busy,
         }]);
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -398,3 +398,65 @@
     let trace = rig.trace();
     assert_snapshot!(trace.lines().filter(|l| !l.contains("ends")).collect::<Vec<_>>().join("\n"));
 }
+
+#[test]
+fn what_never_ran_is_sent_again_whatever_our_own_budget_holds() {
+    let mut rig = Rig::unprobed(vec![table_type(Repeat::Replayable, 1.0)]);
+    rig.warm(3);
+    rig.scan(0, 12);
+    rig.trace();
+    // Refused connections, more than the 5 and a tenth that may be done twice: each goes elsewhere at once.
+    for part in 101..=112 {
+        rig.ends(part, 0, 1, Ending::Full, 1.0);
+    }
+    assert_eq!(rig.trace().matches("part ").count(), 12);
+}
+
+#[test]
+fn copies_of_late_parts_shrink_with_what_searchers_have_free() {
+    let copies = |busy: f64| {
+        let mut rig = Rig::unprobed(vec![table_type(Repeat::Replayable, 1.0)]);
+        rig.busy = Some(busy);
+        rig.warm(3);
+        settle_in(&mut rig, 12);
+        rig.scan(0, 10);
+        rig.trace();
+        rig.pass(900.0);
+        rig.trace().matches("part ").count()
+    };
+    assert_eq!([copies(0.2), copies(0.6), copies(0.95)], [6, 4, 0]);
+}
+
+#[test]
+fn a_readmission_by_time_alone_makes_nobody_cold() {
+    let mut rig = Rig::unprobed(vec![table_type(Repeat::Replayable, 1.0)]);
+    rig.warm(1);
+    rig.scan(0, 1);
+    rig.ends(101, 0, 1, Ending::ConnectFailed, 250.0);
+    rig.pass(600.0);
+    rig.trace();
+    // Cold, it would be held to its allowance; each of these is sent as the last one is back.
+    for scan in 2..=12 {
+        rig.scan(0, 1);
+        rig.ends(scan * 100 + 1, 0, 1, Ending::Ok, 100.0);
+    }
+    assert_eq!(rig.trace().matches("-> s1").count(), 11);
+}
+
+#[test]
+fn a_list_that_fails_is_asked_for_again_after_growing_waits_within_the_stated_time() {
+    let mut rig = Rig::asking(10_000.0);
+    let mut waits = Vec::new();
+    for _ in 0..6 {
+        let mut waited = 0.0;
+        while !rig.trace().contains("subscribe") {
+            rig.pass(20.0);
+            waited += 20.0;
+        }
+        waits.push(waited);
+        rig.tell(vec![Event::List { kind: ListKind::Failed, lines: Vec::new() }]);
+    }
+    // Half to one and a half of 1 s, of 2 s, and of a quarter of the stated time from then on.
+    assert!((500.0..=1520.0).contains(&waits[1]), "{waits:?}");
+    assert!(waits[3..].iter().all(|w| (1250.0..=3770.0).contains(w)), "{waits:?}");
+}
