--- a/crates/mixer/tests/codecs.rs
+++ b/crates/mixer/tests/codecs.rs
@@ -4,7 +4,7 @@
 
 use insta::assert_snapshot;
 use pewterwharf_mixer::buffer::{Buffer, Room};
-use pewterwharf_mixer::frame::{self, Piece};
+use pewterwharf_mixer::frame::{self, Frame, Piece};
 use pewterwharf_mixer::http::Progress;
 use pewterwharf_mixer::{discovery, http};
 use pewterwharf_terms::Start;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,8 +23,7 @@
     const SMOOTH: f64 = 0.2;
     /// A latency that nothing confirms fades to the average in about this time, some slices long.
     const FADE_MS: f64 = 5000.0;
-    /// Where nobody may probe, parts alone renew it, some seconds apart: as long as most troubles last, as half
-    /// and as much again did no better.
+    /// Where nobody may probe, parts alone renew it, some seconds apart: as long as most troubles last.
     const FADE_UNPROBED_MS: f64 = 15_000.0;
     /// A marked searcher is probed as often as a slice is long; longer waits after relapses gained nothing.
     const PROBE_MS: f64 = 500.0;
@@ -209,11 +208,11 @@
     /// Our own: a tenth of the parts, and a few; more was measured to feed overload.
     const OWN: Budget = Budget { free: 5.0, share: 0.1, window_ms: 2000.0 };
 
-    /// Searchers this busy get no further dispatches, of our own budgets; half as busy, they get all.
+    /// Where searchers are this busy nothing fits, half as busy all: so much is left for the swings of load.
     const FULL: f64 = 0.8;
 
-    /// Under load no work can be called back and each copy delays others: what fits shrinks with what searchers
-    /// report as free. Guards against jams fed by copies; harms scans with lost answers while it is busy.
+    /// What fits shrinks with what searchers report as free, as under load each copy delays others. Guards
+    /// against jams fed by copies; harms scans with lost answers while all is busy.
     fn fits(&mut self, now: f64, busy: Option<f64>) -> bool {
         let part = busy.map_or(1.0, |b| (2.0 - 2.0 * b / Self::FULL).clamp(0.0, 1.0));
         let from = now - self.budget.window_ms;
