One thread connects to and reads all searchers

Change: searchers are connected to and read by one polled thread, as clients are; a link still takes 5 ms of no bytes before it is given up, has the connection's time to come up and for a frame to go on; 16 reads of one link in a row at most. Test: 40 searchers, 8 threads at most.

--- a/crates/mixer/src/searcher.rs
+++ b/crates/mixer/src/searcher.rs
@@ -1,20 +1,30 @@
-//! Connections to searchers: for each a thread that connects and reads. What goes out on one is written at once.
+//! Connections to searchers: one thread connects and reads them all, as a thread for each made a hundred for each of
+//! the hundreds of mixers of a large fleet. What goes out on one is written at once, by the service.
 
+use std::collections::HashMap;
 use std::io::{self, ErrorKind, Write};
-use std::net::{Shutdown, SocketAddr, SocketAddrV4, TcpStream};
+use std::net::{Shutdown, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use crossbeam_channel::{Receiver, Sender, unbounded};
+use mio::net::TcpStream;
+use mio::{Events, Interest, Poll, Token, Waker};
 use tracing::debug;
 
 use crate::buffer::{Buffer, Room};
 use crate::frame;
 use crate::reducer::Input;
-use crate::service::{Tell, spawn};
+use crate::service::Tell;
 
-const STACK: usize = 64 * 1024;
 /// A searcher that takes no bytes for so long has more waiting than connections hold: it is as good as gone.
 const STUCK: Duration = Duration::from_millis(5);
+/// How often a searcher that takes no bytes is tried again.
+const RETRY: Duration = Duration::from_micros(500);
+/// Reads of one link in a row: who sends more waits until the others were read.
+const IN_A_ROW: usize = 16;
+
+const ORDERS: Token = Token(usize::MAX);
 
 /// A link, as the service holds it.
 #[derive(Default)]
@@ -36,8 +46,8 @@
 
     /// Writes a frame. Where that fails the link ends, and its reader tells of it.
     pub fn write(&mut self, frame: &[u8]) {
-        let Some(mut stream) = self.stream.as_deref().filter(|_| !self.closed) else { return };
-        match stream.write_all(frame) {
+        let Some(stream) = self.stream.as_deref().filter(|_| !self.closed) else { return };
+        match put(stream, frame) {
             Ok(()) => self.written += 1,
             Err(error) => {
                 debug!("a link takes no more: {error}");
@@ -54,74 +64,192 @@
     }
 }
 
-/// Opens a link in a thread of its own. Its end is told once; not where it could not start.
-pub fn open(link: u64, addr: SocketAddrV4, connect: Duration, room: &Room, tell: &Tell) -> io::Result<()> {
-    let (room, tell) = (room.clone(), tell.clone());
-    spawn("searcher", STACK, move || {
-        let owed = Owed { link, tell };
-        if let Err(why) = run(&owed, addr, connect, &room) {
-            debug!("{addr}: {why}");
+/// Writes all; fails where nothing is taken for [`STUCK`].
+fn put(mut stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    let mut stuck = None;
+    while !bytes.is_empty() {
+        match stream.write(bytes) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(count) => (bytes, stuck) = (&bytes[count..], None),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                if stuck.get_or_insert_with(Instant::now).elapsed() >= STUCK {
+                    return Err(ErrorKind::TimedOut.into());
+                }
+                std::thread::sleep(RETRY);
+            }
+            Err(error) => return Err(error),
         }
-    })
+    }
+    Ok(())
 }
 
-/// Tells of a link's end however its thread ends, a panic included.
-struct Owed {
-    link: u64,
-    tell: Tell,
+/// The way to the thread that connects and reads.
+pub struct Orders {
+    to: Sender<(u64, SocketAddrV4)>,
+    waker: Arc<Waker>,
 }
 
-impl Drop for Owed {
-    fn drop(&mut self) {
-        self.tell.say(Input::LinkEnd { link: self.link, written: 0 }); // the service knows how many were
+impl Orders {
+    /// Opens a link; its end is told once.
+    pub fn open(&self, link: u64, addr: SocketAddrV4) {
+        // The thread may have ended with the program.
+        let _ = self.to.send((link, addr));
+        let _ = self.waker.wake();
     }
 }
 
-fn run(owed: &Owed, addr: SocketAddrV4, connect: Duration, room: &Room) -> io::Result<()> {
-    let stream = Arc::new(TcpStream::connect_timeout(&SocketAddr::V4(addr), connect)?);
-    stream.set_nodelay(true)?;
-    stream.set_write_timeout(Some(STUCK))?;
-    // A frame that has begun comes whole in less than a connection takes to come up.
-    owed.tell.link(owed.link, stream.clone());
-    let ended = read(owed, &stream, connect, room);
-    let _ = stream.shutdown(Shutdown::Both);
-    ended
+/// A link, as the thread holds it.
+struct Conn {
+    addr: SocketAddrV4,
+    stream: Arc<TcpStream>,
+    up: bool,
+    buffer: Buffer,
+    /// By when it has to be up, or a frame that has begun has to go on.
+    until: Option<Instant>,
 }
 
-fn read(owed: &Owed, mut stream: &TcpStream, whole_in: Duration, room: &Room) -> io::Result<()> {
-    let (mut buffer, mut begun) = (Buffer::new(room), false);
-    let link = owed.link;
-    let bad = |frames, why: String| {
-        owed.tell.say(Input::Frames { link, frames, bad: Some(why.clone()) });
-        Err(io::Error::other(why))
-    };
-    loop {
-        match buffer.fill(&mut stream) {
-            Ok(0) => return Ok(()),
-            Ok(_) => {}
-            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                return bad(Vec::new(), "a frame that does not end".to_owned());
+/// All connections to searchers.
+pub struct Searchers {
+    poll: Poll,
+    links: HashMap<u64, Conn>,
+    /// Links that may have more to read.
+    more: Vec<u64>,
+    /// In so long a connection is up; a frame that has begun comes whole in less.
+    connect: Duration,
+    room: Room,
+    given: Receiver<(u64, SocketAddrV4)>,
+    tell: Tell,
+}
+
+impl Searchers {
+    pub fn open(connect: Duration, room: Room, tell: Tell) -> io::Result<(Self, Orders)> {
+        let poll = Poll::new()?;
+        let waker = Arc::new(Waker::new(poll.registry(), ORDERS)?);
+        let (to, given) = unbounded(); // one word for each link, of which descriptors allow so many
+        let (links, more) = (HashMap::new(), Vec::new());
+        Ok((Self { poll, links, more, connect, room, given, tell }, Orders { to, waker }))
+    }
+
+    /// Runs for as long as the program does.
+    pub fn run(mut self) -> io::Result<()> {
+        let mut events = Events::with_capacity(256);
+        loop {
+            let due = self.links.values().filter_map(|conn| conn.until).min();
+            let wait = due.map(|at| at.saturating_duration_since(Instant::now()));
+            let wait = if self.more.is_empty() { wait } else { Some(Duration::ZERO) };
+            match self.poll.poll(&mut events, wait) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            let mut ready = std::mem::take(&mut self.more);
+            for event in &events {
+                match event.token() {
+                    ORDERS => self.obey(),
+                    Token(link) => ready.push(link as u64),
+                }
+            }
+            for link in ready {
+                let Some(conn) = self.links.get_mut(&link) else { continue };
+                match conn.turn(link, self.connect, &self.tell) {
+                    Ok(true) => self.more.push(link),
+                    Ok(false) => {}
+                    Err(why) => self.end(link, &why),
+                }
+            }
+            let now = Instant::now();
+            let late = self.links.iter().filter(|(_, conn)| conn.until.is_some_and(|at| at <= now));
+            for link in late.map(|(link, _)| *link).collect::<Vec<_>>() {
+                if self.links.get(&link).is_some_and(|conn| conn.up) {
+                    let bad = Some("a frame that does not end".to_owned());
+                    self.tell.say(Input::Frames { link, frames: Vec::new(), bad });
+                }
+                self.end(link, &ErrorKind::TimedOut.into());
             }
-            Err(error) => return Err(error),
         }
+    }
+
+    fn obey(&mut self) {
+        while let Ok((link, addr)) = self.given.try_recv() {
+            match self.begin(link, addr) {
+                Ok(conn) => drop(self.links.insert(link, conn)),
+                Err(why) => {
+                    debug!("{addr}: {why}");
+                    self.over(link);
+                }
+            }
+        }
+    }
+
+    fn begin(&self, link: u64, addr: SocketAddrV4) -> io::Result<Conn> {
+        let mut stream = TcpStream::connect(SocketAddr::V4(addr))?;
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(link as usize), interest)?;
+        let (buffer, until) = (Buffer::new(&self.room), Some(Instant::now() + self.connect));
+        Ok(Conn { addr, stream: Arc::new(stream), up: false, buffer, until })
+    }
+
+    fn end(&mut self, link: u64, why: &io::Error) {
+        if let Some(conn) = self.links.remove(&link) {
+            debug!("{}: {why}", conn.addr);
+            let _ = conn.stream.shutdown(Shutdown::Both); // it may have ended, or never come up
+            self.over(link);
+        }
+    }
+
+    fn over(&self, link: u64) {
+        self.tell.say(Input::LinkEnd { link, written: 0 }); // the service knows how many were
+    }
+}
+
+impl Conn {
+    /// Goes on with what has happened on it; whether there may be more to read, or why it ends.
+    fn turn(&mut self, link: u64, whole_in: Duration, tell: &Tell) -> io::Result<bool> {
+        if !self.up {
+            if let Some(error) = self.stream.take_error()? {
+                return Err(error);
+            }
+            match self.stream.peer_addr() {
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::NotConnected => return Ok(false),
+                Err(error) => return Err(error),
+            }
+            self.stream.set_nodelay(true)?;
+            (self.up, self.until) = (true, None);
+            tell.link(link, self.stream.clone());
+        }
+        for _ in 0..IN_A_ROW {
+            match self.buffer.fill(&mut &*self.stream) {
+                Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
+                Ok(_) => self.frames(link, whole_in, tell)?,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(true)
+    }
+
+    /// Tells of the frames that have come whole.
+    fn frames(&mut self, link: u64, whole_in: Duration, tell: &Tell) -> io::Result<()> {
         let mut frames = Vec::new();
         loop {
-            match frame::read(buffer.bytes()) {
+            match frame::read(self.buffer.bytes()) {
                 Ok(Some((frame, used))) => {
-                    buffer.used(used);
+                    self.buffer.used(used);
                     frames.push(frame);
                 }
                 Ok(None) => break,
                 // What came before is told with it, so that nothing new goes out on the link in between.
-                Err(why) => return bad(frames, why),
+                Err(why) => {
+                    tell.say(Input::Frames { link, frames, bad: Some(why.clone()) });
+                    return Err(io::Error::other(why));
+                }
             }
         }
         if !frames.is_empty() {
-            owed.tell.say(Input::Frames { link, frames, bad: None });
-        }
-        if begun == buffer.bytes().is_empty() {
-            begun = !begun;
-            stream.set_read_timeout(begun.then_some(whole_in))?;
+            tell.say(Input::Frames { link, frames, bad: None });
         }
+        self.until = (!self.buffer.bytes().is_empty()).then(|| Instant::now() + whole_in);
+        Ok(())
     }
 }
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread::Builder;
@@ -10,11 +10,12 @@
 
 use anyhow::{Context, Result};
 use crossbeam_channel::{Receiver, Sender, bounded};
+use mio::net::TcpStream;
 use pewterwharf_settings::Settings;
 use pewterwharf_terms::{Change, Start};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
 use crate::announcing::Announcing;
 use crate::buffer::Room;
@@ -22,7 +23,7 @@
 use crate::clock::Clock;
 use crate::discovery::{self, Watch, Watches};
 use crate::reducer::{Effect, Input, Phase, Reducer};
-use crate::searcher::{self, Link};
+use crate::searcher::{self, Link, Searchers};
 
 /// What the threads tell the service.
 enum Told {
@@ -108,11 +109,8 @@
     connect: Duration,
     clients: HashMap<u64, Line>,
     links: HashMap<u64, Link>,
-    /// For the buffers of searchers.
-    room: Room,
+    searchers: searcher::Orders,
     watches: Arc<Watches>,
-    /// What the service itself has met and the reducer is still to hear.
-    met: Vec<(f64, Input)>,
     announcing: Announcing,
 }
 
@@ -169,6 +167,13 @@
                 tracing::error!("connections of clients: {error}");
             }
         })?;
+        let (links, searchers) =
+            Searchers::open(connect, room, tell.clone()).context("connections to searchers")?;
+        spawn("searchers", STACK, move || {
+            if let Err(error) = links.run() {
+                tracing::error!("connections to searchers: {error}");
+            }
+        })?;
         info!("{} listens on {at}", start.name);
         let told = tell.clone();
         spawn("signals", STACK, move || {
@@ -185,7 +190,7 @@
                 });
             }
         })?;
-        let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
+        let (clients, links) = (HashMap::new(), HashMap::new());
         let mut service = Self {
             clock,
             reducer,
@@ -195,9 +200,8 @@
             connect,
             clients,
             links,
-            room,
+            searchers,
             watches,
-            met,
             announcing,
         };
         effects.into_iter().for_each(|effect| service.carry_out(effect));
@@ -207,8 +211,8 @@
     /// Runs until it is asked to end and all is answered.
     pub fn run(mut self) -> Result<()> {
         while self.reducer.phase() != Phase::Closed {
-            let mut inputs = std::mem::take(&mut self.met);
-            let due = if inputs.is_empty() { self.reducer.next_due() } else { Some(0.0) };
+            let mut inputs = Vec::new();
+            let due = self.reducer.next_due();
             let report = Some(self.announcing.due()).filter(|at| at.is_finite());
             let due = due.into_iter().chain(report).reduce(f64::min);
             let wait = due.map_or(Duration::MAX, |at| self.clock.until(at));
@@ -285,13 +289,8 @@
             }
             Effect::DropClient { conn } => drop(self.clients.remove(&conn)),
             Effect::Connect { link, addr } => {
-                match searcher::open(link, addr, self.connect, &self.room, &self.tell) {
-                    Ok(()) => drop(self.links.insert(link, Link::default())),
-                    Err(error) => {
-                        debug!("no thread for {addr}: {error}");
-                        self.met.push((self.clock.now(), Input::LinkEnd { link, written: 0 }));
-                    }
-                }
+                self.links.insert(link, Link::default());
+                self.searchers.open(link, addr);
             }
             Effect::Write { link, bytes } => {
                 if let Some(link) = self.links.get_mut(&link) {
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -787,3 +787,18 @@
     assert_eq!(output.status.code(), Some(1), "{log}");
     assert!(log.contains("report.via=probe can't go with permissions.probing=false"), "{log}");
 }
+
+#[test]
+fn threads_do_not_grow_with_searchers() {
+    // A thread for each link made a hundred for each of hundreds of mixers, more than one machine had.
+    let mixer = start(&[Manner::Answers; 40]);
+    let mut client = mixer.connect();
+    client.write_all(scan("entry", 16).as_bytes()).expect("it takes bytes");
+    assert!(answer(&client).starts_with("HTTP/1.1 200 OK"));
+    let status = std::fs::read_to_string(format!("/proc/{}/status", mixer.child.id())).expect("it runs");
+    let threads = status.lines().find_map(|line| line.strip_prefix("Threads:")).expect("a count");
+    let threads: usize = threads.trim().parse().expect("a number");
+    assert!(threads <= 8, "{threads} threads");
+    mixer.signal("TERM");
+    assert_eq!(mixer.end().0, Some(0));
+}
