A cold searcher's allowance goes by what warm ones could bear, where they say how busy they are

Change: what they bear is divided by the mean busy share of the newest answers, at most doubled; without reports as before. Test: twice the free share, a larger allowance; none told is as full.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -501,17 +501,21 @@
 
     /// A stretched window is half as long again, as mixers that don't know of each other meet by chance.
     const STRETCH: f64 = 1.5;
+    /// Less busy than this, what is borne says little of what could be: at most doubled.
+    const IDLE: f64 = 0.5;
     /// Span of own traffic: some fall windows.
     const FLOW_MS: f64 = 5000.0;
 
     /// What a mixer may send a cold searcher: its equal part of the multiple of what warm ones bear, at that
     /// age, if it warms as slowly as it may; less than one part is one part in a window stretched so far, the
-    /// first by lot. What warm ones bear: own traffic, as if all sent as much, and one core at least. Guards
-    /// newcomers and returns against a push and against starving; harms when most of the fleet is cold.
+    /// first by lot. What warm ones bear: own traffic, as if all sent as much, over how busy they say they are,
+    /// and one core at least. Guards newcomers and returns against a push and against starving; harms when most
+    /// of the fleet is cold.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
-        let cores = (self.flow * self.mixers / self.ready.max(1.0)).max(1.0);
+        let busy = self.busy.map_or(1.0, |b| b.clamp(Self::IDLE, 1.0));
+        let cores = (self.flow * self.mixers / self.ready.max(1.0) / busy).max(1.0);
         let share = g.tip_multiple * able * cores * g.fall_ms / self.mixers;
         let span = g.fall_ms * if work <= share { 1.0 } else { Self::STRETCH * work / share };
         let spent: f64 = seat.spent.iter().filter(|s| s.0 >= now - span).map(|s| s.1).sum();
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -460,3 +460,25 @@
     assert!((500.0..=1520.0).contains(&waits[1]), "{waits:?}");
     assert!(waits[3..].iter().all(|w| (1250.0..=3770.0).contains(w)), "{waits:?}");
 }
+
+#[test]
+fn rule_4_the_allowance_goes_by_what_warm_searchers_could_bear_where_they_say() {
+    let sent = |busy: Option<f64>| {
+        let mut rig = all_of(Repeat::Replayable);
+        rig.busy = busy;
+        rig.warm(1);
+        settle_in(&mut rig, 30);
+        for round in 0..20 {
+            (0..4).for_each(|_| rig.scan(0, 1));
+            rig.pass(150.0);
+            (31 + 4 * round..35 + 4 * round).for_each(|i| rig.ends(i * 100 + 1, 0, 1, Ending::Ok, 150.0));
+        }
+        let now = 100_000.0 + 3000.0 + 20.0 * 150.0;
+        rig.tell(vec![Event::List { kind: ListKind::Full, lines: vec![line(2, now, Life::Ready)] }]);
+        rig.trace();
+        (0..30).for_each(|_| rig.scan(0, 1));
+        rig.trace().matches("-> s2").count()
+    };
+    let [told_nothing, full, half] = [None, Some(1.0), Some(0.5)].map(sent);
+    assert!(told_nothing == full && half > full, "{told_nothing} {full} {half}");
+}
