--- a/src/logic.rs
+++ b/src/logic.rs
@@ -454,7 +454,9 @@
         let out = |p: &Part| p.state == State::Out;
         let can = |p: &Part| p.state == State::In || out(p) || self.may_repeat(scan, p, now) && ready(p);
         let hope = scan.weight(can) + Self::HAIR;
-        if hope < scan.need && !(hope >= scan.floor && scan.parts.iter().any(out)) {
+        // Late, and only budget or room could help: held on, it would but keep its client from asking again.
+        let held = now >= scan.target_at && !scan.parts.iter().any(out);
+        if held || hope < scan.need && !(hope >= scan.floor && scan.parts.iter().any(out)) {
             self.end(at, post);
         }
     }
@@ -508,9 +510,9 @@
 
     /// What a mixer may send a cold searcher: its equal part of the multiple of what warm ones bear, at that
     /// age, if it warms as slowly as it may; less than one part is one part in a window stretched so far, the
-    /// first by lot. What warm ones bear: own traffic, as if all sent as much, over how busy they say they are,
-    /// and one core at least. Guards newcomers and returns against a push and against starving; harms when most
-    /// of the fleet is cold.
+    /// first by lot. What warm ones bear: own traffic, as if all sent as much, over how busy they say they
+    /// are, and one core at least. Guards newcomers and returns against a push and against starving.
+    /// Harms when most of the fleet is cold.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.since);
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -482,3 +482,17 @@
     let [told_nothing, full, half] = [None, Some(1.0), Some(0.5)].map(sent);
     assert!(told_nothing == full && half > full, "{told_nothing} {full} {half}");
 }
+
+#[test]
+fn a_late_scan_that_waits_for_nothing_that_is_out_is_answered_at_once() {
+    let budget = Budget { free: 0.0, share: 0.0, window_ms: 2000.0 };
+    let mut rig = Rig::new(vec![table_type(Repeat::Replayable, 1.0)], Some(budget));
+    rig.warm(2);
+    rig.scan(0, 1);
+    rig.ends(101, 0, 1, Ending::Error, 20.0);
+    rig.trace();
+    // The budget never allows another; the target time is 1 s, the query timeout 2 s.
+    rig.pass(1040.0);
+    let trace = rig.trace();
+    assert!(trace.contains("throttle 100"), "{trace}");
+}
