A load report that can't be true is no word; links end though their thread does

Cause, read in the change once more: one report of a thousand times busy, or one that is no number, would have stopped all further dispatches for good or for scores of answers (Desk::note, the mean busy share); since one thread reads all searchers, its end by a fault would have left every link open without a word; the longer memory without probes, the largest gain, had no test; a mixed file at SIGHUP had none either.

Change: a report counts as all cores at most, and not at all if it is under 0 or no number; the thread tells of the end of its links however it ends, and a link that nobody opens ends at once.

--- a/crates/mixer/src/searcher.rs
+++ b/crates/mixer/src/searcher.rs
@@ -91,11 +91,11 @@
 }
 
 impl Orders {
-    /// Opens a link; its end is told once.
-    pub fn open(&self, link: u64, addr: SocketAddrV4) {
-        // The thread may have ended with the program.
-        let _ = self.to.send((link, addr));
+    /// Opens a link; its end is told once. False where the thread has ended: then nobody tells of it.
+    pub fn open(&self, link: u64, addr: SocketAddrV4) -> bool {
+        let given = self.to.send((link, addr)).is_ok();
         let _ = self.waker.wake();
+        given
     }
 }
 
@@ -202,6 +202,16 @@
     }
 }
 
+impl Drop for Searchers {
+    /// Tells of the end of all links however the thread ends, a panic included.
+    fn drop(&mut self) {
+        let given: Vec<u64> = self.given.try_iter().map(|order| order.0).collect();
+        for link in self.links.keys().copied().chain(given) {
+            self.over(link);
+        }
+    }
+}
+
 impl Conn {
     /// Goes on with what has happened on it; whether there may be more to read, or why it ends.
     fn turn(&mut self, link: u64, whole_in: Duration, tell: &Tell) -> io::Result<bool> {
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -111,6 +111,8 @@
     links: HashMap<u64, Link>,
     searchers: searcher::Orders,
     watches: Arc<Watches>,
+    /// What the service itself has met and the reducer is still to hear.
+    met: Vec<(f64, Input)>,
     announcing: Announcing,
 }
 
@@ -190,7 +192,7 @@
                 });
             }
         })?;
-        let (clients, links) = (HashMap::new(), HashMap::new());
+        let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
         let mut service = Self {
             clock,
             reducer,
@@ -202,6 +204,7 @@
             links,
             searchers,
             watches,
+            met,
             announcing,
         };
         effects.into_iter().for_each(|effect| service.carry_out(effect));
@@ -211,8 +214,8 @@
     /// Runs until it is asked to end and all is answered.
     pub fn run(mut self) -> Result<()> {
         while self.reducer.phase() != Phase::Closed {
-            let mut inputs = Vec::new();
-            let due = self.reducer.next_due();
+            let mut inputs = std::mem::take(&mut self.met);
+            let due = if inputs.is_empty() { self.reducer.next_due() } else { Some(0.0) };
             let report = Some(self.announcing.due()).filter(|at| at.is_finite());
             let due = due.into_iter().chain(report).reduce(f64::min);
             let wait = due.map_or(Duration::MAX, |at| self.clock.until(at));
@@ -289,8 +292,11 @@
             }
             Effect::DropClient { conn } => drop(self.clients.remove(&conn)),
             Effect::Connect { link, addr } => {
-                self.links.insert(link, Link::default());
-                self.searchers.open(link, addr);
+                if self.searchers.open(link, addr) {
+                    self.links.insert(link, Link::default());
+                } else {
+                    self.met.push((self.clock.now(), Input::LinkEnd { link, written: 0 }));
+                }
             }
             Effect::Write { link, bytes } => {
                 if let Some(link) = self.links.get_mut(&link) {
--- a/crates/terms/tests/terms.rs
+++ b/crates/terms/tests/terms.rs
@@ -1,6 +1,6 @@
 //! The simulator's text and a mixer's JSON give the same terms.
 
-use pewterwharf_terms::Terms;
+use pewterwharf_terms::{Start, Terms};
 use serde_json::json;
 
 #[test]
@@ -101,3 +101,18 @@
         assert!(said.contains(key), "{said:?} does not name {key}");
     }
 }
+
+#[test]
+fn a_file_that_mixes_the_shapes_changes_nothing_at_a_hang_up() {
+    let file = |settings: serde_json::Value| {
+        json!({"name": "m", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f", "settings": settings})
+            .to_string()
+    };
+    let start = Start::read(&file(moved()), |_| None).expect("a good file");
+    let mut mixed = moved();
+    mixed["report"]["via"] = json!("probe");
+    let said = format!("{:#}", start.again(&file(mixed), |_| None).expect_err("refused"));
+    assert!(said.contains("report.via=probe can't go with permissions.probing=false"), "{said}");
+    let change = start.again(&file(moved()), |_| None).expect("a good file");
+    assert!(change.at_restart.is_empty());
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -306,7 +306,8 @@
             }
             Note::Told(Event::Ended { part, dispatch, ending, took_ms, busy, .. }) => {
                 let mean = |b: f64| self.busy.map_or(b, |m| m + Gauge::TEN * (b - m));
-                self.busy = busy.map(mean).or(self.busy);
+                // Reports may be untrue: one can't say more than that all its cores are busy.
+                self.busy = busy.filter(|b| *b >= 0.0).map(|b| mean(b.min(1.0))).or(self.busy);
                 self.ended((part, dispatch), ending, took_ms, post);
             }
             Note::Told(Event::ClientGone { scan }) => {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -496,3 +496,50 @@
     let trace = rig.trace();
     assert!(trace.contains("throttle 100"), "{trace}");
 }
+
+#[test]
+fn where_nobody_may_probe_one_slow_part_after_a_long_rest_is_remembered() {
+    let again = |mut rig: Rig| {
+        rig.warm(2);
+        settle_in(&mut rig, 12);
+        rig.pass(20_000.0);
+        let mut to = |rig: &mut Rig, took| {
+            rig.trace();
+            rig.scan(0, 1);
+            let trace = rig.trace();
+            let (_, part) = trace.split_once("part ").expect("it is sent");
+            let (part, srv) = part.trim().split_once(" -> s").expect("to a searcher");
+            let (part, srv) = (part.parse().expect("a part"), srv.parse().expect("a searcher"));
+            rig.ends(part, 0, srv, Ending::Ok, took);
+            srv
+        };
+        let first: u8 = to(&mut rig, 700.0);
+        rig.pass(12_000.0);
+        first == to(&mut rig, 100.0)
+    };
+    let types = || vec![table_type(Repeat::Replayable, 1.0)];
+    assert!(again(Rig::new(types(), None)), "with probes it is forgotten by then");
+    assert!(!again(Rig::unprobed(types())), "without it is not");
+}
+
+#[test]
+fn a_report_that_cannot_be_true_does_not_stop_copies_for_long() {
+    let copies = |busy: f64| {
+        let mut rig = Rig::unprobed(vec![table_type(Repeat::Replayable, 1.0)]);
+        rig.warm(3);
+        rig.busy = Some(busy);
+        settle_in(&mut rig, 1);
+        rig.busy = Some(0.2);
+        for scan in 2..=32 {
+            rig.scan(0, 1);
+            rig.pass(100.0);
+            let to = rig.trace().split("-> s").nth(1).and_then(|s| s.trim().parse().ok()).unwrap_or(0);
+            rig.ends(scan * 100 + 1, 0, to, Ending::Ok, 100.0);
+        }
+        rig.scan(0, 1);
+        rig.trace();
+        rig.pass(900.0);
+        rig.trace().matches("part ").count()
+    };
+    assert_eq!([copies(0.2), copies(1e9), copies(f64::NAN), copies(-5.0)], [1; 4]);
+}
