--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -503,7 +503,7 @@
         rig.warm(2);
         settle_in(&mut rig, 12);
         rig.pass(20_000.0);
-        let mut to = |rig: &mut Rig, took| {
+        let to = |rig: &mut Rig, took| {
             rig.trace();
             rig.scan(0, 1);
             let trace = rig.trace();
