Inputs, effects and the way to the service go below who uses them; settings has no ring

Cause: announcing, client, discovery, reducer, links, searcher and service imported each other in a ring, as the inputs and effects stood in the reducer, the handle `Tell` in the service, and the client's line beside the thread that reads it; in settings the section bgp took its readers from the file that calls it.

Change: inputs.rs (Input, Effect, Phase), tell.rs (Told, Tell, spawn), line.rs (a client's line and what it shares), reducer/held.rs (what the reducer holds), settings/keys.rs. Moved as they were; no behaviour changes.

--- a/crates/mixer/src/announcing.rs
+++ b/crates/mixer/src/announcing.rs
@@ -17,8 +17,9 @@
 use tracing::warn;
 
 use crate::discovery::Watches;
-use crate::reducer::{Phase, Reducer};
-use crate::service::{STACK, Tell, spawn};
+use crate::inputs::Phase;
+use crate::reducer::Reducer;
+use crate::tell::{STACK, Tell, spawn};
 
 /// How often the mixer's health is reported, in milliseconds: well under the time that worse has to last.
 const REPORT_MS: f64 = 250.0;
--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -2,21 +2,21 @@
 //! nothing was measured to cost most of the CPU. Answers are written at once, from the service's own thread.
 
 use std::collections::HashMap;
-use std::io::{self, ErrorKind, Read, Write};
-use std::net::Shutdown;
+use std::io::{self, ErrorKind, Read};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use crossbeam_channel::{Receiver, Sender, unbounded};
+use crossbeam_channel::{Receiver, unbounded};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
 use tracing::debug;
 
 use crate::buffer::{Buffer, Room};
 use crate::http::{Ask, Progress, Request};
-use crate::reducer::Input;
-use crate::service::Tell;
+use crate::inputs::Input;
+use crate::line::{Line, Order, Orders, Shared};
+use crate::tell::Tell;
 
 /// A client that takes no bytes for so long is given up.
 const STUCK: Duration = Duration::from_secs(5);
@@ -31,113 +31,6 @@
 const LISTENER: Token = Token(0);
 const ORDERS: Token = Token(usize::MAX);
 
-/// What the service and the reading thread share of a connection.
-struct Shared {
-    stream: TcpStream,
-    /// An answer is owed: the next request is taken up once it is given.
-    owing: AtomicBool,
-    /// The reader has more and waits for that answer.
-    waits: AtomicBool,
-}
-
-impl Shared {
-    /// Writes what can be written now; how much that was.
-    fn put(&self, bytes: &[u8]) -> io::Result<usize> {
-        let mut written = 0;
-        while written < bytes.len() {
-            match (&self.stream).write(&bytes[written..]) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => written += count,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(written)
-    }
-
-    /// An answer was written whole.
-    fn said(&self, last: bool) {
-        self.owing.store(false, Ordering::SeqCst);
-        if last {
-            // Reading goes on until the client has closed, so that no reset overtakes the answer.
-            let _ = self.stream.shutdown(Shutdown::Write);
-        }
-    }
-}
-
-enum Order {
-    /// The rest of an answer, and whether the connection ends with it.
-    Write(u64, Vec<u8>, bool),
-    /// The answer that it waited for is given.
-    Resume(u64),
-    /// Ends a connection once all is written.
-    Drop(u64),
-    StopListening,
-}
-
-/// The way to the reading thread.
-#[derive(Clone)]
-pub struct Orders {
-    to: Sender<Order>,
-    waker: Arc<Waker>,
-}
-
-impl Orders {
-    fn give(&self, order: Order) {
-        // The thread may have ended with the program.
-        let _ = self.to.send(order);
-        let _ = self.waker.wake();
-    }
-
-    pub fn stop_listening(&self) {
-        self.give(Order::StopListening);
-    }
-}
-
-/// A client's connection, as the service holds it.
-pub struct Line {
-    conn: u64,
-    shared: Arc<Shared>,
-    orders: Orders,
-    /// It once did not take an answer at once: from then on the reading thread writes.
-    slow: bool,
-}
-
-impl Line {
-    pub fn say(&mut self, mut bytes: Vec<u8>, last: bool) {
-        if !self.slow {
-            match self.shared.put(&bytes) {
-                Ok(written) if written == bytes.len() => {
-                    self.shared.said(last);
-                    if self.shared.waits.swap(false, Ordering::SeqCst) {
-                        self.orders.give(Order::Resume(self.conn));
-                    }
-                    return;
-                }
-                Ok(written) => drop(bytes.drain(..written)),
-                Err(_) => {
-                    let _ = self.shared.stream.shutdown(Shutdown::Both); // the reader tells of the end
-                    return;
-                }
-            }
-            self.slow = true;
-        }
-        self.orders.give(Order::Write(self.conn, bytes, last));
-    }
-
-    /// Ends reading once what has come is read.
-    pub fn hang_up(&self) {
-        let _ = self.shared.stream.shutdown(Shutdown::Read); // it may be gone already
-    }
-}
-
-impl Drop for Line {
-    fn drop(&mut self) {
-        self.orders.give(Order::Drop(self.conn));
-    }
-}
-
 /// A connection, as the reading thread holds it.
 struct Conn {
     shared: Arc<Shared>,
--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -12,8 +12,8 @@
 
 use crate::buffer::{Buffer, Room};
 use crate::http::{self, Body};
-use crate::reducer::Input;
-use crate::service::Tell;
+use crate::inputs::Input;
+use crate::tell::Tell;
 
 /// Waits between watches: the first, and the longest.
 const WAITS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -2,164 +2,22 @@
 //! dispatches, the links to searchers and the decision module, and decides nothing that the module decides.
 
 mod clients;
+mod held;
 mod links;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
-use std::rc::Rc;
 
 use pewterwharf::interface::{Action, Decide, Ending, Event, ListKind};
 use pewterwharf::logic::{Beliefs, Mixer};
-use pewterwharf_terms::{Change, Terms};
+use pewterwharf_terms::Terms;
+use pewterwharf_terms::list::List;
 use tracing::{debug, info, warn};
 
 use crate::counters::Counters;
-use crate::discovery::List;
-use crate::frame::Frame;
-use crate::http::{self, Ask};
-use clients::Client;
-use links::{Flight, Link, Searcher};
-
-/// What happened outside.
-#[derive(Clone, Debug)]
-pub enum Input {
-    ClientOpen {
-        conn: u64,
-    },
-    Asked {
-        conn: u64,
-        ask: Ask,
-        close: bool,
-    },
-    /// A request has begun to come and is not whole.
-    Begun {
-        conn: u64,
-    },
-    ClientEnd {
-        conn: u64,
-    },
-    AcceptFailed,
-    LinkUp {
-        link: u64,
-    },
-    /// It is over; so many frames were written whole.
-    LinkEnd {
-        link: u64,
-        written: u64,
-    },
-    /// What came on it together, and why nothing that follows can be read.
-    Frames {
-        link: u64,
-        frames: Vec<Frame>,
-        bad: Option<String>,
-    },
-    /// What a watch told, by its number.
-    List {
-        watch: u64,
-        list: List,
-    },
-    /// The configuration was read anew; why it can't be used.
-    Reloaded(Result<Change, String>),
-    WatchLost,
-    /// Asked to end.
-    Stop,
-    /// Asked for the counters.
-    Report,
-}
-
-/// What is to be done outside, in this order.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Effect {
-    Answer {
-        conn: u64,
-        bytes: Vec<u8>,
-        last: bool,
-    },
-    /// Reads no further from a client than to what it has sent.
-    HangUp {
-        conn: u64,
-    },
-    /// Lets go of a connection once all answers are written.
-    DropClient {
-        conn: u64,
-    },
-    Connect {
-        link: u64,
-        addr: SocketAddrV4,
-    },
-    Write {
-        link: u64,
-        bytes: Vec<u8>,
-    },
-    CloseLink {
-        link: u64,
-    },
-    StopListening,
-    /// Begins a further watch of that number.
-    Watch {
-        number: u64,
-        at: SocketAddrV4,
-    },
-    /// Lists of this watch are gone by from now on.
-    Heard {
-        watch: u64,
-    },
-    Print(String),
-}
-
-/// The phases of the program, from start to exit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Phase {
-    /// No list of searchers is held yet.
-    Opening,
-    Ready,
-    /// Asked to end: new connections are served until then, and what was taken is answered.
-    Draining {
-        listen_until: f64,
-        listening: bool,
-    },
-    Closed,
-}
-
-/// A part and the number of its dispatch.
-type Leg = (u64, u8);
-
-struct Scan {
-    conn: u64,
-    /// The id that its client gave.
-    name: String,
-    text: String,
-    parts: Vec<u64>,
-}
-
-struct Part {
-    scan: u64,
-    /// Its name on the wire.
-    name: Rc<str>,
-    shard: u32,
-    sent: u8,
-    value: Option<String>,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
-    Wake,
-    TimedOut(Leg),
-    ProbeTimedOut {
-        link: u64,
-        number: u64,
-    },
-    /// Its client's time is up.
-    Overdue(u64),
-    /// A link may have been idle for long.
-    Idle(u64),
-    /// A client has had its time to close.
-    Linger(u64),
-    /// A client has had its time to ask.
-    Quiet(u64),
-    /// Something of draining is to be looked at.
-    Drained,
-}
+use crate::http;
+use crate::inputs::{Effect, Input, Phase};
+use held::{Client, Due, Flight, Leg, Link, Part, Scan, Searcher};
 
 /// After a warning, further ones are told at the debug level for so long.
 const QUIET_MS: f64 = 1000.0;
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -3,8 +3,10 @@
 use pewterwharf::interface::Event;
 use tracing::{debug, info};
 
-use super::{Due, Effect, Part, Phase, Reducer, Scan};
+use super::Reducer;
+use super::held::{Client, ClientStanding, Due, Part, Scan};
 use crate::http::{self, Ask, ScanAsk};
+use crate::inputs::{Effect, Phase};
 
 /// While draining, new connections are served for so long: past the 0.4 s in which they may still come.
 const LISTEN_MS: f64 = 600.0;
@@ -19,48 +21,6 @@
 /// Requests in a row that can't be used, after which the connection ends: a mistake is told more than once.
 const FAULTS: u32 = 3;
 
-#[derive(Clone, Copy, PartialEq)]
-enum Standing {
-    /// Its last answer has been given.
-    Over,
-    /// It has not asked yet, or is in the midst of asking.
-    New,
-    /// It has asked and waits for nothing.
-    Resting,
-}
-
-pub(super) struct Client {
-    /// The scan it waits for.
-    scan: Option<u64>,
-    standing: Standing,
-    /// The connection ends with the answer that is owed.
-    close: bool,
-    /// Told to send no more; what it had sent is still answered.
-    hung: bool,
-    /// Nothing more comes from it.
-    ended: bool,
-    /// Since when it stands so.
-    since: f64,
-    /// A due time for its rest is set.
-    watched: bool,
-    /// Requests that could not be used, in a row.
-    faults: u32,
-}
-
-impl Client {
-    fn new(now: f64) -> Self {
-        let standing = Standing::New;
-        #[rustfmt::skip]
-        let client = Self { scan: None, standing, close: false, hung: false, ended: false, since: now,
-            watched: true, faults: 0 };
-        client
-    }
-
-    pub(super) fn idle(&self) -> bool {
-        self.scan.is_none() && self.standing != Standing::Over && !self.hung
-    }
-}
-
 impl Reducer {
     pub(super) fn client_open(&mut self, now: f64, conn: u64) {
         self.counters.clients_accepted += 1;
@@ -74,7 +34,7 @@
 
     pub(super) fn begun(&mut self, now: f64, conn: u64) {
         if let Some(client) = self.clients.get_mut(&conn).filter(|c| c.idle()) {
-            (client.standing, client.since) = (Standing::New, now);
+            (client.standing, client.since) = (ClientStanding::New, now);
             self.rest_client(now, conn);
         }
     }
@@ -101,12 +61,12 @@
             return self.add_due(at, Due::Quiet(conn));
         }
         match client.standing {
-            Standing::New => {
+            ClientStanding::New => {
                 self.counters.clients_slow += 1;
                 client.close = true;
                 self.answer(now, conn, 408, None, b"no whole request in time\n");
             }
-            Standing::Resting if crowded => {
+            ClientStanding::Resting if crowded => {
                 self.counters.clients_dropped_for_room += 1;
                 self.hang_up(conn);
             }
@@ -119,10 +79,10 @@
     pub(super) fn make_room(&mut self, now: f64) {
         let free = self.clients.iter().filter(|c| c.1.scan.is_none() && !c.1.hung);
         let rank = |c: &Client| match c.standing {
-            Standing::Over => 0,
-            Standing::New if now - c.since >= FRESH_MS => 1,
-            Standing::Resting => 2,
-            Standing::New => 3,
+            ClientStanding::Over => 0,
+            ClientStanding::New if now - c.since >= FRESH_MS => 1,
+            ClientStanding::Resting => 2,
+            ClientStanding::New => 3,
         };
         if let Some(conn) = free.min_by_key(|c| (rank(c.1), c.1.since.max(0.0).to_bits())).map(|c| *c.0) {
             self.counters.clients_dropped_for_room += 1;
@@ -169,7 +129,7 @@
     }
 
     pub(super) fn asked(&mut self, now: f64, conn: u64, ask: Ask, close: bool) {
-        let open = |c: &&mut Client| c.standing != Standing::Over && c.scan.is_none();
+        let open = |c: &&mut Client| c.standing != ClientStanding::Over && c.scan.is_none();
         let Some(client) = self.clients.get_mut(&conn).filter(open) else { return };
         client.close |= close;
         client.faults += 1; // unless it turns out to be none
@@ -291,7 +251,7 @@
 
     fn answer(&mut self, now: f64, conn: u64, status: u16, back_in_ms: Option<f64>, body: &[u8]) {
         let Some(client) = self.clients.get_mut(&conn) else { return };
-        (client.scan, client.since, client.standing) = (None, now, Standing::Resting);
+        (client.scan, client.since, client.standing) = (None, now, ClientStanding::Resting);
         client.close |= matches!(self.phase, Phase::Draining { .. } | Phase::Closed);
         let (last, ended) = (client.close, client.ended);
         let bytes = http::answer(status, back_in_ms, body, last);
@@ -299,7 +259,7 @@
         if ended {
             self.drop_client(conn);
         } else if last {
-            client.standing = Standing::Over;
+            client.standing = ClientStanding::Over;
             self.add_due(now + LINGER_MS, Due::Linger(conn));
         } else {
             self.rest_client(now, conn);
--- /dev/null
+++ b/crates/mixer/src/reducer/held.rs
@@ -0,0 +1,197 @@
+//! What the reducer holds: scans, parts, clients, links and what is due. Its parts for clients and for searchers stand
+//! beside, and none of it decides.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use pewterwharf::interface::Life;
+
+/// A part and the number of its dispatch.
+pub(super) type Leg = (u64, u8);
+
+pub(super) struct Scan {
+    pub(super) conn: u64,
+    /// The id that its client gave.
+    pub(super) name: String,
+    pub(super) text: String,
+    pub(super) parts: Vec<u64>,
+}
+
+pub(super) struct Part {
+    pub(super) scan: u64,
+    /// Its name on the wire.
+    pub(super) name: Rc<str>,
+    pub(super) shard: u32,
+    pub(super) sent: u8,
+    pub(super) value: Option<String>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Due {
+    Wake,
+    TimedOut(Leg),
+    ProbeTimedOut {
+        link: u64,
+        number: u64,
+    },
+    /// Its client's time is up.
+    Overdue(u64),
+    /// A link may have been idle for long.
+    Idle(u64),
+    /// A client has had its time to close.
+    Linger(u64),
+    /// A client has had its time to ask.
+    Quiet(u64),
+    /// Something of draining is to be looked at.
+    Drained,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum ClientStanding {
+    /// Its last answer has been given.
+    Over,
+    /// It has not asked yet, or is in the midst of asking.
+    New,
+    /// It has asked and waits for nothing.
+    Resting,
+}
+
+pub(super) struct Client {
+    /// The scan it waits for.
+    pub(super) scan: Option<u64>,
+    pub(super) standing: ClientStanding,
+    /// The connection ends with the answer that is owed.
+    pub(super) close: bool,
+    /// Told to send no more; what it had sent is still answered.
+    pub(super) hung: bool,
+    /// Nothing more comes from it.
+    pub(super) ended: bool,
+    /// Since when it stands so.
+    pub(super) since: f64,
+    /// A due time for its rest is set.
+    pub(super) watched: bool,
+    /// Requests that could not be used, in a row.
+    pub(super) faults: u32,
+}
+
+impl Client {
+    pub(super) fn new(now: f64) -> Self {
+        let standing = ClientStanding::New;
+        #[rustfmt::skip]
+        let client = Self { scan: None, standing, close: false, hung: false, ended: false, since: now,
+            watched: true, faults: 0 };
+        client
+    }
+
+    pub(super) fn idle(&self) -> bool {
+        self.scan.is_none() && self.standing != ClientStanding::Over && !self.hung
+    }
+}
+
+/// Names of ended dispatches that a link remembers: seconds of one that is in full use, the whole life of others.
+const OVER: usize = 512;
+pub(super) struct Searcher {
+    pub(super) name: String,
+    pub(super) addr: SocketAddrV4,
+    pub(super) life: Life,
+    pub(super) links: Vec<u64>,
+}
+
+#[derive(PartialEq)]
+pub(super) enum LinkStanding {
+    Opening,
+    Up,
+    /// Nothing new goes on it, and its end is awaited.
+    Closing,
+}
+
+pub(super) struct Link {
+    pub(super) srv: SocketAddrV4,
+    /// Where it leads: the searcher may have moved since.
+    pub(super) addr: SocketAddrV4,
+    pub(super) standing: LinkStanding,
+    /// Calls and probes that wait for the connection.
+    pub(super) queue: VecDeque<Queued>,
+    /// Frames handed over for writing.
+    pub(super) frames: u64,
+    /// Calls out, and how many parts of each.
+    pub(super) calls: BTreeMap<u64, usize>,
+    /// Names that went out on it, and what may come of them.
+    pub(super) out: HashMap<Rc<str>, Awaits>,
+    /// Of these, the names of those that are over, the oldest first.
+    pub(super) over: VecDeque<Rc<str>>,
+    pub(super) probes: VecDeque<Probe>,
+    /// When anything last came on it.
+    pub(super) heard_at: f64,
+    /// What was sent on it timed out and nothing at all has come since: nothing new goes on it.
+    pub(super) silent: bool,
+    pub(super) idle_since: f64,
+    /// A due time for its idleness is set.
+    pub(super) watched: bool,
+}
+
+/// What may come for a name that went out on a link.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum Awaits {
+    /// The answer to a dispatch that is out.
+    Answer(Leg),
+    /// That of one that is over: it must not be taken for a later dispatch's.
+    Late,
+    /// A second copy of one that has come.
+    Copy,
+}
+
+impl Awaits {
+    pub(super) fn leg(self) -> Option<Leg> {
+        if let Self::Answer(leg) = self { Some(leg) } else { None }
+    }
+}
+
+pub(super) enum Queued {
+    Call(u64, Vec<Leg>),
+    Probe,
+}
+
+pub(super) struct Probe {
+    pub(super) number: u64,
+    pub(super) sent_at: f64,
+    /// The number of its frame, once handed over.
+    pub(super) frame: Option<u64>,
+    /// Its ending was told.
+    pub(super) over: bool,
+}
+
+pub(super) struct Flight {
+    /// The part's name.
+    pub(super) name: Rc<str>,
+    pub(super) link: u64,
+    pub(super) call: u64,
+    pub(super) srv: SocketAddrV4,
+    pub(super) sent_at: f64,
+    pub(super) until: f64,
+    /// The number of its frame, once handed over.
+    pub(super) frame: Option<u64>,
+}
+
+impl Link {
+    pub(super) fn idle(&self) -> bool {
+        self.standing == LinkStanding::Up && self.calls.is_empty() && self.probes.is_empty()
+    }
+
+    /// A dispatch is over. If it went out, its answer may still come, or come again, and must be told from a
+    /// later dispatch's and from one that nobody asked for.
+    pub(super) fn over(&mut self, name: &Rc<str>, went_out: bool) {
+        let answered = self.out.remove(name) == Some(Awaits::Copy);
+        if went_out {
+            self.out.insert(name.clone(), if answered { Awaits::Copy } else { Awaits::Late });
+            self.over.push_back(name.clone());
+        }
+        if self.over.len() > OVER
+            && let Some(oldest) = self.over.pop_front()
+            && !matches!(self.out.get(&oldest), Some(Awaits::Answer(_)))
+        {
+            self.out.remove(&oldest);
+        }
+    }
+}
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -6,121 +6,16 @@
 
 use pewterwharf::interface::{Ending, Event, Life, ListKind, Listed};
 use pewterwharf_terms::Change;
+use pewterwharf_terms::list::{Entry, List};
 use tracing::{debug, info};
 
-use super::{Due, Effect, Leg, Phase, Reducer};
-use crate::discovery::{Entry, List};
+use super::Reducer;
+use super::held::{Awaits, Due, Flight, Leg, Link, LinkStanding, Probe, Queued, Searcher};
 use crate::frame::{self, Frame, Piece, Verdict};
+use crate::inputs::{Effect, Phase};
 
 /// Part of the searchers' idle time after which a link is closed here, so that no dispatch meets a close.
 const IDLE: f64 = 0.8;
-/// Names of ended dispatches that a link remembers: seconds of one that is in full use, the whole life of others.
-const OVER: usize = 512;
-
-pub(super) struct Searcher {
-    name: String,
-    addr: SocketAddrV4,
-    life: Life,
-    links: Vec<u64>,
-}
-
-#[derive(PartialEq)]
-enum Standing {
-    Opening,
-    Up,
-    /// Nothing new goes on it, and its end is awaited.
-    Closing,
-}
-
-pub(super) struct Link {
-    srv: SocketAddrV4,
-    /// Where it leads: the searcher may have moved since.
-    addr: SocketAddrV4,
-    standing: Standing,
-    /// Calls and probes that wait for the connection.
-    queue: VecDeque<Queued>,
-    /// Frames handed over for writing.
-    frames: u64,
-    /// Calls out, and how many parts of each.
-    calls: BTreeMap<u64, usize>,
-    /// Names that went out on it, and what may come of them.
-    out: HashMap<Rc<str>, Awaits>,
-    /// Of these, the names of those that are over, the oldest first.
-    over: VecDeque<Rc<str>>,
-    probes: VecDeque<Probe>,
-    /// When anything last came on it.
-    heard_at: f64,
-    /// What was sent on it timed out and nothing at all has come since: nothing new goes on it.
-    silent: bool,
-    idle_since: f64,
-    /// A due time for its idleness is set.
-    watched: bool,
-}
-
-/// What may come for a name that went out on a link.
-#[derive(Clone, Copy, PartialEq)]
-enum Awaits {
-    /// The answer to a dispatch that is out.
-    Answer(Leg),
-    /// That of one that is over: it must not be taken for a later dispatch's.
-    Late,
-    /// A second copy of one that has come.
-    Copy,
-}
-
-impl Awaits {
-    fn leg(self) -> Option<Leg> {
-        if let Self::Answer(leg) = self { Some(leg) } else { None }
-    }
-}
-
-enum Queued {
-    Call(u64, Vec<Leg>),
-    Probe,
-}
-
-struct Probe {
-    number: u64,
-    sent_at: f64,
-    /// The number of its frame, once handed over.
-    frame: Option<u64>,
-    /// Its ending was told.
-    over: bool,
-}
-
-pub(super) struct Flight {
-    /// The part's name.
-    name: Rc<str>,
-    link: u64,
-    call: u64,
-    srv: SocketAddrV4,
-    sent_at: f64,
-    until: f64,
-    /// The number of its frame, once handed over.
-    frame: Option<u64>,
-}
-
-impl Link {
-    pub(super) fn idle(&self) -> bool {
-        self.standing == Standing::Up && self.calls.is_empty() && self.probes.is_empty()
-    }
-
-    /// A dispatch is over. If it went out, its answer may still come, or come again, and must be told from a
-    /// later dispatch's and from one that nobody asked for.
-    fn over(&mut self, name: &Rc<str>, went_out: bool) {
-        let answered = self.out.remove(name) == Some(Awaits::Copy);
-        if went_out {
-            self.out.insert(name.clone(), if answered { Awaits::Copy } else { Awaits::Late });
-            self.over.push_back(name.clone());
-        }
-        if self.over.len() > OVER
-            && let Some(oldest) = self.over.pop_front()
-            && !matches!(self.out.get(&oldest), Some(Awaits::Answer(_)))
-        {
-            self.out.remove(&oldest);
-        }
-    }
-}
 
 impl Reducer {
     pub(super) fn dispatch(
@@ -175,7 +70,7 @@
         }
         let Some(link) = self.links.get_mut(&id) else { return };
         link.queue.push_back(Queued::Call(call, legs.to_vec()));
-        if link.standing == Standing::Up {
+        if link.standing == LinkStanding::Up {
             self.flush(now, id);
         }
     }
@@ -228,7 +123,7 @@
         if flight.frame.is_some()
             && self.terms.permits.cancel
             && let Some(link) = self.links.get_mut(&flight.link)
-            && link.standing == Standing::Up
+            && link.standing == LinkStanding::Up
         {
             link.frames += 1;
             let bytes = frame::give_up(&flight.name);
@@ -331,7 +226,7 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         link.probes.push_back(Probe { number, sent_at: now, frame: None, over: false });
         link.queue.push_back(Queued::Probe);
-        if link.standing == Standing::Up {
+        if link.standing == LinkStanding::Up {
             self.flush(now, id);
         }
     }
@@ -353,7 +248,7 @@
     /// stay so for as long as the system tries. Others are opened; it closes once nothing is out on it.
     fn doubt(&mut self, id: u64, sent_at: f64) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        link.silent |= link.standing == Standing::Up && link.heard_at < sent_at;
+        link.silent |= link.standing == LinkStanding::Up && link.heard_at < sent_at;
         if link.silent && link.calls.is_empty() {
             self.close_link(id, "silent");
         }
@@ -371,7 +266,7 @@
     /// The links that new calls and probes to a searcher may go on.
     fn links_to(&self, srv: SocketAddrV4) -> Vec<u64> {
         let Some(srv) = self.srvs.get(&srv) else { return Vec::new() };
-        let leads = |l: &Link| l.standing != Standing::Closing && !l.silent && l.addr == srv.addr;
+        let leads = |l: &Link| l.standing != LinkStanding::Closing && !l.silent && l.addr == srv.addr;
         srv.links.iter().copied().filter(|id| self.links.get(id).is_some_and(leads)).collect()
     }
 
@@ -385,7 +280,7 @@
         let link = Link {
             srv,
             addr,
-            standing: Standing::Opening,
+            standing: LinkStanding::Opening,
             queue: VecDeque::new(),
             frames: 0,
             calls: BTreeMap::new(),
@@ -407,8 +302,8 @@
     pub(super) fn link_up(&mut self, now: f64, id: u64) {
         self.counters.links_opened += 1;
         let Some(link) = self.links.get_mut(&id) else { return };
-        if link.standing == Standing::Opening {
-            (link.standing, link.heard_at) = (Standing::Up, now);
+        if link.standing == LinkStanding::Opening {
+            (link.standing, link.heard_at) = (LinkStanding::Up, now);
             self.flush(now, id);
             self.rest(now, id);
         }
@@ -445,8 +340,8 @@
     }
 
     pub(super) fn close_link(&mut self, id: u64, why: &str) {
-        if let Some(link) = self.links.get_mut(&id).filter(|l| l.standing != Standing::Closing) {
-            link.standing = Standing::Closing;
+        if let Some(link) = self.links.get_mut(&id).filter(|l| l.standing != LinkStanding::Closing) {
+            link.standing = LinkStanding::Closing;
             debug!("link {id} to {}: closed, {why}", link.addr);
             self.effects.push(Effect::CloseLink { link: id });
         }
@@ -454,7 +349,7 @@
 
     /// What was out on a link ends with it: it may have run only if its frame was written whole.
     pub(super) fn link_end(&mut self, now: f64, id: u64, written: u64) {
-        let failed = self.links.get(&id).is_some_and(|l| l.standing == Standing::Opening);
+        let failed = self.links.get(&id).is_some_and(|l| l.standing == LinkStanding::Opening);
         self.counters.links_failed += u64::from(failed);
         self.close_link(id, "ended");
         let Some(link) = self.links.remove(&id) else { return };
--- a/crates/mixer/src/searcher.rs
+++ b/crates/mixer/src/searcher.rs
@@ -14,8 +14,8 @@
 
 use crate::buffer::{Buffer, Room};
 use crate::frame;
-use crate::reducer::Input;
-use crate::service::Tell;
+use crate::inputs::Input;
+use crate::tell::Tell;
 
 /// A searcher that takes no bytes for so long has more waiting than connections hold: it is as good as gone.
 const STUCK: Duration = Duration::from_millis(5);
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -1,16 +1,13 @@
 //! The program: opens what it needs, runs the reducer on what comes in, carries out its effects, and closes.
 
 use std::collections::HashMap;
-use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::thread::Builder;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
-use crossbeam_channel::{Receiver, Sender, bounded};
-use mio::net::TcpStream;
+use crossbeam_channel::{Receiver, bounded};
 use pewterwharf_settings::Settings;
 use pewterwharf_terms::{Change, Start};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
@@ -19,78 +16,20 @@
 
 use crate::announcing::Announcing;
 use crate::buffer::Room;
-use crate::client::{Clients, Line, Orders};
+use crate::client::Clients;
 use crate::clock::Clock;
 use crate::discovery::{self, Watch, Watches};
-use crate::reducer::{Effect, Input, Phase, Reducer};
+use crate::inputs::{Effect, Input, Phase};
+use crate::line::{Line, Orders};
+use crate::reducer::Reducer;
 use crate::searcher::{self, Link, Searchers};
-
-/// What the threads tell the service.
-enum Told {
-    /// A client's connection.
-    Client(f64, u64, Line),
-    /// A link that is up.
-    Link(f64, u64, Arc<TcpStream>),
-    Input(f64, Input),
-    /// No route leads here any more.
-    RoutesLeft,
-    /// Somebody asks at the console what the module believes.
-    Beliefs(Sender<String>),
-    /// The operator's own file was read anew; why it can't be used.
-    Settings(Result<Box<Settings>, String>),
-}
-
-/// The way to the service, with the clock that all go by.
-#[derive(Clone)]
-pub struct Tell {
-    to: Sender<Told>,
-    clock: Clock,
-}
-
-impl Tell {
-    /// Tells of something now; false once nobody listens.
-    pub fn say(&self, input: Input) -> bool {
-        self.to.send(Told::Input(self.clock.now(), input)).is_ok()
-    }
-
-    /// The time by the service's clock.
-    pub fn now(&self) -> f64 {
-        self.clock.now()
-    }
-
-    pub fn link(&self, link: u64, stream: Arc<TcpStream>) {
-        let _ = self.to.send(Told::Link(self.clock.now(), link, stream)); // or the program has ended
-    }
-
-    /// What the module believes; nothing, if the service does not answer in time.
-    pub fn beliefs(&self) -> Option<String> {
-        const PATIENCE: Duration = Duration::from_secs(2);
-        let (to, told) = bounded(1);
-        self.to.send_timeout(Told::Beliefs(to), PATIENCE).ok()?;
-        told.recv_timeout(PATIENCE).ok()
-    }
-
-    pub fn may_stop(&self) {
-        let _ = self.to.send(Told::RoutesLeft); // or the program has ended
-    }
-
-    pub fn client(&self, conn: u64, line: Line) {
-        let _ = self.to.send(Told::Client(self.clock.now(), conn, line)); // or the program has ended
-    }
-}
-
-/// A thread with a small stack.
-pub fn spawn(name: &str, stack: usize, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
-    Builder::new().name(name.to_owned()).stack_size(stack).spawn(run).map(drop)
-}
+use crate::tell::{STACK, Tell, Told, spawn};
 
 /// The address that a listener has got, where its port was left open.
 fn local(listener: &TcpListener) -> Result<SocketAddr> {
     listener.local_addr().context("the listener's address")
 }
 
-/// Stack of the threads of which there is one each.
-pub(crate) const STACK: usize = 256 * 1024;
 /// Inputs that may wait to be heard: whoever sends more, faster than they are taken, waits. The one thread that
 /// takes them sends none.
 const WAITING: usize = 128;
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -7,7 +7,8 @@
 use pewterwharf_mixer::discovery::{Entry, List};
 use pewterwharf_mixer::frame::{Frame, Verdict};
 use pewterwharf_mixer::http::{Ask, PartAsk, ScanAsk};
-use pewterwharf_mixer::reducer::{Effect, Input, Phase, Reducer};
+use pewterwharf_mixer::inputs::{Effect, Input, Phase};
+use pewterwharf_mixer::reducer::Reducer;
 use pewterwharf_terms::{Change, Terms};
 use serde_json::json;
 
--- a/crates/settings/src/bgp.rs
+++ b/crates/settings/src/bgp.rs
@@ -5,7 +5,7 @@
 use ipnet::IpNet;
 
 use crate::form::{Fault, Node, unexpected};
-use crate::settings::{once, pair, parsed, share};
+use crate::keys::{once, pair, parsed, share};
 
 /// Announcements of service addresses.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod bgp;
 pub mod form;
+mod keys;
 mod names;
 mod settings;
 
