--- a/crates/mixer/src/announcing.rs
+++ b/crates/mixer/src/announcing.rs
@@ -12,6 +12,7 @@
 use pewterwharf_bgp::session;
 use pewterwharf_bgp::speaker::{Carried, Peer, Terms};
 use pewterwharf_console::{Console, Said};
+use pewterwharf_mesh::Way;
 use pewterwharf_settings::{Bgp, BgpPeer, Settings, near};
 use pewterwharf_speaker::{Show, Speaker};
 use tracing::warn;
@@ -34,6 +35,7 @@
     type_names: Vec<String>,
     console: Option<Console>,
     console_at: Option<PathBuf>,
+    fleet: Option<Way>,
 }
 
 /// A speaker that runs.
@@ -119,15 +121,27 @@
 }
 
 /// What is said at the console.
-fn answer(question: &str, show: Option<&Show>, type_names: &[String], tell: &Tell) -> Said {
+fn answer(
+    question: &str,
+    show: Option<&Show>,
+    type_names: &[String],
+    tell: &Tell,
+    fleet: Option<&Way>,
+) -> Said {
+    let shown = || {
+        let fleet = fleet.ok_or("fleet is not set in the operator's file")?;
+        fleet.show().ok_or_else(|| "the links between mixers do not answer".to_owned())
+    };
     match (question, show) {
+        ("fleet show", _) => Ok(shown()?.to_string()),
+        ("fleet show --json", _) => Ok(shown()?.json() + "\n"),
         ("bgp show", Some(show)) => {
             let shown = show.ask().ok_or("the speaker does not answer")?;
             Ok(format!("{shown}table types, in the order above\n  {}\n", type_names.join(" ")))
         }
         ("bgp show", None) => Err("bgp is not set in the operator's file".to_owned()),
         ("beliefs", _) => tell.beliefs().ok_or_else(|| "the mixer does not answer".to_owned()),
-        (other, _) => Err(format!("\"{other}\" is not known here; known are bgp show, beliefs")),
+        (other, _) => Err(format!("\"{other}\" is not known here; known are bgp show, beliefs, fleet show")),
     }
 }
 
@@ -173,7 +187,13 @@
 impl Announcing {
     /// # Errors
     /// If the file names what is not there, or the console, the speaker's listener or a thread can't be had.
-    pub fn open(settings: &Settings, type_names: &[String], seed: u64, tell: &Tell) -> Result<Self> {
+    pub fn open(
+        settings: &Settings,
+        type_names: &[String],
+        seed: u64,
+        tell: &Tell,
+        fleet: Option<Way>,
+    ) -> Result<Self> {
         let mut announcing = Self {
             on: None,
             stop: Stop::No,
@@ -181,6 +201,7 @@
             type_names: type_names.to_vec(),
             console: None,
             console_at: None,
+            fleet,
         };
         if let Some(bgp) = &settings.bgp {
             let terms = terms(bgp, type_names).map_err(anyhow::Error::msg)?;
@@ -195,8 +216,9 @@
         self.console_at.clone_from(&settings.console);
         if let Some(path) = &settings.console {
             let (show, names) = (self.on.as_ref().map(|on| on.speaker.shows()), self.type_names.clone());
-            let tell = tell.clone();
-            let console = Console::open(path, move |question| answer(question, show.as_ref(), &names, &tell));
+            let (tell, fleet) = (tell.clone(), self.fleet.clone());
+            let answer = move |question: &str| answer(question, show.as_ref(), &names, &tell, fleet.as_ref());
+            let console = Console::open(path, answer);
             self.console = Some(console.with_context(|| format!("console {}", path.display()))?);
         }
         Ok(())
--- /dev/null
+++ b/crates/mixer/src/copies.rs
@@ -0,0 +1,203 @@
+//! The service's side of the fleet: what this mixer knows by itself is told to the others, and what is heeded of theirs
+//! becomes events of the decision module. Off unless the operator's file has it: then no thread, no listener, no look.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use anyhow::{Context, Result, ensure};
+use pewterwharf::interface::{Event, Life, Word};
+use pewterwharf::logic::Known;
+use pewterwharf_mesh::{Mesh, Own, Say, Terms, Way};
+use pewterwharf_replica::Advice;
+use pewterwharf_replica::kinds::Stage;
+use pewterwharf_settings::{Fleet, Settings};
+use pewterwharf_terms::Start;
+use tracing::{info, warn};
+
+use crate::inputs::Input;
+use crate::reducer::Reducer;
+use crate::tell::Tell;
+
+/// How often it is looked for what the others do not know yet, in milliseconds: well under a probe's time.
+const LOOK_MS: f64 = 50.0;
+/// A mark that stays is said anew this often, so that it does not grow old.
+const AGAIN_MS: f64 = 700.0;
+/// What customers used is said this often, and over which span it is counted by the module.
+const USED_MS: f64 = 2000.0;
+const SPAN_MS: u32 = 5000;
+/// Fewer descriptors than this leave no room for clients, searchers and discovery.
+const FEWEST: usize = 32;
+
+/// What was said of a searcher, and when.
+#[derive(Clone, Copy, PartialEq)]
+struct Said {
+    own: Own,
+    at: f64,
+}
+
+/// This mixer among the others, where it is.
+pub struct Copies {
+    on: Option<On>,
+    section: Option<Fleet>,
+}
+
+struct On {
+    mesh: Mesh,
+    said: BTreeMap<SocketAddrV4, Said>,
+    list: Option<(u64, u32)>,
+    idle_lost: bool,
+    look_at: f64,
+    used_at: f64,
+    used: Vec<usize>,
+}
+
+fn terms(fleet: &Fleet, seed: u64) -> Terms {
+    Terms {
+        fleet: fleet.name.clone(),
+        me: fleet.me.clone(),
+        listen: fleet.listen,
+        peers: fleet.peers.iter().map(|p| (p.name.clone(), p.address)).collect(),
+        seed,
+    }
+}
+
+fn event(advice: Advice) -> Event {
+    let of = |searcher, word| Event::Heard { searcher: SocketAddrV4::clone(&searcher), word };
+    match advice {
+        Advice::Look(searcher) => of(searcher, Word::Look),
+        Advice::Doubt(searcher) => of(searcher, Word::Doubt),
+        Advice::Leaves(searcher) => of(searcher, Word::Leaves(true)),
+        Advice::Stays(searcher) => of(searcher, Word::Leaves(false)),
+        Advice::Began(searcher, since) => of(searcher, Word::Began(since)),
+        Advice::NotBegan(searcher) => of(searcher, Word::Began(0.0)),
+        Advice::IdleLost => Event::IdleLost,
+        Advice::Mixers(count) => Event::Mixers(count),
+    }
+}
+
+fn own(known: &Known) -> Own {
+    let stage = match known.life {
+        Life::Ready => Stage::Up,
+        Life::Draining => Stage::Draining,
+        Life::Gone => Stage::Going,
+    };
+    Own { marked: known.marked, since: known.since, stage }
+}
+
+impl Copies {
+    /// Begins to join. What the links take of descriptors is taken from `start`.
+    ///
+    /// # Errors
+    /// If too few descriptors are left for the rest, or the listener or the thread can't be had.
+    pub fn open(settings: &Settings, start: &mut Start, tell: &Tell) -> Result<Self> {
+        let Some(fleet) = &settings.fleet else { return Ok(Self { on: None, section: None }) };
+        let terms = terms(fleet, start.seed);
+        let left = start.sockets.saturating_sub(terms.descriptors());
+        ensure!(
+            left >= FEWEST,
+            "fleet: its links take {} of limits.sockets={}, and {FEWEST} at least have to be left",
+            terms.descriptors(),
+            start.sockets
+        );
+        start.sockets = left;
+        let tell = tell.clone();
+        let hear = move |advice: Vec<Advice>| {
+            tell.say(Input::Heard(advice.into_iter().map(event).collect()));
+        };
+        let mesh = Mesh::start(terms, hear).with_context(|| format!("fleet listen {}", fleet.listen))?;
+        info!(target: "fleet", "{} of fleet {} listens for mixers at {}", fleet.me, fleet.name, mesh.at());
+        let on = On {
+            mesh,
+            said: BTreeMap::new(),
+            list: None,
+            idle_lost: false,
+            look_at: 0.0,
+            used_at: 0.0,
+            used: Vec::new(),
+        };
+        Ok(Self { on: Some(on), section: Some(fleet.clone()) })
+    }
+
+    /// The way to ask what this mixer sees of its fleet.
+    pub fn way(&self) -> Option<Way> {
+        self.on.as_ref().map(|on| on.mesh.way())
+    }
+
+    /// The operator's file was read anew.
+    pub fn change(&self, settings: &Settings) {
+        if settings.fleet != self.section {
+            warn!(target: "fleet", "fleet has changed in the operator's file: it counts from the next start");
+        }
+    }
+
+    /// When it wants to be asked to [`Copies::look`] again.
+    pub fn due(&self) -> f64 {
+        self.on.as_ref().map_or(f64::INFINITY, |on| on.look_at)
+    }
+
+    /// Tells the others what is new, if it is time.
+    pub fn look(&mut self, now: f64, reducer: &Reducer) {
+        if let Some(on) = self.on.as_mut().filter(|on| now >= on.look_at) {
+            on.look_at = now + LOOK_MS;
+            on.look(now, reducer);
+        }
+    }
+
+    /// Counts, a line each; nothing, where there is no fleet.
+    pub fn counts(&self) -> String {
+        self.on.as_ref().map_or_else(String::new, |on| on.mesh.counts())
+    }
+
+    /// Leaves the fleet with a word.
+    pub fn leave(self) {
+        self.on.into_iter().for_each(|on| on.mesh.leave());
+    }
+}
+
+impl On {
+    fn look(&mut self, now: f64, reducer: &Reducer) {
+        let mut says = Vec::new();
+        let mut said = BTreeMap::new();
+        for known in reducer.searchers() {
+            let own = own(&known);
+            let before = self.said.get(&known.searcher).copied();
+            let again = |before: Said| before.own != own || own.marked && now - before.at >= AGAIN_MS;
+            if before.is_none_or(again) {
+                let (normals, parts) = known.evidence;
+                let cold = known.cold;
+                says.push(Say::Searcher { at: known.searcher, own: Some(own), cold, normals, parts });
+                said.insert(known.searcher, Said { own, at: now });
+            } else {
+                said.extend(before.map(|before| (known.searcher, before)));
+            }
+        }
+        for gone in self.said.keys().filter(|at| !said.contains_key(at)) {
+            says.push(Say::Searcher { at: *gone, own: None, cold: false, normals: 0.0, parts: 0 });
+        }
+        let list = reducer.list();
+        if Some(list) != self.list {
+            says.push(Say::List { index: list.0, ready: list.1 });
+        }
+        let (used, idle_lost) = reducer.used();
+        if idle_lost && !self.idle_lost {
+            says.push(Say::IdleLost { times: 1 });
+        }
+        let tells_use = now >= self.used_at && used != self.used;
+        if tells_use {
+            let scans = used.iter().zip(reducer.customer_names()).enumerate();
+            let scans = scans.filter(|(nth, (count, _))| self.used.get(*nth) != Some(*count));
+            says.extend(scans.map(|(_, (count, name))| Say::Used {
+                customer: name.clone(),
+                scans: *count as u32,
+                span_ms: SPAN_MS,
+            }));
+        }
+        // What could not be told now is found new again at the next look.
+        if says.is_empty() || self.mesh.say(says) {
+            (self.said, self.list, self.idle_lost) = (said, Some(list), idle_lost);
+            if tells_use {
+                (self.used, self.used_at) = (used.to_vec(), now + USED_MS);
+            }
+        }
+    }
+}
--- a/crates/mixer/src/inputs.rs
+++ b/crates/mixer/src/inputs.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddrV4;
 
+use pewterwharf::interface::Event;
 use pewterwharf_terms::Change;
 use pewterwharf_terms::list::List;
 
@@ -50,6 +51,8 @@
     /// The configuration was read anew; why it can't be used.
     Reloaded(Result<Change, String>),
     WatchLost,
+    /// What is heeded of the words of other mixers.
+    Heard(Vec<Event>),
     /// Asked to end.
     Stop,
     /// Asked for the counters.
--- a/crates/mixer/src/lib.rs
+++ b/crates/mixer/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod buffer;
 pub mod client;
 pub mod clock;
+pub mod copies;
 pub mod counters;
 pub mod discovery;
 pub mod frame;
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -8,8 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
 
-use pewterwharf::interface::{Action, Decide, Ending, Event, ListKind};
-use pewterwharf::logic::{Beliefs, Mixer};
+use pewterwharf::interface::{Action, Decide, Ending, Event, Life, ListKind};
+use pewterwharf::logic::{Beliefs, Known, Mixer};
 use pewterwharf_terms::Terms;
 use pewterwharf_terms::list::List;
 use tracing::{debug, info, warn};
@@ -42,6 +42,7 @@
     srvs: BTreeMap<SocketAddrV4, Searcher>,
     names: HashMap<String, SocketAddrV4>,
     links: BTreeMap<u64, Link>,
+    list_index: u64,
     /// The watch whose lists are gone by, and the newest.
     watch: u64,
     watch_wanted: u64,
@@ -78,6 +79,7 @@
             srvs: BTreeMap::new(),
             names: HashMap::new(),
             links: BTreeMap::new(),
+            list_index: 0,
             watch: 0,
             watch_wanted: 0,
             discovery: None,
@@ -105,6 +107,27 @@
         self.module.beliefs()
     }
 
+    /// What the decision module knows of each searcher by itself.
+    pub fn searchers(&self) -> impl Iterator<Item = Known> {
+        self.module.known()
+    }
+
+    /// Scans of each customer in the last seconds, and whether connections were lost while idle.
+    pub fn used(&self) -> (&[usize], bool) {
+        self.module.used()
+    }
+
+    /// The version of the list that is gone by, and the searchers in it that are up.
+    pub fn list(&self) -> (u64, u32) {
+        let ready = self.srvs.values().filter(|s| s.life == Life::Ready).count();
+        (self.list_index, ready as u32)
+    }
+
+    /// The names of customers, in the order of their counts.
+    pub fn customer_names(&self) -> &[String] {
+        &self.terms.customer_names
+    }
+
     /// Of each table type, the weight of parts that makes a whole answer, and the least for any.
     pub fn needs(&self) -> impl Iterator<Item = (f64, f64)> {
         self.terms.types.iter().map(|t| (t.need, t.floor))
@@ -235,6 +258,7 @@
             Input::List { watch, list } => self.watched(now, watch, list),
             Input::Reloaded(change) => self.reloaded(now, change),
             Input::WatchLost => self.counters.watches_lost += 1,
+            Input::Heard(events) => self.events.extend(events),
             Input::Stop => self.stop(now),
             Input::Report => self.effects.push(Effect::Print(self.counters().to_string())),
         }
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -414,6 +414,7 @@
     pub(super) fn listed(&mut self, now: f64, list: List, kind: ListKind) {
         self.counters.lists += 1;
         self.counters.list_entries_bad += list.bad.len() as u64;
+        self.list_index = list.index;
         list.bad.iter().for_each(|why| self.warn(now, &format!("discovery: {why}")));
         if kind != ListKind::Changes {
             self.srvs.values_mut().for_each(|s| s.life = Life::Gone);
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -18,6 +18,7 @@
 use crate::buffer::Room;
 use crate::client::Clients;
 use crate::clock::Clock;
+use crate::copies::Copies;
 use crate::discovery::{self, Watch, Watches};
 use crate::inputs::{Effect, Input, Phase};
 use crate::line::{Line, Orders};
@@ -53,6 +54,7 @@
     /// What the service itself has met and the reducer is still to hear.
     met: Vec<(f64, Input)>,
     announcing: Announcing,
+    copies: Copies,
 }
 
 /// Reads files anew, for a mixer that runs.
@@ -71,7 +73,7 @@
 
 impl Service {
     /// Opens what it needs; the signals it goes by must be caught before, so that none ends it meanwhile.
-    pub fn open(start: Start, settings: &Settings, mut signals: Signals, again: Again) -> Result<Self> {
+    pub fn open(mut start: Start, settings: &Settings, mut signals: Signals, again: Again) -> Result<Self> {
         let clock = Clock::start();
         let (to, heard) = bounded(WAITING);
         let tell = Tell { to, clock };
@@ -79,6 +81,7 @@
         if start.terms.types.iter().any(|t| t.second_step) {
             warn!("table types with a second step are answered from the first: the protocol states no other");
         }
+        let copies = Copies::open(settings, &mut start, &tell)?;
         let mut reducer = Reducer::new(start.terms.clone(), start.seed, start.sockets);
         let mut effects = Vec::new();
         let mut index = 0;
@@ -92,7 +95,7 @@
         }
         reducer.watches(start.discovery);
         // Before the signals are heard: a fault in it is told at the start, like any other.
-        let announcing = Announcing::open(settings, reducer.type_names(), start.seed, &tell)?;
+        let announcing = Announcing::open(settings, reducer.type_names(), start.seed, &tell, copies.way())?;
         let watches = Arc::new(Watches::default());
         let first = Watch { number: 0, at: start.discovery, index: Some(index) };
         let (told, counted) = (tell.clone(), watches.clone());
@@ -145,6 +148,7 @@
             watches,
             met,
             announcing,
+            copies,
         };
         effects.into_iter().for_each(|effect| service.carry_out(effect));
         Ok(service)
@@ -156,7 +160,8 @@
             let mut inputs = std::mem::take(&mut self.met);
             let due = if inputs.is_empty() { self.reducer.next_due() } else { Some(0.0) };
             let report = Some(self.announcing.due()).filter(|at| at.is_finite());
-            let due = due.into_iter().chain(report).reduce(f64::min);
+            let look = Some(self.copies.due()).filter(|at| at.is_finite());
+            let due = due.into_iter().chain(report).chain(look).reduce(f64::min);
             let wait = due.map_or(Duration::MAX, |at| self.clock.until(at));
             if let Ok(told) = self.heard.recv_timeout(wait) {
                 self.hear(told, &mut inputs);
@@ -170,10 +175,12 @@
             effects.into_iter().for_each(|effect| self.carry_out(effect));
             let now = self.clock.now();
             self.announcing.report(now, &self.watches, &self.reducer);
+            self.copies.look(now, &self.reducer);
         }
-        let routes = self.announcing.counts();
+        let counts = self.announcing.counts() + &self.copies.counts();
         self.announcing.end();
-        eprint!("{}{routes}", self.reducer.counters());
+        self.copies.leave();
+        eprint!("{}{counts}", self.reducer.counters());
         Ok(())
     }
 
@@ -208,7 +215,10 @@
                 let _ = to.send(self.reducer.beliefs().to_string()); // or nobody waits any more
             }
             Told::Settings(read) => {
-                let read = read.and_then(|settings| self.announcing.change(&settings, &self.tell));
+                let read = read.and_then(|settings| {
+                    self.copies.change(&settings);
+                    self.announcing.change(&settings, &self.tell)
+                });
                 if let Err(why) = read {
                     warn!("the operator's file changes nothing: {why}");
                 }
@@ -257,7 +267,7 @@
                 }
             }
             Effect::Heard { watch } => self.watches.heard.store(watch, Ordering::Release),
-            Effect::Print(text) => eprint!("{text}{}", self.announcing.counts()),
+            Effect::Print(text) => eprint!("{text}{}{}", self.announcing.counts(), self.copies.counts()),
         }
     }
 }
--- /dev/null
+++ b/crates/replica/src/store.rs
@@ -0,0 +1,572 @@
+//! The rows that a mixer holds.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pewterwharf_peers::Start;
+
+use crate::kinds::{self, Kind};
+use crate::rows::{Entry, LONGEST_NAME, LONGEST_VALUE, Part, RANGES, Refused, Sum, Why, WireRow};
+
+/// A deletion is kept for so long: well past the time in which rounds reach everybody who is up. Who was away for longer
+/// takes all from the beginning.
+const KEEP_DELETED_MS: f64 = 60_000.0;
+/// What a row costs beside its name and value, in bytes: its places in two maps.
+const ROW_COST: usize = 160;
+
+/// How much is held at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Rows of one origin.
+    pub rows: usize,
+    /// Bytes of one origin's rows, with what their places cost.
+    pub bytes: usize,
+}
+
+impl Limits {
+    /// What all origins together may take is parted among them.
+    pub fn shared(bytes: usize, origins: usize) -> Self {
+        let bytes = bytes / origins.max(1);
+        Self { rows: bytes / ROW_COST, bytes }
+    }
+}
+
+/// What a row is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    kind: u8,
+    name: String,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    counter: u64,
+    /// Absent where it is deleted.
+    value: Option<Vec<u8>>,
+    /// When its evidence was found, by this mixer's clock.
+    at: f64,
+    /// Since when it is held here.
+    since: f64,
+}
+
+/// A sweep under way: how far, and what the sender had forgotten at its begin.
+#[derive(Clone, Copy, Debug)]
+struct Sweep {
+    upto: u64,
+    floor: u64,
+}
+
+/// All that is held of one origin.
+#[derive(Clone, Debug, Default)]
+struct Held {
+    start: Start,
+    upto: u64,
+    floor: u64,
+    sweep: Option<Sweep>,
+    rows: BTreeMap<Key, Row>,
+    order: BTreeMap<u64, Key>,
+    bytes: usize,
+    digest: u64,
+    deleted: usize,
+}
+
+/// What has changed here by what another said.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    pub origin: String,
+    pub kind: u8,
+    pub name: String,
+}
+
+/// The rows that a mixer holds, its own among them.
+#[derive(Clone, Debug)]
+pub struct Replica {
+    me: String,
+    named: BTreeSet<String>,
+    limits: Limits,
+    held: BTreeMap<String, Held>,
+    refused: BTreeMap<Refused, u64>,
+}
+
+impl Held {
+    fn cost(key: &Key, row: &Row) -> usize {
+        key.name.len() + row.value.as_ref().map_or(0, Vec::len) + ROW_COST
+    }
+
+    fn sum(key: &Key, row: &Row) -> u64 {
+        let Some(value) = &row.value else { return 0 };
+        let sum = Sum::new().number(u64::from(key.kind)).bytes(key.name.as_bytes());
+        sum.number(row.counter).bytes(value).end()
+    }
+
+    fn remove(&mut self, key: &Key) -> Option<Row> {
+        let row = self.rows.remove(key)?;
+        self.order.remove(&row.counter);
+        self.bytes -= Self::cost(key, &row);
+        self.digest ^= Self::sum(key, &row);
+        self.deleted -= usize::from(row.value.is_none());
+        Some(row)
+    }
+
+    fn insert(&mut self, key: Key, row: Row) {
+        self.remove(&key);
+        // Two rows under one counter can't be told apart by versions: the later word stands.
+        if let Some(other) = self.order.get(&row.counter).cloned() {
+            self.remove(&other);
+        }
+        self.bytes += Self::cost(&key, &row);
+        self.digest ^= Self::sum(&key, &row);
+        self.deleted += usize::from(row.value.is_none());
+        self.order.insert(row.counter, key.clone());
+        self.rows.insert(key, row);
+    }
+
+    fn fits(&self, key: &Key, row: &Row, limits: &Limits) -> bool {
+        let old = self.rows.get(key).map_or(0, |old| Self::cost(key, old));
+        let rows = self.rows.len() + usize::from(old == 0);
+        rows <= limits.rows && self.bytes - old + Self::cost(key, row) <= limits.bytes
+    }
+
+    fn wire(&self, counter: u64, key: &Key, now: f64) -> Option<WireRow> {
+        let row = self.rows.get(key)?;
+        let age_ms = (now - row.at).clamp(0.0, f64::from(u32::MAX)) as u32;
+        Some(WireRow { kind: key.kind, name: key.name.clone(), counter, age_ms, value: row.value.clone() })
+    }
+
+    /// Rows above `from` and up to `upto` until so many bytes are used; how far that is.
+    fn gather(&self, from: u64, upto: u64, now: f64, budget: &mut usize) -> (Vec<WireRow>, u64) {
+        let mut rows = Vec::new();
+        let mut end = from;
+        if upto <= from {
+            return (rows, from);
+        }
+        for (counter, key) in self.order.range(from + 1..=upto) {
+            let Some(row) = self.wire(*counter, key, now) else { continue };
+            let cost = row.name.len() + row.value.as_ref().map_or(0, Vec::len) + 24;
+            if cost > *budget {
+                return (rows, end);
+            }
+            *budget -= cost;
+            end = *counter;
+            rows.push(row);
+        }
+        (rows, upto)
+    }
+
+    /// The bounds of a range of counters.
+    fn range(&self, nth: u64) -> (u64, u64) {
+        let at = |n: u64| (u128::from(self.upto) * u128::from(n) / u128::from(RANGES)) as u64;
+        (at(nth), at(nth + 1))
+    }
+}
+
+impl Replica {
+    /// Holds nothing yet. `named` are the mixers that the file names, this one among them or not.
+    pub fn new(me: &str, start: Start, named: impl IntoIterator<Item = String>, limits: Limits) -> Self {
+        let mut named: BTreeSet<String> = named.into_iter().collect();
+        named.insert(me.to_owned());
+        let held = BTreeMap::from([(me.to_owned(), Held { start, ..Held::default() })]);
+        Self { me: me.to_owned(), named, limits, held, refused: BTreeMap::new() }
+    }
+
+    pub fn me(&self) -> &str {
+        &self.me
+    }
+
+    /// Whether the file names this mixer.
+    pub fn names(&self, name: &str) -> bool {
+        self.named.contains(name)
+    }
+
+    /// Parts and rows that were not taken, by the reason.
+    pub fn refused(&self) -> &BTreeMap<Refused, u64> {
+        &self.refused
+    }
+
+    /// Rows and bytes held of all origins.
+    pub fn size(&self) -> (usize, usize) {
+        self.held.values().fold((0, 0), |(rows, bytes), h| (rows + h.rows.len(), bytes + h.bytes))
+    }
+
+    /// Rows that are not deletions, by kind.
+    pub fn by_kind(&self) -> BTreeMap<u8, usize> {
+        let mut counts = BTreeMap::new();
+        for (key, row) in self.held.values().flat_map(|h| &h.rows) {
+            *counts.entry(key.kind).or_default() += usize::from(row.value.is_some());
+        }
+        counts
+    }
+
+    /// Of an origin: start, version, rows that are not deletions.
+    pub fn of(&self, origin: &str) -> Option<(Start, u64, usize)> {
+        self.held.get(origin).map(|h| (h.start, h.upto, h.rows.len() - h.deleted))
+    }
+
+    fn own(&mut self) -> &mut Held {
+        self.held.entry(self.me.clone()).or_default()
+    }
+
+    /// Says something of its own, with the time of its evidence. False where there is no room for it.
+    pub fn say<K: Kind>(&mut self, now: f64, name: &str, value: &K, at: f64) -> bool {
+        let Ok(bytes) = postcard::to_allocvec(value) else { return false };
+        self.write(now, Key { kind: K::CODE, name: name.to_owned() }, Some(bytes), at)
+    }
+
+    /// Takes back what it said.
+    pub fn unsay<K: Kind>(&mut self, now: f64, name: &str) {
+        let key = Key { kind: K::CODE, name: name.to_owned() };
+        if self.own().rows.get(&key).is_some_and(|row| row.value.is_some()) {
+            self.write(now, key, None, now);
+        }
+    }
+
+    fn write(&mut self, now: f64, key: Key, value: Option<Vec<u8>>, at: f64) -> bool {
+        let limits = self.limits;
+        let fits = key.name.len() <= LONGEST_NAME && value.as_ref().is_none_or(|v| v.len() <= LONGEST_VALUE);
+        let held = self.own();
+        let row = Row { counter: held.upto.saturating_add(1), value, at, since: now };
+        if !fits || !held.fits(&key, &row, &limits) {
+            *self.refused.entry(Refused::Share).or_default() += 1;
+            return false;
+        }
+        held.upto = row.counter;
+        held.insert(key, row);
+        true
+    }
+
+    /// This mixer has a new start: all that it says is said anew under it.
+    pub fn renew(&mut self, start: Start) {
+        let held = self.own();
+        let rows: Vec<(Key, Row)> =
+            held.order.values().filter_map(|key| Some((key.clone(), held.rows.get(key)?.clone()))).collect();
+        *held = Held { start, ..Held::default() };
+        for (key, row) in rows.into_iter().filter(|(_, row)| row.value.is_some()) {
+            held.upto += 1;
+            let counter = held.upto;
+            held.insert(key, Row { counter, ..row });
+        }
+    }
+
+    /// A later start of an origin is heard of: what the earlier one said is void.
+    pub fn started(&mut self, origin: &str, start: Start) {
+        if origin != self.me
+            && self.named.contains(origin)
+            && self.held.get(origin).is_none_or(|held| held.start < start)
+        {
+            self.held.insert(origin.to_owned(), Held { start, ..Held::default() });
+        }
+    }
+
+    /// What is held, by origin.
+    pub fn vector(&self) -> Vec<Entry> {
+        let entry = |(origin, h): (&String, &Held)| Entry {
+            origin: origin.clone(),
+            start: h.start,
+            upto: h.upto,
+            sweep: h.sweep.map(|s| s.upto),
+            digest: h.digest,
+        };
+        self.held.iter().map(entry).collect()
+    }
+
+    /// One number for all that is held: two mixers with the same hold the same.
+    pub fn sum(&self) -> u64 {
+        self.held.iter().filter(|(_, h)| h.upto > 0).fold(0, |sum, (origin, h)| {
+            let one = Sum::new().bytes(origin.as_bytes()).number(h.start.number).number(h.start.lot);
+            sum ^ one.number(h.upto).number(h.digest).number(u64::from(h.sweep.is_some())).end()
+        })
+    }
+
+    /// Whether another holds something that this mixer does not.
+    pub fn lacks(&self, theirs: &[Entry]) -> bool {
+        theirs.iter().any(|t| {
+            let ours = self.held.get(&t.origin).map(|h| (h.start, h.upto));
+            t.origin != self.me
+                && t.upto > 0
+                && self.named.contains(&t.origin)
+                && ours < Some((t.start, t.upto))
+        })
+    }
+
+    /// Rows that another holds and this mixer does not, by versions: how far it is behind, at the most.
+    pub fn behind(&self, theirs: &[Entry]) -> u64 {
+        let behind = |t: &Entry| match self.held.get(&t.origin) {
+            _ if t.origin == self.me => 0,
+            Some(h) if h.start == t.start => t.upto.saturating_sub(h.upto),
+            Some(h) if h.start > t.start => 0,
+            _ => t.upto,
+        };
+        theirs.iter().map(behind).fold(0, u64::saturating_add)
+    }
+
+    /// What this mixer holds and another does not, in pieces of so many bytes; whether that was all.
+    pub fn delta(&self, now: f64, theirs: &[Entry], budget: usize) -> (Vec<Part>, bool) {
+        let theirs: BTreeMap<&str, &Entry> = theirs.iter().map(|e| (e.origin.as_str(), e)).collect();
+        let (mut parts, mut left, mut whole) = (Vec::new(), budget, true);
+        for (origin, held) in self.held.iter().filter(|(_, h)| h.upto > 0) {
+            let entry = theirs.get(origin.as_str()).copied().filter(|e| e.start >= held.start);
+            let (from, sweep) = match entry {
+                Some(e) if e.start > held.start => continue,
+                Some(Entry { sweep: Some(pos), .. }) => (*pos, true),
+                Some(e) if e.upto < held.floor => (0, true),
+                Some(e) if e.upto >= held.upto => continue,
+                Some(e) => (e.upto, false),
+                None => (0, false),
+            };
+            let (rows, upto) = held.gather(from, held.upto, now, &mut left);
+            let last = upto >= held.upto;
+            whole &= last;
+            if rows.is_empty() && !last {
+                continue; // the next piece begins with it
+            }
+            let why = if sweep { Why::Sweep { last } } else { Why::Delta };
+            parts.push(Part {
+                origin: origin.clone(),
+                start: held.start,
+                from,
+                upto,
+                floor: held.floor,
+                why,
+                rows,
+            });
+        }
+        (parts, whole)
+    }
+
+    /// What this mixer has said since a version of its own.
+    pub fn said_since(&self, now: f64, from: u64, budget: usize) -> Option<Part> {
+        let held = self.held.get(&self.me).filter(|h| h.upto > from)?;
+        let mut left = budget;
+        let (rows, upto) = held.gather(from, held.upto, now, &mut left);
+        let (origin, floor, why) = (self.me.clone(), held.floor, Why::Delta);
+        (!rows.is_empty()).then_some(Part { origin, start: held.start, from, upto, floor, why, rows })
+    }
+
+    /// Origins of which another holds the same version, and other rows.
+    pub fn unlike(&self, theirs: &[Entry]) -> Vec<String> {
+        let unlike = |t: &&Entry| {
+            self.held.get(&t.origin).is_some_and(|h| {
+                (h.start, h.upto) == (t.start, t.upto)
+                    && h.sweep.is_none()
+                    && t.sweep.is_none()
+                    && h.digest != t.digest
+            })
+        };
+        theirs.iter().filter(unlike).map(|t| t.origin.clone()).collect()
+    }
+
+    /// Digests of the ranges of an origin's counters, with its start and version.
+    pub fn ranges(&self, origin: &str) -> Option<(Start, u64, Vec<u64>)> {
+        let held = self.held.get(origin)?;
+        let digest = |nth| {
+            let (from, upto) = held.range(nth);
+            let rows = held.order.range(from + 1..=upto.max(from + 1)).filter(|(c, _)| **c <= upto);
+            rows.filter_map(|(_, key)| held.rows.get(key).map(|row| Held::sum(key, row)))
+                .fold(0, |a, b| a ^ b)
+        };
+        Some((held.start, held.upto, (0..RANGES).map(digest).collect()))
+    }
+
+    /// The ranges of an origin in which another's digests differ, where it has the same version.
+    pub fn mend(
+        &self,
+        now: f64,
+        origin: &str,
+        start: Start,
+        upto: u64,
+        theirs: &[u64],
+        budget: usize,
+    ) -> Vec<Part> {
+        let Some((_, _, ours)) = self.ranges(origin) else { return Vec::new() };
+        let Some(held) = self.held.get(origin).filter(|h| (h.start, h.upto) == (start, upto)) else {
+            return Vec::new();
+        };
+        let mut left = budget;
+        let unlike = ours.iter().zip(theirs).zip(0..).filter(|((a, b), _)| a != b).map(|(_, nth)| nth);
+        let mut parts = Vec::new();
+        for nth in unlike {
+            let (from, upto) = held.range(nth);
+            let (rows, end) = held.gather(from, upto, now, &mut left);
+            if end > from {
+                let (origin, floor, why) = (origin.to_owned(), held.floor, Why::Repair);
+                parts.push(Part { origin, start, from, upto: end, floor, why, rows });
+            }
+        }
+        parts
+    }
+
+    /// Takes what another sends. `old_ms` is by how much it may be older than it says, as it waited to be read.
+    ///
+    /// # Errors
+    /// Why it was not taken; it is counted.
+    pub fn take(&mut self, now: f64, old_ms: f64, by: &str, part: &Part) -> Result<Vec<News>, Refused> {
+        let taken = self.try_take(now, old_ms, by, part);
+        if let Err(why) = taken {
+            *self.refused.entry(why).or_default() += 1;
+        }
+        taken
+    }
+
+    fn try_take(&mut self, now: f64, old_ms: f64, by: &str, part: &Part) -> Result<Vec<News>, Refused> {
+        if !self.named.contains(&part.origin) {
+            return Err(Refused::Unnamed);
+        }
+        if part.origin == self.me {
+            return Err(Refused::Own);
+        }
+        let ordered = part.rows.windows(2).all(|w| w[0].counter < w[1].counter);
+        let within = part.rows.iter().all(|r| r.counter > part.from && r.counter <= part.upto);
+        if !ordered || !within || part.upto < part.from || !part.rows.iter().all(fit) {
+            return Err(Refused::Unfit);
+        }
+        let limits = self.limits;
+        match self.held.get(&part.origin).map(|h| h.start) {
+            Some(start) if start > part.start => return Err(Refused::Old),
+            Some(start) if start == part.start => {}
+            _ if part.from > 0 || part.why == Why::Repair => return Err(Refused::Gap),
+            _ => {
+                self.held.insert(part.origin.clone(), Held { start: part.start, ..Held::default() });
+            }
+        }
+        let held = self.held.entry(part.origin.clone()).or_default();
+        let row = |wire: &WireRow| Row {
+            counter: wire.counter,
+            value: wire.value.clone(),
+            at: now - old_ms - f64::from(wire.age_ms),
+            since: now,
+        };
+        let mut news = Vec::new();
+        // Whatever of the interval is not in the part is not there any more; with a repair only its origin may say so.
+        let clears = match part.why {
+            Why::Delta => {
+                if part.from > held.upto {
+                    return Err(Refused::Gap);
+                }
+                false
+            }
+            Why::Sweep { .. } => {
+                let begins = part.from == 0;
+                if begins {
+                    held.sweep = Some(Sweep { upto: 0, floor: part.floor });
+                }
+                if held.sweep.is_none_or(|s| s.upto != part.from) {
+                    return Err(Refused::Gap);
+                }
+                true
+            }
+            Why::Repair => by == part.origin,
+        };
+        if clears {
+            let kept: BTreeSet<u64> = part.rows.iter().map(|r| r.counter).collect();
+            let range =
+                held.order.range(part.from.saturating_add(1)..=part.upto.max(part.from.saturating_add(1)));
+            let gone: Vec<Key> = range
+                .filter(|(c, _)| **c <= part.upto && !kept.contains(c))
+                .map(|(_, key)| key.clone())
+                .collect();
+            for key in gone {
+                held.remove(&key);
+                news.push(News { origin: part.origin.clone(), kind: key.kind, name: key.name });
+            }
+        }
+        let mut over = false;
+        for wire in &part.rows {
+            let key = Key { kind: wire.kind, name: wire.name.clone() };
+            let row = row(wire);
+            match held.rows.get_mut(&key) {
+                Some(old) if old.counter > row.counter => continue,
+                Some(old) if old.counter == row.counter && old.value == row.value => {
+                    // The same word by another way: the older evidence is the safe side.
+                    old.at = old.at.min(row.at);
+                    continue;
+                }
+                // Two contents under one counter: a fault of their origin. One wins everywhere, whoever came first.
+                Some(old) if old.counter == row.counter && old.value > row.value && by != part.origin => {
+                    continue;
+                }
+                // What is not held and lies under the version was deleted, or is missing: a repair or a sweep tells.
+                None if row.counter <= held.upto && part.why == Why::Delta => continue,
+                None if row.counter <= held.floor && part.why == Why::Repair && by != part.origin => continue,
+                _ => {}
+            }
+            if !held.fits(&key, &row, &limits) {
+                over = true;
+                break;
+            }
+            news.push(News { origin: part.origin.clone(), kind: wire.kind, name: wire.name.clone() });
+            held.insert(key, row);
+        }
+        if over {
+            // The version stays: what has no room is not said to be held.
+            return Err(Refused::Share);
+        }
+        match part.why {
+            Why::Delta => held.upto = held.upto.max(part.upto),
+            Why::Sweep { last: false } => {
+                held.sweep.iter_mut().for_each(|s| s.upto = part.upto);
+            }
+            Why::Sweep { last: true } => {
+                if let Some(sweep) = held.sweep.take() {
+                    // What was forgotten while it went on may have been missed: the version then stays under that.
+                    let sure = if part.floor > sweep.floor { sweep.floor } else { part.upto };
+                    held.upto = held.upto.max(sure);
+                    held.floor = held.floor.max(sweep.floor);
+                }
+            }
+            Why::Repair => {}
+        }
+        Ok(news)
+    }
+
+    /// Forgets deletions that everybody had time to hear of.
+    pub fn tick(&mut self, now: f64) {
+        for held in self.held.values_mut().filter(|h| h.deleted > 0 && h.sweep.is_none()) {
+            let old = |row: &Row| row.value.is_none() && now - row.since > KEEP_DELETED_MS;
+            let gone: Vec<Key> =
+                held.rows.iter().filter(|(_, r)| old(r)).map(|(key, _)| key.clone()).collect();
+            for key in gone {
+                if let Some(row) = held.remove(&key) {
+                    held.floor = held.floor.max(row.counter);
+                }
+            }
+        }
+    }
+
+    /// What each origin says of something, with the age of its evidence in milliseconds, as far as it can be read.
+    pub fn said<K: Kind>(&self, now: f64, name: &str) -> Vec<(&str, K, f64)> {
+        let key = Key { kind: K::CODE, name: name.to_owned() };
+        let read = |(origin, held): (&'_ String, &Held)| {
+            let row = held.rows.get(&key)?;
+            let value = kinds::read::<K>(row.value.as_ref()?)?;
+            Some((origin.clone(), value, (now - row.at).max(0.0)))
+        };
+        let mut all = Vec::new();
+        for (origin, held) in &self.held {
+            if let Some((_, value, age)) = read((origin, held)) {
+                all.push((origin.as_str(), value, age));
+            }
+        }
+        all
+    }
+
+    /// What all origins say of something, joined.
+    pub fn joined<K: Kind>(&self, now: f64, name: &str) -> Option<K> {
+        let fresh = self.said::<K>(now, name).into_iter().filter(|(.., age)| *age <= K::FRESH_MS);
+        fresh.map(|(_, value, _)| value).reduce(K::join)
+    }
+
+    /// All rows that are not deletions, for those who compare or print: origin, kind, name, counter, value.
+    pub fn rows(&self) -> impl Iterator<Item = (&str, u8, &str, u64, &[u8])> {
+        self.held.iter().flat_map(|(origin, held)| {
+            held.rows.iter().filter_map(move |(key, row)| {
+                Some((origin.as_str(), key.kind, key.name.as_str(), row.counter, row.value.as_deref()?))
+            })
+        })
+    }
+}
+
+/// Whether a row keeps to the limits, and a kind that is known to what it may say.
+fn fit(row: &WireRow) -> bool {
+    let value = row.value.as_deref();
+    row.name.len() <= LONGEST_NAME
+        && value.is_none_or(|v| v.len() <= LONGEST_VALUE && kinds::fits(row.kind, v))
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,11 +6,13 @@
 //! read by `pewterwharf-terms`. Nothing here does I/O.
 
 mod bgp;
+mod fleet;
 pub mod form;
 mod keys;
 mod names;
 mod settings;
 
 pub use bgp::{Bgp, BgpAddress, BgpPeer};
+pub use fleet::{Fleet, FleetPeer};
 pub use names::near;
 pub use settings::{Explore, Log, LogForm, Settings};
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use crate::bgp::Bgp;
+use crate::fleet::Fleet;
 use crate::form::{Fault, Node, read, unexpected};
 use crate::keys::{once, pair};
 
@@ -39,6 +40,8 @@
     pub explore: Explore,
     /// Off unless it is there.
     pub bgp: Option<Bgp>,
+    /// Off unless it is there.
+    pub fleet: Option<Fleet>,
     /// Where the daemon listens for questions about itself: a Unix socket. None, unless it is there.
     pub console: Option<PathBuf>,
 }
@@ -49,6 +52,7 @@
             log: Log { level: "warn".to_owned(), form: LogForm::Text },
             explore: Explore { departures: 2, states: 200_000, threads: 8 },
             bgp: None,
+            fleet: None,
             console: None,
         }
     }
@@ -72,11 +76,14 @@
                 "log" => settings.log(keys)?,
                 "explore" => settings.explore(keys)?,
                 "bgp" => settings.bgp = Some(Bgp::read(&node, keys)?),
+                "fleet" => settings.fleet = Some(Fleet::read(&node, keys)?),
                 "console" => match keys {
                     [path] => settings.console = Some(PathBuf::from(path.text("a path")?)),
                     _ => return Err(node.fault(format!("console has {} values, expected one", keys.len()))),
                 },
-                other => return Err(unexpected(&node, other, &["log", "explore", "bgp", "console"])),
+                other => {
+                    return Err(unexpected(&node, other, &["log", "explore", "bgp", "fleet", "console"]));
+                }
             }
         }
         Ok(settings)
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -107,3 +107,49 @@
     assert_eq!(nodes[1].time_ms("a time"), Ok(6000.0));
     assert_eq!(nodes[4].time_ms("a time"), Ok(90_000.0));
 }
+
+#[test]
+fn a_fleet_is_off_unless_set_and_its_faults_name_their_key() {
+    assert_eq!(Settings::read("").map(|s| s.fleet), Ok(None));
+    let whole = r#"(fleet (name "praha") (me "m1" (listen "127.0.0.1:9001"))
+        (peer "m1" "127.0.0.1:9001") (peer "m2" "127.0.0.2:9001"))"#;
+    let fleet = Settings::read(whole).expect("it is whole").fleet.expect("it is there");
+    assert_eq!((fleet.name.as_str(), fleet.me.as_str()), ("praha", "m1"));
+    assert_eq!(
+        fleet.peers.iter().map(|p| p.name.as_str()).collect::<Vec<_>>(),
+        ["m2"],
+        "the own name is no peer"
+    );
+    let me = r#"(fleet (name "p") (me "m1" (listen "127.0.0.1:1")) "#;
+    let cases = [
+        ("(fleet)".to_owned(), "1:1: expected (name \"NAME\") in (fleet ...)"),
+        (
+            r#"(fleet (name "a b"))"#.to_owned(),
+            "1:14: found \"a b\", expected the fleet's name: 1 to 32 letters, digits, -, _ or .",
+        ),
+        (
+            r#"(fleet (name "p") (me "m1" "127.0.0.1:1"))"#.to_owned(),
+            "1:28: found \"127.0.0.1:1\", expected (listen \"ADDRESS:PORT\")",
+        ),
+        (
+            format!(r#"{me}(peer "m2" "127.0.0.1"))"#),
+            "1:63: found \"127.0.0.1\", expected fleet peer, an address and port",
+        ),
+        (format!(r#"{me}(peer "m2" "0.0.0.0:1"))"#), "1:52: nobody can be reached at 0.0.0.0:1"),
+        (
+            format!(r#"{me}(peer "m2" "127.0.0.2:1") (peer "m2" "127.0.0.3:1"))"#),
+            "1:79: peer m2 is given twice",
+        ),
+        (
+            format!(r#"{me}(pear "m2" "127.0.0.2:1"))"#),
+            "1:52: found pear, expected one of name, me, peer; did you mean peer?",
+        ),
+        (
+            format!("{me})"),
+            "1:1: expected a (peer \"NAME\" \"ADDRESS:PORT\") beside this mixer in (fleet ...)",
+        ),
+    ];
+    for (text, fault) in cases {
+        assert_eq!(told(&text), fault);
+    }
+}
--- a/deploy/pewterwharf.lisp
+++ b/deploy/pewterwharf.lisp
@@ -23,6 +23,14 @@
 ;   (up 0.9 5s) (down 0.5 1s) (stale 30s) (pressure 0.5) (changes 6) (drain 2s 5s)
 ;   (med 0 1000) (local-pref 100 0) (prepend 2))
 
-; A Unix socket at which a running mixer answers `pewterwharf bgp show`; none unless it is there.
+; Mixers that know each other; off unless this section is there. The listener belongs on a network of the mixers' own.
+; See docs/operators/fleet.md.
+;
+; (fleet
+;   (name "praha")
+;   (me "m1" (listen "192.0.2.1:7400"))
+;   (peer "m2" "192.0.2.2:7400") (peer "m3" "192.0.2.3:7400"))
+
+; A Unix socket at which a running mixer answers `pewterwharf bgp show`, `beliefs` and `fleet show`; none unless it is there.
 ;
 ; (console "/run/pewterwharf/mixer.sock")
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -142,9 +142,30 @@
     }
 }
 
+/// What other mixers say of a searcher, as far as the host heeds it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Word {
+    /// One has marked it: a reason to look.
+    Look,
+    /// Several that agree have marked it.
+    Doubt,
+    /// It drains or goes, or after all does not.
+    Leaves(bool),
+    /// Its process has a later start than the list says, by the list's figures; zero takes that back.
+    Began(f64),
+}
+
 /// What happened, in the order it happened.
 #[derive(Clone, Debug)]
 pub enum Event {
+    Heard {
+        searcher: SocketAddrV4,
+        word: Word,
+    },
+    /// Other mixers lose connections while they are idle.
+    IdleLost,
+    /// So many mixers are there, this one among them.
+    Mixers(u32),
     List {
         kind: ListKind,
         lines: Vec<Listed>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,13 +6,14 @@
 use std::cell::Cell;
 use std::cmp::Ordering::Equal;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use oorandom::Rand64;
 
 use crate::interface::*;
-pub use crate::state::Beliefs;
 use crate::state::*;
+pub use crate::state::{Beliefs, Known};
 
 impl Searcher {
     /// The design's half second; the paper asks for the smallest that holds enough parts.
@@ -62,7 +63,7 @@
                 // A lost connection marks and is probed at once: no slice need fill to tell the dead.
                 self.dead |= ending == Ending::ConnectFailed;
                 if self.tile.down && !self.tile.marked {
-                    self.mark(share, post);
+                    self.mark(share, 1, post);
                     self.probe_at = if probing { now } else { self.probe_at };
                 }
                 if let Some(slice) = self.slices.iter_mut().find(|s| s.out.iter().any(|l| l.0 == leg)) {
@@ -72,16 +73,28 @@
                     slice.sound &= !matches!(ending, Ending::Error | Ending::ConnectFailed | Ending::Reset);
                     let good = share <= self.norms.limit && ending == Ending::Ok;
                     if self.tile.trial && !good && !matches!(ending, Ending::Cancelled | Ending::Moot) {
-                        self.mark(share, post);
+                        self.mark(share, 1, post);
                     }
                     self.tile.trial &= !good && !self.tile.marked;
                 }
             }
-            Note::Pong(ending, took) if self.tile.marked => {
+            Note::Pong(ending, took) if self.tile.marked || self.asked => {
                 self.dead |= ending == Ending::ConnectFailed;
                 let quick = self.norms.normal.iter().copied().fold(f64::INFINITY, f64::min);
-                if ending == Ending::Ok && took < self.norms.limit * quick {
-                    self.readmit(post);
+                let good = ending == Ending::Ok && took < self.norms.limit * quick;
+                self.asked = false;
+                match self.tile.marked {
+                    true if good => self.readmit(post),
+                    false if !good => self.mark(took / quick, 1, post),
+                    _ => {}
+                }
+            }
+            // Others' marks are a reason to look; where several agree, or nobody may probe, to send one part at
+            // a time until one comes back in time. Harms a sound searcher that others lie of by so much.
+            Note::Hint(several) if !self.tile.marked => {
+                self.tile.trial |= several || !probing;
+                if probing && !std::mem::replace(&mut self.asked, true) {
+                    post.out.push(Action::Probe { searcher: self.addr });
                 }
             }
             Note::Norms(norms) => self.norms = norms,
@@ -129,7 +142,7 @@
     /// out lift its average over the multiple: a hang would show only with the last time-out. Harms a
     /// searcher whose few parts are all heavy, until its next probe.
     fn judge(&mut self, post: &mut Post) {
-        let (now, limit, mut worst) = (post.now, self.norms.limit, 0.0);
+        let (now, limit, mut worst) = (post.now, self.norms.limit, (0.0, 0));
         let lost = |l: &(Leg, usize, f64)| self.norms.overtaken(l.1, l.2, self.ok_from);
         let out = self.slices.iter().flat_map(|s| &s.out).filter(|l| !lost(l));
         self.tile.age = out.map(|l| now - l.2).fold(0.0, f64::max);
@@ -144,20 +157,21 @@
             let over = now - slice.from >= Self::SLICE_MS && slice.out.is_empty();
             let ripe = slice.sent >= Self::FEW && (over || mean > limit);
             if ripe {
-                worst = mean.max(worst);
+                worst = if mean > worst.0 { (mean, slice.sent) } else { worst };
                 if slice.sound {
                     post.put(GAUGE, Note::Slice(self.me, mean));
                 }
             }
             !ripe
         });
-        if worst > limit {
-            self.mark(worst, post);
+        if worst.0 > limit {
+            self.mark(worst.0, worst.1, post);
         }
     }
 
-    fn mark(&mut self, mean: f64, post: &mut Post) {
-        (self.tile.marked, self.probe_at) = (true, post.now + Self::PROBE_MS);
+    fn mark(&mut self, mean: f64, parts: u32, post: &mut Post) {
+        (self.tile.marked, self.tile.evidence) = (true, (mean, parts));
+        self.probe_at = post.now + Self::PROBE_MS;
         post.out.push(Action::Log { line: format!("{} marked at {mean:.1} normals", self.addr) });
     }
 }
@@ -515,7 +529,7 @@
     /// are, and one core at least. Guards newcomers and returns against a push and against starving.
     /// Harms when most of the fleet is cold.
     fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
-        let (g, age) = (&self.guards, now - seat.since);
+        let (g, age) = (&self.guards, now - seat.began());
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
         let busy = self.busy.map_or(1.0, |b| b.clamp(Self::IDLE, 1.0));
         let cores = (self.flow * self.mixers / self.ready.max(1.0) / busy).max(1.0);
@@ -523,7 +537,7 @@
         let span = g.fall_ms * if work <= share { 1.0 } else { Self::STRETCH * work / share };
         let spent: f64 = seat.spent.iter().filter(|s| s.0 >= now - span).map(|s| s.1).sum();
         let fits = spent + work <= share.max(work) && (work <= share || age >= seat.lot.fract() * span);
-        seat.since <= 0.0 || age >= g.warm_ms || fits
+        seat.began() <= 0.0 || age >= g.warm_ms || fits
     }
 
     fn dispatch(&mut self, at: usize, nth: usize, srv: usize, post: &mut Post) {
@@ -559,7 +573,7 @@
         let seat = &mut self.seats[srv];
         seat.sent_at = now;
         self.flow += work / Self::FLOW_MS;
-        if seat.since > 0.0 {
+        if seat.began() > 0.0 {
             trim(&mut seat.spent, |s| s.0 < now - self.guards.warm_ms);
             seat.spent.push_back((now, work));
         }
@@ -660,7 +674,7 @@
 #[rustfmt::skip]
 #[derive(Debug)]
 pub struct Mixer {
-    seed: Rand64, zone: u16, roster: Roster, subscribe_at: f64, refused: u32, next_tick: f64,
+    seed: Rand64, zone: u16, stated: f64, roster: Roster, subscribe_at: f64, refused: u32, next_tick: f64,
     srvs: Vec<Searcher>, gauge: Gauge, desk: Desk, post: Post,
 }
 
@@ -698,7 +712,8 @@
         post.awake.extend([DESK, GAUGE]);
         let (seed, roster, srvs) = (Rand64::new(u128::from(seed)), Roster::default(), Vec::new());
         let (zone, refused, next_tick) = (berth.zone, 0, f64::NEG_INFINITY);
-        Self { seed, zone, roster, subscribe_at, refused, next_tick, srvs, gauge, desk, post }
+        let stated = mixers;
+        Self { seed, zone, stated, roster, subscribe_at, refused, next_tick, srvs, gauge, desk, post }
     }
 
     /// For those who report on a mixer: the share of the slices for which a searcher is usable.
@@ -742,6 +757,7 @@
             let seat = &mut self.desk.seats[srv];
             if seat.listed != since && life == Life::Ready {
                 (seat.listed, seat.since, seat.limit) = (since, since, f64::INFINITY);
+                seat.hushed = false;
                 self.post.put(SRVS + srv, Note::Renewed);
             }
             seat.life = life;
@@ -758,6 +774,27 @@
         self.desk.ready = self.desk.seats.iter().filter(|s| s.life == Life::Ready).count() as f64;
     }
 
+    /// For those who tell other mixers: what this one knows by itself.
+    pub fn known(&self) -> impl Iterator<Item = Known> {
+        self.desk.known(self.post.now)
+    }
+
+    /// Scans of each customer in the last seconds, and whether connections were lost while idle.
+    pub fn used(&self) -> (&[usize], bool) {
+        (self.desk.used(), self.post.now < self.desk.lines.doubt_until)
+    }
+
+    /// What others say makes it look, send less, or leave alone, and never send what it would not: a copy that
+    /// is wrong or old can cost service, no rule. It counts of searchers on its own list alone.
+    fn heard(&mut self, searcher: SocketAddrV4, word: Word) {
+        let Some(srv) = self.roster.find(searcher) else { return };
+        match word {
+            Word::Look | Word::Doubt => self.post.put(SRVS + srv, Note::Hint(word == Word::Doubt)),
+            Word::Leaves(leaves) => self.desk.seats[srv].hushed = leaves,
+            Word::Began(since) => self.desk.seats[srv].told = since.min(self.post.now),
+        }
+    }
+
     /// Empties all inboxes, the searchers' before the gauge's and the desk's.
     fn run(&mut self) {
         while let Some((to, note)) = self.post.take() {
@@ -784,6 +821,10 @@
                         self.post.put(SRVS + srv, Note::Pong(ending, took_ms));
                     }
                 }
+                Event::Heard { searcher, word } => self.heard(searcher, word),
+                // Never fewer than stated: who is not seen may be cut off and send all the same.
+                Event::Mixers(seen) => self.desk.mixers = self.stated.max(f64::from(seen)),
+                Event::IdleLost => self.desk.lines.doubt_until = now + Lines::DOUBT_MS,
                 told => self.post.put(DESK, Note::Told(told)),
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,12 +44,22 @@
     pub trial: bool,
     /// No connection, or a lost one, at its last part.
     pub down: bool,
+    /// What it was last marked for: the average, in normals, and of how many parts.
+    pub evidence: (f64, u32),
 }
 
 impl Tile {
     /// A searcher that is not yet heard from counts as average.
-    pub const NEW: Self =
-        Self { lat: 1.0, lat_at: 0.0, age: 0.0, lost: 0, marked: false, trial: false, down: false };
+    pub const NEW: Self = Self {
+        lat: 1.0,
+        lat_at: 0.0,
+        age: 0.0,
+        lost: 0,
+        marked: false,
+        trial: false,
+        down: false,
+        evidence: (0.0, 0),
+    };
 }
 
 #[derive(Debug)]
@@ -60,6 +70,8 @@
     /// A part's share of the normal latency, how it ended, and when it was sent.
     Filed(Leg, f64, Ending, f64),
     Pong(Ending, f64),
+    /// Others have marked it; whether several that agree.
+    Hint(bool),
     // To the gauge: of a table type, of a searcher.
     Heard(usize, f64),
     Slice(usize, f64),
@@ -159,12 +171,14 @@
     pub ok_from: f64,
     /// It refused a connection since it last answered.
     pub dead: bool,
+    /// It is probed as others have marked it.
+    pub asked: bool,
 }
 
 impl Searcher {
     pub fn new(me: usize, addr: SocketAddrV4, zone: u16, norms: Rc<Norms>) -> Self {
         let (tile, slices, zone) = (Tile::NEW, Vec::new(), usize::from(zone));
-        Self { me, zone, addr, norms, tile, slices, probe_at: 0.0, ok_from: 0.0, dead: false }
+        Self { me, zone, addr, norms, tile, slices, probe_at: 0.0, ok_from: 0.0, dead: false, asked: false }
     }
 }
 
@@ -396,6 +410,19 @@
     }
 }
 
+/// A searcher as this mixer knows it by itself, for the other mixers: decides nothing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Known {
+    pub searcher: SocketAddrV4,
+    pub life: Life,
+    /// When its process started, as the list says, and whether it is cold since.
+    pub since: f64,
+    pub cold: bool,
+    pub marked: bool,
+    /// What it was last marked for: the average, in normals, and of how many parts.
+    pub evidence: (f64, u32),
+}
+
 impl Desk {
     #[allow(clippy::too_many_arguments)] // each part takes its own few settings
     pub fn new(
@@ -456,6 +483,22 @@
         }
     }
 
+    pub fn known(&self, now: f64) -> impl Iterator<Item = Known> {
+        self.seats.iter().filter(|s| s.life != Life::Gone).map(move |s| Known {
+            searcher: s.addr,
+            life: s.life,
+            since: s.listed,
+            cold: s.listed > 0.0 && now - s.listed < self.guards.warm_ms,
+            marked: s.tile.marked,
+            evidence: s.tile.evidence,
+        })
+    }
+
+    /// Scans of each customer in the last seconds.
+    pub fn used(&self) -> &[usize] {
+        &self.door.counts
+    }
+
     /// Of the cells' slices, the share that a searcher holds which is ready, has a connection and is not marked.
     pub fn usable(&self) -> f64 {
         let usable = |srv: usize| self.seats[srv].up() && !self.seats[srv].tile.marked;
@@ -487,7 +530,11 @@
     /// When its process started, as the list says and as it was found.
     pub listed: f64,
     pub since: f64,
+    /// As other mixers say; zero where none does.
+    pub told: f64,
     pub life: Life,
+    /// Other mixers say that it leaves.
+    pub hushed: bool,
     pub tile: Tile,
     /// Decides between equals.
     pub lot: f64,
@@ -509,8 +556,8 @@
         let (zone, tile, limit, heard_at) = (usize::from(zone), Tile::NEW, f64::INFINITY, f64::INFINITY);
         let (listed, calls, cut_at, ok_from, sent_at, spent) = (since, 0, 0.0, 0.0, 0.0, VecDeque::new());
         #[rustfmt::skip]
-        let seat = Self { addr, cell, zone, listed, since, life, tile, lot, calls, heard_at, ok_from, sent_at, limit, cut_at,
-            spent };
+        let seat = Self { addr, cell, zone, listed, since, told: 0.0, life, hushed: false, tile, lot, calls, heard_at, ok_from,
+            sent_at, limit, cut_at, spent };
         seat
     }
 
@@ -519,9 +566,14 @@
         self.calls.saturating_sub(self.tile.lost)
     }
 
-    /// Listed as ready, and not both marked and without connection.
+    /// Since when it may be cold, by whoever says the latest.
+    pub fn began(&self) -> f64 {
+        self.since.max(self.told)
+    }
+
+    /// Listed as ready, nobody says that it leaves, and not both marked and without connection.
     pub fn up(&self) -> bool {
-        self.life == Life::Ready && !(self.tile.marked && self.tile.down)
+        self.life == Life::Ready && !self.hushed && !(self.tile.marked && self.tile.down)
     }
 }
 
