--- /dev/null
+++ b/crates/drill/src/report.rs
@@ -0,0 +1,188 @@
+//! What came of a drill: verdicts, figures, timeline.
+
+use std::fmt::{self, Write};
+
+use serde_json::{Value, json};
+
+/// Something that always has to hold and did not.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Broken {
+    pub rule: &'static str,
+    pub at_ms: f64,
+    /// By which mixer or searcher.
+    pub who: String,
+    pub what: String,
+}
+
+/// An expectation, and what came of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Met {
+    pub expect: String,
+    pub held: bool,
+    /// Milliseconds until it held, or until it was given up.
+    pub took_ms: f64,
+    /// What was seen instead.
+    pub seen: String,
+}
+
+/// The scans, by what came of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Scans {
+    pub asked: usize,
+    pub completed: usize,
+    pub refused: usize,
+    pub abandoned: usize,
+    /// Without an answer as their mixer was killed.
+    pub killed: usize,
+    pub unreached: usize,
+    /// Milliseconds of those completed.
+    pub p50_ms: f64,
+    pub p99_ms: f64,
+}
+
+/// A searcher that hung: how soon mixers marked it, and what was sent there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Hung {
+    pub searcher: String,
+    /// Milliseconds from the hang until each mixer marked it, in order.
+    pub marked_ms: Vec<f64>,
+    /// Parts that reached it from then on, from all mixers together.
+    pub parts: usize,
+}
+
+/// A line of the timeline.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    pub at_ms: f64,
+    pub who: String,
+    pub what: String,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    pub title: String,
+    pub seed: u64,
+    pub mixers: usize,
+    pub broken: Vec<Broken>,
+    pub met: Vec<Met>,
+    pub scans: Scans,
+    pub hung: Vec<Hung>,
+    pub timeline: Vec<Line>,
+    pub length_ms: f64,
+}
+
+impl Report {
+    /// Whether all held.
+    pub fn held(&self) -> bool {
+        self.broken.is_empty() && self.met.iter().all(|m| m.held)
+    }
+
+    pub fn json(&self) -> Value {
+        let s = &self.scans;
+        json!({
+            "title": self.title, "seed": self.seed, "held": self.held(), "length_ms": self.length_ms.round(),
+            "broken": self.broken.iter().map(|b| json!({"rule": b.rule, "at_ms": b.at_ms.round(), "who": b.who, "what": b.what}))
+                .collect::<Vec<_>>(),
+            "expects": self.met.iter().map(|m| json!({"expect": m.expect, "held": m.held, "took_ms": m.took_ms.round(),
+                "seen": m.seen})).collect::<Vec<_>>(),
+            "scans": {"asked": s.asked, "completed": s.completed, "refused": s.refused, "abandoned": s.abandoned,
+                "killed": s.killed, "unreached": s.unreached, "p50_ms": s.p50_ms, "p99_ms": s.p99_ms},
+            "hung": self.hung.iter().map(|h| json!({"searcher": h.searcher, "marked_ms": h.marked_ms, "parts": h.parts}))
+                .collect::<Vec<_>>(),
+            "timeline": self.timeline.iter().map(|l| json!({"at_ms": l.at_ms.round(), "who": l.who, "what": l.what}))
+                .collect::<Vec<_>>(),
+        })
+    }
+
+    /// A timeline as a drawing: a lane for the rig and one for each mixer.
+    pub fn svg(&self) -> String {
+        const WIDE: f64 = 1200.0;
+        const LANE: f64 = 110.0;
+        const LEFT: f64 = 60.0;
+        let lanes: Vec<String> =
+            std::iter::once("rig".to_owned()).chain((1..=self.mixers).map(|m| format!("m{m}"))).collect();
+        let length = self.length_ms.max(1.0);
+        let x = |ms: f64| LEFT + (WIDE - LEFT - 10.0) * (ms / length).clamp(0.0, 1.0);
+        let high = LANE * lanes.len() as f64 + 40.0;
+        let mut svg = format!(
+            "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{WIDE}\" height=\"{high}\" font-family=\"monospace\" \
+             font-size=\"10\">\n<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n<text x=\"10\" y=\"16\" font-size=\"13\">{}</text>\n",
+            escaped(&self.title)
+        );
+        for second in 0..=(length / 1000.0) as usize {
+            let at = x(second as f64 * 1000.0);
+            let _ = writeln!(
+                svg,
+                "<line x1=\"{at:.1}\" y1=\"24\" x2=\"{at:.1}\" y2=\"{high}\" stroke=\"#eee\"/>"
+            );
+            let _ =
+                writeln!(svg, "<text x=\"{at:.1}\" y=\"{:.0}\" fill=\"#999\">{second}s</text>", high - 4.0);
+        }
+        for (nth, lane) in lanes.iter().enumerate() {
+            let top = 30.0 + LANE * nth as f64;
+            let _ = writeln!(svg, "<line x1=\"0\" y1=\"{top}\" x2=\"{WIDE}\" y2=\"{top}\" stroke=\"#ccc\"/>");
+            let _ = writeln!(svg, "<text x=\"8\" y=\"{:.0}\" font-size=\"13\">{lane}</text>", top + 16.0);
+            for (row, line) in self.timeline.iter().filter(|l| l.who == *lane).enumerate() {
+                let (at, y) = (x(line.at_ms), top + 14.0 + 12.0 * (row % 8) as f64);
+                let colour = if lane == "rig" { "#b00" } else { "#036" };
+                let _ =
+                    writeln!(svg, "<circle cx=\"{at:.1}\" cy=\"{:.1}\" r=\"2\" fill=\"{colour}\"/>", y - 3.0);
+                let what: String = line.what.chars().take(60).collect();
+                let _ = writeln!(
+                    svg,
+                    "<text x=\"{:.1}\" y=\"{y:.1}\" fill=\"{colour}\">{}</text>",
+                    at + 4.0,
+                    escaped(&what)
+                );
+            }
+        }
+        svg + "</svg>\n"
+    }
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let verdict = if self.held() { "held" } else { "DID NOT HOLD" };
+        writeln!(f, "{}: {verdict} ({:.1} s, seed {})", self.title, self.length_ms / 1000.0, self.seed)?;
+        for b in &self.broken {
+            writeln!(f, "  broken: {} at {:.1} s by {}: {}", b.rule, b.at_ms / 1000.0, b.who, b.what)?;
+        }
+        for m in &self.met {
+            let word = if m.held { "held after" } else { "not within" };
+            writeln!(
+                f,
+                "  {} {word} {:.1} s{}{}",
+                m.expect,
+                m.took_ms / 1000.0,
+                if m.held { "" } else { ": " },
+                if m.held { "" } else { &m.seen }
+            )?;
+        }
+        let Scans { asked, completed, refused, abandoned, killed, unreached, p50_ms, p99_ms } = self.scans;
+        writeln!(
+            f,
+            "  scans {asked}: completed {completed}, refused {refused}, abandoned {abandoned}, with a killed mixer {killed}, \
+             unreached {unreached}; p50 {p50_ms:.0} ms, p99 {p99_ms:.0} ms"
+        )?;
+        for h in &self.hung {
+            let marked: Vec<String> = h.marked_ms.iter().map(|ms| format!("{ms:.0}")).collect();
+            writeln!(
+                f,
+                "  {} hung: marked after {} ms, {} parts sent there",
+                h.searcher,
+                marked.join(", "),
+                h.parts
+            )?;
+        }
+        if !self.held() {
+            for line in &self.timeline {
+                writeln!(f, "  {:>7.2} {:<4} {}", line.at_ms / 1000.0, line.who, line.what)?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/drill/src/rig.rs
@@ -0,0 +1,716 @@
+//! The rig: starts what a script names, does what it says, and looks at what comes of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result, bail};
+use rustix::process::Signal;
+use serde_json::Value;
+
+use crate::gate::{self, Manner, Mode, Target, Way};
+use crate::process::{Files, Process};
+use crate::report::{Broken, Hung, Line, Met, Report, Scans};
+use crate::script::{Deed, Expect, Kept, Script, Ways};
+use crate::stand::{
+    self, Arrived, Asked, Clients, Front, Outcome, Searchers, State, TIMEOUT_MS, WORK_MS, wall_ms,
+};
+
+/// How a drill is run.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program of the mixer.
+    pub program: PathBuf,
+    pub seed: u64,
+    /// Where the files of the processes stay; else they go with the drill.
+    pub keep: Option<PathBuf>,
+    /// The mixers share nothing, for comparison.
+    pub alone: bool,
+}
+
+/// The fleet has so long to come up before the first step.
+const UP: Duration = Duration::from_secs(60);
+/// How often it is looked whether something expected has come about.
+const LOOK: Duration = Duration::from_millis(50);
+/// A process that is asked to end has so long: past the longest query timeout and what draining takes.
+const END: Duration = Duration::from_secs(30);
+/// A searcher that died is taken from the list after so long.
+const DELIST_MS: f64 = 1000.0;
+/// Of a drain, what a mixer may still send while it is told, on a machine that is busy: the rule's quarter of a second and
+/// what processes may wait for a core. One that does not keep it goes on for as long as it is asked.
+const DRAIN_MS: f64 = 3000.0;
+/// A searcher that has come back is cold for so long, and bears this share of its full rate at the begin.
+const WARM_MS: f64 = 10_000.0;
+const COLD_FROM: f64 = 0.2;
+const TIP: f64 = 2.0;
+const FALL_MS: f64 = 1000.0;
+
+/// Something that is to be done at a time.
+#[derive(Clone, Debug)]
+enum Do {
+    Deed(Deed),
+    Continue(usize, u64),
+    Delist(usize),
+}
+
+/// From when to when something held for a mixer, in milliseconds.
+type Span = (usize, f64, f64);
+
+struct Rig<'a> {
+    script: &'a Script,
+    options: &'a Options,
+    dir: PathBuf,
+    searchers: Searchers,
+    ways: Vec<Vec<Arc<Way>>>,
+    gates: Vec<Vec<Option<SocketAddr>>>,
+    targets: Vec<Target>,
+    finding: Vec<(Arc<Way>, SocketAddr)>,
+    processes: Vec<Option<Process>>,
+    /// Processes whose name another has taken.
+    others: Vec<(usize, Process)>,
+    front: Front,
+    began: Instant,
+    starts: u64,
+    timeline: Vec<Line>,
+    broken: Vec<Broken>,
+    /// Processes that were ended by the script, and when.
+    ended: BTreeMap<u64, f64>,
+    stalls: Vec<Span>,
+    blind: Vec<Span>,
+    drains: Vec<(usize, f64)>,
+    returned: Vec<(usize, f64)>,
+    hung: Vec<(usize, f64)>,
+}
+
+/// Runs one drill.
+///
+/// # Errors
+/// If the rig itself can't be set up: a port, a file, the program. What the drill shows is in the report.
+pub fn run(script: &Script, options: &Options) -> Result<Report> {
+    static DRILLS: AtomicU64 = AtomicU64::new(0);
+    let nth = DRILLS.fetch_add(1, Ordering::SeqCst);
+    let dir = options.keep.clone().unwrap_or_else(std::env::temp_dir);
+    let dir = dir.join(format!("drill-{}-{nth}", std::process::id()));
+    let rig = Rig::open(script, options, dir.clone());
+    let report = rig.and_then(Rig::play);
+    if options.keep.is_none() {
+        let _ = fs::remove_dir_all(&dir); // what can't be removed stays behind
+    }
+    report
+}
+
+impl<'a> Rig<'a> {
+    fn open(script: &'a Script, options: &'a Options, dir: PathBuf) -> Result<Self> {
+        let n = script.mixers;
+        let searchers = Searchers::start(script.searchers).context("searchers")?;
+        let ways: Vec<Vec<Arc<Way>>> = (0..n).map(|_| (0..n).map(|_| Arc::default()).collect()).collect();
+        let targets: Vec<Target> = (0..n).map(|_| Target::default()).collect();
+        let mut gates = vec![vec![None; n]; n];
+        for (a, row) in gates.iter_mut().enumerate() {
+            for (b, place) in row.iter_mut().enumerate().filter(|(b, _)| *b != a) {
+                let at = gate::open(targets[b].clone(), ways[a][b].clone(), ways[b][a].clone())
+                    .context("a gate")?;
+                *place = Some(at);
+            }
+        }
+        let mut finding = Vec::new();
+        for _ in 0..n {
+            let at = stand::discovery(&searchers.lists).context("discovery")?;
+            let way: Arc<Way> = Arc::default();
+            let gate =
+                gate::open(Arc::new(Mutex::new(Some(at))), way.clone(), Arc::default()).context("a gate")?;
+            finding.push((way, gate));
+        }
+        Ok(Self {
+            script,
+            options,
+            dir,
+            searchers,
+            ways,
+            gates,
+            targets,
+            finding,
+            processes: (0..n).map(|_| None).collect(),
+            others: Vec::new(),
+            front: Arc::new(Mutex::new(vec![None; n])),
+            began: Instant::now(),
+            starts: 0,
+            timeline: Vec::new(),
+            broken: Vec::new(),
+            ended: BTreeMap::new(),
+            stalls: Vec::new(),
+            blind: Vec::new(),
+            drains: Vec::new(),
+            returned: Vec::new(),
+            hung: Vec::new(),
+        })
+    }
+
+    fn ms(&self, at: Instant) -> f64 {
+        match at.checked_duration_since(self.began) {
+            Some(after) => after.as_secs_f64() * 1000.0,
+            None => -(self.began - at).as_secs_f64() * 1000.0,
+        }
+    }
+
+    fn now(&self) -> f64 {
+        self.ms(Instant::now())
+    }
+
+    fn tell(&mut self, who: &str, what: impl Into<String>) {
+        let at_ms = self.now();
+        self.timeline.push(Line { at_ms, who: who.to_owned(), what: what.into() });
+    }
+
+    fn breaks(&mut self, rule: &'static str, at_ms: f64, who: String, what: String) {
+        // One of a kind says enough; hundreds hide it.
+        if self.broken.iter().filter(|b| b.rule == rule).count() < 5 {
+            self.broken.push(Broken { rule, at_ms, who, what });
+        }
+    }
+
+    fn launch(&mut self, m: usize) -> Result<Process> {
+        self.starts += 1;
+        let name = format!("m{}", m + 1);
+        let peers: Vec<(String, SocketAddr)> = self.gates[m]
+            .iter()
+            .enumerate()
+            .filter_map(|(b, at)| Some((format!("m{}", b + 1), (*at)?)))
+            .collect();
+        let files = Files {
+            program: &self.options.program,
+            dir: &self.dir.join(&name),
+            name: &name,
+            mixers: self.script.mixers,
+            discovery: self.finding[m].1,
+            peers: &peers,
+            seed: self
+                .options
+                .seed
+                .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+                .wrapping_add((m as u64) << 32 | self.starts),
+            number: self.starts,
+            alone: self.options.alone || peers.is_empty(),
+        };
+        Process::start(&files)
+    }
+
+    /// Waits until it can be reached, and leads the others and the clients there.
+    fn admit(&mut self, m: usize, process: &Process) -> Result<()> {
+        let alone = self.options.alone || self.script.mixers == 1;
+        let (clients, mixers) = process.until_ready(alone).with_context(|| format!("m{}", m + 1))?;
+        *self.targets[m].lock().unwrap_or_else(PoisonError::into_inner) = mixers;
+        self.front.lock().unwrap_or_else(PoisonError::into_inner)[m] = Some((process.number, clients));
+        Ok(())
+    }
+
+    fn play(mut self) -> Result<Report> {
+        for m in 0..self.script.mixers {
+            let process = self.launch(m)?;
+            self.processes[m] = Some(process);
+        }
+        for m in 0..self.script.mixers {
+            let Some(process) = self.processes[m].take() else { continue };
+            let admitted = self.admit(m, &process);
+            self.processes[m] = Some(process);
+            admitted?;
+        }
+        let until = Instant::now() + UP;
+        while !self.options.alone && !self.agreed().0 {
+            if Instant::now() > until {
+                bail!("the fleet did not come up: {}", self.agreed().1);
+            }
+            thread::sleep(LOOK);
+        }
+        self.began = Instant::now();
+        let clients =
+            Clients::start(self.script.load, self.front.clone(), self.options.seed).context("clients")?;
+        let mut agenda: Vec<(f64, Do)> =
+            self.script.steps.iter().map(|s| (s.at_ms, Do::Deed(s.deed.clone()))).collect();
+        while !agenda.is_empty() {
+            let (at, what) = agenda.remove(0);
+            self.wait_until(at);
+            for later in self.carry_out(what)? {
+                let place = agenda.partition_point(|(other, _)| *other <= later.0);
+                agenda.insert(place, later);
+            }
+        }
+        let mut met = Vec::new();
+        for expect in self.script.expects.iter().filter(|e| !matches!(e, Expect::Answered { .. })) {
+            met.push(self.meet(expect));
+        }
+        // Whoever was told of a drain has had its time to show that it keeps it.
+        let drained = self.drains.iter().map(|d| d.1 + DRAIN_MS + 500.0).fold(0.0, f64::max);
+        self.wait_until(drained);
+        let length_ms = self.now();
+        let asked = clients.end();
+        self.end();
+        let arrived = self.searchers.arrived();
+        self.check_answers(&asked);
+        self.check_twice(&arrived);
+        self.check_drains(&arrived, length_ms);
+        self.check_cold(&arrived);
+        let scans = self.scans(&asked);
+        for expect in &self.script.expects {
+            if let Expect::Answered { share } = expect {
+                let got = scans.completed as f64 / scans.asked.max(1) as f64;
+                let seen = format!("{got:.3}");
+                met.push(Met { expect: expect.to_string(), held: got >= *share, took_ms: 0.0, seen });
+            }
+        }
+        let hung = self.hangs(&arrived);
+        self.gather_lines();
+        let mut timeline = std::mem::take(&mut self.timeline);
+        timeline.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+        Ok(Report {
+            title: self.script.title.clone(),
+            seed: self.options.seed,
+            mixers: self.script.mixers,
+            broken: std::mem::take(&mut self.broken),
+            met,
+            scans,
+            hung,
+            timeline,
+            length_ms,
+        })
+    }
+
+    /// Lets time go by, and sees that no process ends meanwhile.
+    fn wait_until(&mut self, at_ms: f64) {
+        loop {
+            self.watch();
+            let left = at_ms - self.now();
+            if left <= 0.0 {
+                return;
+            }
+            thread::sleep(LOOK.min(Duration::from_secs_f64(left / 1000.0)));
+        }
+    }
+
+    /// Processes that have ended though nobody asked.
+    fn watch(&mut self) {
+        let now = self.now();
+        let mut over = Vec::new();
+        let held = self.processes.iter_mut().enumerate().filter_map(|(m, p)| Some((m, p.as_mut()?)));
+        for (m, process) in held.chain(self.others.iter_mut().map(|(m, p)| (*m, p))) {
+            if !self.ended.contains_key(&process.number)
+                && let Ok(Some(status)) = process.child.try_wait()
+            {
+                over.push((m, process.number, status));
+            }
+        }
+        for (m, number, status) in over {
+            self.ended.insert(number, now);
+            self.breaks("no process ends unasked", now, format!("m{}", m + 1), status.to_string());
+        }
+    }
+
+    fn ways(&self, ways: &Ways) -> Vec<Arc<Way>> {
+        ways.iter().map(|(a, b)| self.ways[*a][*b].clone()).collect()
+    }
+
+    fn set(&self, ways: &Ways, change: impl Fn(&mut Manner)) {
+        for way in self.ways(ways) {
+            let mut manner = way.manner();
+            change(&mut manner);
+            way.set(manner);
+        }
+    }
+
+    fn carry_out(&mut self, what: Do) -> Result<Vec<(f64, Do)>> {
+        let now = self.now();
+        let mut later = Vec::new();
+        let deed = match what {
+            Do::Deed(deed) => deed,
+            Do::Continue(m, number) => {
+                if let Some(process) = self.processes[m].as_ref().filter(|p| p.number == number) {
+                    process.signal(Signal::CONT);
+                    self.tell("rig", format!("m{} goes on", m + 1));
+                }
+                return Ok(later);
+            }
+            Do::Delist(s) => {
+                self.searchers.list(s, "removed", None);
+                return Ok(later);
+            }
+        };
+        self.tell("rig", deed.to_string());
+        match deed {
+            Deed::Partition(groups) => {
+                let n = self.script.mixers;
+                let group = |m: usize| groups.iter().position(|g| g.contains(&m)).unwrap_or(n + m);
+                let between = |a: usize| (0..n).filter(move |b| *b != a).map(move |b| (a, b));
+                let ways: Ways = (0..n).flat_map(between).filter(|(a, b)| group(*a) != group(*b)).collect();
+                self.set(&ways, |m| m.mode = Mode::Drop);
+            }
+            Deed::Cut(ways) => self.set(&ways, |m| m.mode = Mode::Cut),
+            Deed::Drop(ways) => self.set(&ways, |m| m.mode = Mode::Drop),
+            Deed::Refuse(ways) => self.set(&ways, |m| m.mode = Mode::Refuse),
+            Deed::HalfOpen(ways) => self.set(&ways, |m| m.mode = Mode::HalfOpen),
+            Deed::Delay(ways, ms) => self.set(&ways, |m| m.delay_ms = ms),
+            Deed::Slow(ways, rate) => self.set(&ways, |m| m.rate = rate),
+            Deed::Flip(ways) => self.set(&ways, |m| m.flip = true),
+            Deed::Heal(Some(ways)) => self.set(&ways, |m| *m = Manner::default()),
+            Deed::Heal(None) => {
+                self.ways.iter().flatten().for_each(|way| way.set(Manner::default()));
+                let all: Vec<usize> = (0..self.script.mixers).collect();
+                self.finds(&all, now);
+            }
+            Deed::Stall(m, ms) => {
+                if let Some(process) = &self.processes[m] {
+                    process.signal(Signal::STOP);
+                    later.push((now + ms, Do::Continue(m, process.number)));
+                    self.stalls.push((m, now, now + ms));
+                }
+            }
+            Deed::Kill(m) => {
+                if let Some(mut process) = self.leave(m, now) {
+                    let _ = process.child.kill(); // it may have ended
+                    let _ = process.child.wait();
+                    self.others.push((m, process));
+                }
+            }
+            Deed::Term(m) => {
+                if let Some(process) = self.leave(m, now) {
+                    process.signal(Signal::TERM);
+                    self.others.push((m, process));
+                }
+            }
+            Deed::Start(m, kept) => {
+                if self.processes[m].is_none() {
+                    if kept == Kept::Fresh {
+                        let _ = fs::remove_dir_all(self.dir.join(format!("m{}", m + 1))); // or there is none
+                    }
+                    let process = self.launch(m)?;
+                    self.admit(m, &process)?;
+                    self.processes[m] = Some(process);
+                }
+            }
+            Deed::Twin(m) => {
+                let process = self.launch(m)?;
+                self.admit(m, &process)?;
+                // The others' connections to the earlier end, as where an address goes over to another host.
+                let ways: Ways = (0..self.script.mixers).filter(|a| *a != m).map(|a| (a, m)).collect();
+                for way in self.ways(&ways) {
+                    let manner = way.manner();
+                    way.set(Manner { mode: Mode::Cut, ..manner });
+                    way.set(manner);
+                }
+                if let Some(earlier) = self.processes[m].replace(process) {
+                    self.others.push((m, earlier));
+                }
+            }
+            Deed::Hang(s) => {
+                self.searchers.set(s, State::Hangs);
+                self.hung.push((s, now));
+            }
+            Deed::Die(s) => {
+                self.searchers.set(s, State::Dead);
+                later.push((now + DELIST_MS, Do::Delist(s)));
+            }
+            Deed::Return(s) => {
+                self.searchers.set(s, State::Up);
+                self.searchers.list(s, "up", Some(wall_ms()));
+                self.returned.push((s, now));
+                self.drains.retain(|d| d.0 != s);
+            }
+            Deed::Drain(s) => {
+                self.searchers.list(s, "draining", None);
+                self.drains.push((s, now));
+            }
+            Deed::LoseDiscovery(mixers) => {
+                let all: Vec<usize> = (0..self.script.mixers).collect();
+                for m in if mixers.is_empty() { all } else { mixers } {
+                    self.finding[m].0.set(Manner { mode: Mode::Cut, ..Manner::default() });
+                    self.blind.push((m, now, f64::INFINITY));
+                }
+            }
+            Deed::FindDiscovery(mixers) => {
+                let all: Vec<usize> = (0..self.script.mixers).collect();
+                self.finds(if mixers.is_empty() { &all } else { &mixers }, now);
+            }
+        }
+        Ok(later)
+    }
+
+    fn finds(&mut self, mixers: &[usize], now: f64) {
+        for m in mixers {
+            self.finding[*m].0.set(Manner::default());
+            self.blind.iter_mut().filter(|b| b.0 == *m && b.2 > now).for_each(|b| b.2 = now);
+        }
+    }
+
+    /// A mixer's process ends by the script: clients and the others find it no more.
+    fn leave(&mut self, m: usize, now: f64) -> Option<Process> {
+        let process = self.processes[m].take()?;
+        self.front.lock().unwrap_or_else(PoisonError::into_inner)[m] = None;
+        self.ended.insert(process.number, now);
+        *self.targets[m].lock().unwrap_or_else(PoisonError::into_inner) = None;
+        Some(process)
+    }
+
+    /// What each that runs sees, by its number.
+    fn views(&self) -> Vec<(usize, Option<Value>)> {
+        self.processes.iter().enumerate().filter_map(|(m, p)| Some((m, p.as_ref()?.fleet()))).collect()
+    }
+
+    /// Whether all that run have the same, have caught up and see each other; what is seen.
+    fn agreed(&self) -> (bool, String) {
+        let views = self.views();
+        let sums: BTreeSet<&str> = views
+            .iter()
+            .map(|(_, v)| v.as_ref().and_then(|v| v["sum"].as_str()).unwrap_or("silent"))
+            .collect();
+        let alive = |v: &Value| members(v) == views.len();
+        let caught = |v: &Value| v["progress"] == "caught up" || views.len() == 1 && v["progress"] == "alone";
+        let all = views.iter().all(|(_, v)| v.as_ref().is_some_and(|v| alive(v) && caught(v)));
+        let seen = views.iter().map(|(m, v)| match v {
+            Some(v) => format!("m{}: {} members, {}, sum {}", m + 1, members(v), v["progress"], v["sum"]),
+            None => format!("m{}: silent", m + 1),
+        });
+        (all && sums.len() <= 1, seen.collect::<Vec<_>>().join("; "))
+    }
+
+    fn meet(&mut self, expect: &Expect) -> Met {
+        let within = match expect {
+            Expect::Agree { within_ms }
+            | Expect::Members { within_ms, .. }
+            | Expect::Aside { within_ms, .. } => *within_ms,
+            Expect::Answered { .. } => 0.0,
+        };
+        let began = self.now();
+        loop {
+            let (held, seen) = match expect {
+                Expect::Agree { .. } => self.agreed(),
+                Expect::Members { count, .. } => {
+                    let views = self.views();
+                    let held = views.iter().all(|(_, v)| v.as_ref().is_some_and(|v| members(v) == *count));
+                    let seen = views
+                        .iter()
+                        .map(|(m, v)| format!("m{} sees {}", m + 1, v.as_ref().map_or(0, members)));
+                    (held, seen.collect::<Vec<_>>().join(", "))
+                }
+                Expect::Aside { mixer, .. } => {
+                    let others =
+                        self.others.iter().filter(|(m, p)| m == mixer && !self.ended.contains_key(&p.number));
+                    let standing =
+                        |p: &Process| p.fleet().map_or("silent".to_owned(), |v| v["standing"].to_string());
+                    let seen: Vec<String> = others.map(|(_, p)| standing(p)).collect();
+                    (seen.iter().any(|s| s.contains("aside")), seen.join(", "))
+                }
+                Expect::Answered { .. } => (true, String::new()),
+            };
+            let took_ms = self.now() - began;
+            if held || took_ms >= within {
+                return Met { expect: expect.to_string(), held, took_ms, seen };
+            }
+            self.watch();
+            thread::sleep(LOOK);
+        }
+    }
+
+    /// Asks all that run to end, and sees that they do.
+    fn end(&mut self) {
+        let now = self.now();
+        let running: Vec<(usize, Process)> =
+            self.processes.iter_mut().enumerate().filter_map(|(m, p)| Some((m, p.take()?))).collect();
+        for (m, process) in running {
+            process.signal(Signal::CONT);
+            process.signal(Signal::TERM);
+            self.others.push((m, process));
+        }
+        let mut bad = Vec::new();
+        let killed: BTreeSet<u64> = self
+            .timeline
+            .iter()
+            .filter(|l| l.who == "rig" && l.what.starts_with("(kill"))
+            .flat_map(|l| self.ended.iter().filter(|e| (e.1 - l.at_ms).abs() < 5.0).map(|e| *e.0))
+            .collect();
+        for (m, process) in &mut self.others {
+            if !self.ended.contains_key(&process.number) {
+                process.signal(Signal::TERM);
+            }
+            match process.ends(END) {
+                Some(status) if status.success() || killed.contains(&process.number) => {}
+                Some(status) => bad.push((*m, format!("it was asked to end, and ended with {status}"))),
+                None => bad.push((*m, "it was asked to end, and did not".to_owned())),
+            }
+        }
+        for (m, what) in bad {
+            self.breaks("no process ends unasked", now, format!("m{}", m + 1), what);
+        }
+    }
+
+    fn stalled(&self, m: usize, from: f64, to: f64) -> bool {
+        self.stalls.iter().any(|s| s.0 == m && s.1 <= to && s.2 + DRAIN_MS >= from)
+    }
+
+    fn check_answers(&mut self, asked: &[Asked]) {
+        let mut bad = Vec::new();
+        for one in asked {
+            let killed = self.ended.get(&one.process).is_some_and(|at| *at <= self.ms(one.ended) + 100.0);
+            let what = match one.outcome {
+                Outcome::Lost | Outcome::Silent if !killed => format!("{} got no answer", one.id),
+                Outcome::Other(status) => format!("{} was answered {status}", one.id),
+                _ if one.twice => format!("{} was answered twice", one.id),
+                _ => continue,
+            };
+            bad.push((self.ms(one.ended), one.mixer, what));
+        }
+        for (at, m, what) in bad {
+            self.breaks("each scan gets one final answer", at, format!("m{}", m + 1), what);
+        }
+    }
+
+    /// An entry, of one part, may reach one searcher only.
+    fn check_twice(&mut self, arrived: &[Arrived]) {
+        let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut bad = Vec::new();
+        for one in arrived {
+            let nth = one.part.split('.').next().and_then(|id| id.rsplit('-').next()?.parse::<u64>().ok());
+            if nth.is_some_and(|n| n.is_multiple_of(5))
+                && let Some(first) = seen.insert(&one.part, one.searcher)
+            {
+                bad.push((one.at, first, one.searcher, one.part.clone()));
+            }
+        }
+        for (at, first, second, part) in bad {
+            let at = self.ms(at);
+            let what = format!("{part} reached s{} after s{}", second + 1, first + 1);
+            self.breaks(
+                "nothing runs twice that may not",
+                at,
+                part.split('-').next().unwrap_or("?").to_owned(),
+                what,
+            );
+        }
+    }
+
+    fn check_drains(&mut self, arrived: &[Arrived], length_ms: f64) {
+        let mut bad = Vec::new();
+        for (s, at) in &self.drains {
+            for one in arrived.iter().filter(|a| a.searcher == *s) {
+                let when = self.ms(one.at);
+                let mixer =
+                    one.part.split('-').next().and_then(|m| m.strip_prefix('m')?.parse::<usize>().ok());
+                let Some(m) = mixer.map(|m| m - 1) else { continue };
+                // Whoever could not be told, or stood still, is not held to it here.
+                let told = !self.blind.iter().any(|b| b.0 == m && b.1 <= when && b.2 + DRAIN_MS >= *at);
+                if when > at + DRAIN_MS && when < length_ms && told && !self.stalled(m, *at, when) {
+                    bad.push((
+                        when,
+                        m,
+                        format!("{} reached s{} that drains since {at:.0} ms", one.part, s + 1),
+                    ));
+                }
+            }
+        }
+        for (at, m, what) in bad {
+            self.breaks("drains are kept", at, format!("m{}", m + 1), what);
+        }
+    }
+
+    /// The parts that reach a cold searcher in any span in which it would fall.
+    fn check_cold(&mut self, arrived: &[Arrived]) {
+        let mut bad = Vec::new();
+        for (s, back) in &self.returned {
+            let times: Vec<f64> = arrived
+                .iter()
+                .filter(|a| a.searcher == *s)
+                .map(|a| self.ms(a.at))
+                .filter(|at| at >= back && at - back < WARM_MS)
+                .collect();
+            for (nth, at) in times.iter().enumerate() {
+                let able = COLD_FROM + (1.0 - COLD_FROM) * (at - back) / WARM_MS;
+                let bound = TIP * able * FALL_MS / WORK_MS as f64;
+                let within = times[nth..].iter().take_while(|t| **t < at + FALL_MS).count();
+                if within as f64 > bound {
+                    bad.push((*at, *s, format!("{within} parts in a second, {bound:.0} make it fall")));
+                    break;
+                }
+            }
+        }
+        for (at, s, what) in bad {
+            self.breaks("no cold searcher is pushed over", at, format!("s{}", s + 1), what);
+        }
+    }
+
+    fn scans(&self, asked: &[Asked]) -> Scans {
+        let mut scans = Scans::default();
+        let mut took = Vec::new();
+        for one in asked {
+            let ms = (one.ended - one.began).as_secs_f64() * 1000.0;
+            match one.outcome {
+                Outcome::Completed if ms <= TIMEOUT_MS as f64 => {
+                    scans.completed += 1;
+                    took.push(ms);
+                }
+                Outcome::Completed | Outcome::Abandoned | Outcome::Other(_) => scans.abandoned += 1,
+                Outcome::Refused => scans.refused += 1,
+                Outcome::Lost | Outcome::Silent => scans.killed += 1,
+                Outcome::Unreached => scans.unreached += 1,
+            }
+            scans.asked += usize::from(one.outcome != Outcome::Unreached);
+        }
+        took.sort_by(f64::total_cmp);
+        let at = |share: f64| {
+            took.get(((took.len() as f64 * share) as usize).min(took.len().saturating_sub(1))).copied()
+        };
+        (scans.p50_ms, scans.p99_ms) = (at(0.5).unwrap_or(0.0), at(0.99).unwrap_or(0.0));
+        scans
+    }
+
+    fn hangs(&self, arrived: &[Arrived]) -> Vec<Hung> {
+        let hung = self.hung.iter().map(|(s, from)| {
+            let back = self
+                .returned
+                .iter()
+                .filter(|r| r.0 == *s && r.1 > *from)
+                .map(|r| r.1)
+                .fold(f64::INFINITY, f64::min);
+            let address = self.searchers.at[*s].to_string();
+            let processes = self.others.iter().map(|o| &o.1);
+            let marked = processes.filter_map(|p| {
+                let told = p.told.0.lock().unwrap_or_else(PoisonError::into_inner);
+                let line = told.lines.iter().find(|(at, line)| {
+                    line.contains(&address)
+                        && line.contains(" marked at ")
+                        && self.ms(*at) >= *from
+                        && self.ms(*at) < back
+                });
+                line.map(|(at, _)| (self.ms(*at) - from).round())
+            });
+            let mut marked_ms: Vec<f64> = marked.collect();
+            marked_ms.sort_by(f64::total_cmp);
+            let within = |a: &&Arrived| a.searcher == *s && self.ms(a.at) >= *from && self.ms(a.at) < back;
+            Hung { searcher: format!("s{}", s + 1), marked_ms, parts: arrived.iter().filter(within).count() }
+        });
+        hung.collect()
+    }
+
+    /// What the processes said goes into the timeline.
+    fn gather_lines(&mut self) {
+        let mut lines = Vec::new();
+        for (m, process) in &self.others {
+            let told = process.told.0.lock().unwrap_or_else(PoisonError::into_inner);
+            for (at, line) in told.lines.iter().take(400) {
+                // Time, level and target stand first.
+                let what = line.splitn(4, ' ').last().unwrap_or(line).trim_start();
+                let what = what.split_once(": ").map_or(what, |w| w.1);
+                lines.push(Line { at_ms: self.ms(*at), who: format!("m{}", m + 1), what: what.to_owned() });
+            }
+        }
+        self.timeline.extend(lines);
+    }
+}
+
+/// Mixers that one sees alive, itself among them.
+fn members(view: &Value) -> usize {
+    let alive = |m: &&Value| m["life"] == "alive" || m["life"] == "suspect";
+    1 + view["members"].as_array().map_or(0, |all| all.iter().filter(alive).count())
+}
--- /dev/null
+++ b/crates/drill/src/script.rs
@@ -0,0 +1,392 @@
+//! The language of drills.
+
+use std::fmt;
+
+use pewterwharf_settings::form::{At, Fault, Kind, Node, read, unexpected};
+
+/// Mixers and searchers that one drill may have: each mixer is a process, each pair of mixers two gates.
+const MOST_MIXERS: u32 = 16;
+const MOST_SEARCHERS: u32 = 64;
+/// Scans in a second.
+const MOST_LOAD: u32 = 2000;
+/// What an expectation is given, where it does not say.
+const WITHIN_MS: f64 = 10_000.0;
+
+/// Directed ways: from each of the first to each of the second.
+pub type Ways = Vec<(usize, usize)>;
+
+/// What of a mixer's files a start finds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    Kept,
+    Fresh,
+}
+
+/// What is done at a time. Mixers and searchers are counted from zero.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Deed {
+    /// Groups between which nothing passes; who is in none is a group of its own.
+    Partition(Vec<Vec<usize>>),
+    /// Connections are reset, and new ones end at once.
+    Cut(Ways),
+    /// Bytes are swallowed.
+    Drop(Ways),
+    /// Connections are taken and reset before anything passes; those that are there stay.
+    Refuse(Ways),
+    /// Connections end on the far side, and nobody tells the near one.
+    HalfOpen(Ways),
+    Delay(Ways, f64),
+    /// So many bytes a second.
+    Slow(Ways, f64),
+    /// One byte of each piece is another.
+    Flip(Ways),
+    /// All ways, where none is named; those to discovery among them.
+    Heal(Option<Ways>),
+    Stall(usize, f64),
+    Kill(usize),
+    Term(usize),
+    Start(usize, Kept),
+    /// A second process under the name of a mixer that runs; the others' ways lead to it from then on.
+    Twin(usize),
+    Hang(usize),
+    Die(usize),
+    Return(usize),
+    Drain(usize),
+    LoseDiscovery(Vec<usize>),
+    FindDiscovery(Vec<usize>),
+}
+
+/// A deed and its time, in milliseconds from when the fleet has come up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    pub at_ms: f64,
+    pub deed: Deed,
+}
+
+/// What is expected after the last step, with the time from then within which it has to come about.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Expect {
+    /// All that run hold the same copies and have caught up.
+    Agree { within_ms: f64 },
+    /// Each that runs sees so many mixers alive, itself among them.
+    Members { count: usize, within_ms: f64 },
+    /// So great a share of all scans was completed.
+    Answered { share: f64 },
+    /// A mixer stands aside from the fleet, as a later process has its name.
+    Aside { mixer: usize, within_ms: f64 },
+}
+
+/// A drill.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Script {
+    pub title: String,
+    pub mixers: usize,
+    pub searchers: usize,
+    /// Scans in a second, of all mixers together.
+    pub load: u32,
+    pub steps: Vec<Step>,
+    pub expects: Vec<Expect>,
+}
+
+const DEEDS: [&str; 20] = [
+    "partition",
+    "cut",
+    "drop",
+    "refuse",
+    "half-open",
+    "delay",
+    "slow",
+    "flip",
+    "heal",
+    "stall",
+    "kill",
+    "term",
+    "start",
+    "twin",
+    "hang",
+    "die",
+    "return",
+    "drain",
+    "lose-discovery",
+    "find-discovery",
+];
+const EXPECTS: [&str; 4] = ["agree", "members", "answered", "aside"];
+
+impl Script {
+    /// Reads all drills of a text.
+    ///
+    /// # Errors
+    /// The place of the first word that can't be read, and what was expected there.
+    pub fn read(text: &str) -> Result<Vec<Self>, Fault> {
+        let nodes = read(text)?;
+        if nodes.is_empty() {
+            let what = "found nothing, expected (drill \"TITLE\" (mixers N) ...)".to_owned();
+            return Err(Fault { at: At { line: 1, column: 1 }, what });
+        }
+        nodes.iter().map(Self::one).collect()
+    }
+
+    fn one(node: &Node) -> Result<Self, Fault> {
+        let (word, rest) = node.call("(drill \"TITLE\" (mixers N) ...)")?;
+        if word != "drill" {
+            return Err(unexpected(node, word, &["drill"]));
+        }
+        let Some((title, rest)) = rest.split_first() else {
+            return Err(node.fault("found (drill), expected a title in quotes"));
+        };
+        let mut script = Self {
+            title: title.text("a title")?.to_owned(),
+            mixers: 3,
+            searchers: 4,
+            load: 20,
+            steps: Vec::new(),
+            expects: Vec::new(),
+        };
+        // The numbers first, wherever they stand: names of mixers are held against them.
+        for node in rest {
+            match node.call("(mixers N), (at TIME DEED) or (expect ...)")? {
+                ("mixers", [n]) => script.mixers = n.count("mixers", 1, MOST_MIXERS)? as usize,
+                ("searchers", [n]) => script.searchers = n.count("searchers", 1, MOST_SEARCHERS)? as usize,
+                ("load", [n]) => script.load = n.count("load", 0, MOST_LOAD)?,
+                ("at" | "expect", _) => {}
+                (key @ ("mixers" | "searchers" | "load"), values) => {
+                    return Err(node.fault(format!("{key} has {} values, expected one", values.len())));
+                }
+                (other, _) => {
+                    return Err(unexpected(node, other, &["mixers", "searchers", "load", "at", "expect"]));
+                }
+            }
+        }
+        for node in rest {
+            match node.call("")? {
+                ("at", [time, deed]) => {
+                    let at_ms = time.time_ms("a time")?;
+                    script.steps.push(Step { at_ms, deed: script.deed(deed)? });
+                }
+                ("at", _) => return Err(node.fault("expected (at TIME DEED)")),
+                ("expect", [what]) => script.expects.push(script.expect(what)?),
+                ("expect", _) => return Err(node.fault("expected (expect (WHAT ...))")),
+                _ => {}
+            }
+        }
+        // Of one time, in the order in which they stand.
+        script.steps.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+        Ok(script)
+    }
+
+    fn named(node: &Node, letter: char, count: usize, what: &str) -> Result<usize, Fault> {
+        let word = node.word(what)?;
+        let number = word.strip_prefix(letter).and_then(|n| n.parse::<usize>().ok());
+        match number {
+            Some(n) if (1..=count).contains(&n) => Ok(n - 1),
+            _ => Err(node.fault(format!("found {word}, expected {what}, {letter}1 to {letter}{count}"))),
+        }
+    }
+
+    fn mixer(&self, node: &Node) -> Result<usize, Fault> {
+        Self::named(node, 'm', self.mixers, "a mixer")
+    }
+
+    fn searcher(&self, node: &Node) -> Result<usize, Fault> {
+        Self::named(node, 's', self.searchers, "a searcher")
+    }
+
+    /// `A B`, which is both ways, or `(from A) (to B)`.
+    fn ways(&self, whole: &Node, nodes: &[Node]) -> Result<Ways, Fault> {
+        let [a, b] = nodes else {
+            return Err(whole.fault("expected two mixers, as m1 m2, or one way, as (from m1) (to m2)"));
+        };
+        if let (Kind::List(_), Kind::List(_)) = (&a.kind, &b.kind) {
+            let end = |node: &Node, word: &str| match node.call(&format!("({word} MIXER)"))? {
+                (found, [mixer]) if found == word => self.mixer(mixer),
+                (other, _) => Err(unexpected(node, other, &[word])),
+            };
+            return Ok(vec![(end(a, "from")?, end(b, "to")?)]);
+        }
+        let (a, b) = (self.mixer(a)?, self.mixer(b)?);
+        Ok(vec![(a, b), (b, a)])
+    }
+
+    fn deed(&self, node: &Node) -> Result<Deed, Fault> {
+        let (word, args) = node.call("a deed, as (kill m2)")?;
+        let count = |n: usize| match args.len() {
+            found if found == n => Ok(()),
+            found => Err(node.fault(format!("{word} has {found} values, expected {n}"))),
+        };
+        let mixers = || args.iter().map(|a| self.mixer(a)).collect::<Result<Vec<_>, _>>();
+        match word {
+            "partition" => {
+                let group = |g: &Node| match &g.kind {
+                    Kind::List(names) => names.iter().map(|n| self.mixer(n)).collect::<Result<Vec<_>, _>>(),
+                    _ => Err(g.fault(format!("found {}, expected a group, as (m1 m2)", g.found()))),
+                };
+                let groups = args.iter().map(group).collect::<Result<Vec<_>, _>>()?;
+                if groups.is_empty() {
+                    return Err(node.fault("partition has no group, expected as (partition (m1 m2) (m3))"));
+                }
+                Ok(Deed::Partition(groups))
+            }
+            "cut" => Ok(Deed::Cut(self.ways(node, args)?)),
+            "drop" => Ok(Deed::Drop(self.ways(node, args)?)),
+            "refuse" => Ok(Deed::Refuse(self.ways(node, args)?)),
+            "half-open" => Ok(Deed::HalfOpen(self.ways(node, args)?)),
+            "flip" => Ok(Deed::Flip(self.ways(node, args)?)),
+            "delay" => match args {
+                [a, b, time] => {
+                    let ways = self.ways(node, &[a.clone(), b.clone()])?;
+                    Ok(Deed::Delay(ways, time.time_ms("a delay")?))
+                }
+                _ => Err(node.fault("expected two mixers and a time, as (delay m1 m2 200ms)")),
+            },
+            "slow" => match args {
+                [a, b, rate] => {
+                    Ok(Deed::Slow(self.ways(node, &[a.clone(), b.clone()])?, rate.figure("bytes a second")?))
+                }
+                _ => Err(node.fault("expected two mixers and bytes a second, as (slow m1 m2 10000)")),
+            },
+            "heal" if args.is_empty() => Ok(Deed::Heal(None)),
+            "heal" => Ok(Deed::Heal(Some(self.ways(node, args)?))),
+            "stall" => match args {
+                [mixer, time] => Ok(Deed::Stall(self.mixer(mixer)?, time.time_ms("a time")?)),
+                _ => Err(node.fault("expected a mixer and a time, as (stall m2 3s)")),
+            },
+            "start" => match args {
+                [mixer] => Ok(Deed::Start(self.mixer(mixer)?, Kept::Kept)),
+                [mixer, how] => {
+                    let kept = match how.word("fresh or kept")? {
+                        "fresh" => Kept::Fresh,
+                        "kept" => Kept::Kept,
+                        other => return Err(unexpected(how, other, &["fresh", "kept"])),
+                    };
+                    Ok(Deed::Start(self.mixer(mixer)?, kept))
+                }
+                _ => Err(node.fault("expected a mixer, as (start m4) or (start m4 fresh)")),
+            },
+            "kill" => count(1).and_then(|()| Ok(Deed::Kill(self.mixer(&args[0])?))),
+            "term" => count(1).and_then(|()| Ok(Deed::Term(self.mixer(&args[0])?))),
+            "twin" => count(1).and_then(|()| Ok(Deed::Twin(self.mixer(&args[0])?))),
+            "hang" => count(1).and_then(|()| Ok(Deed::Hang(self.searcher(&args[0])?))),
+            "die" => count(1).and_then(|()| Ok(Deed::Die(self.searcher(&args[0])?))),
+            "return" => count(1).and_then(|()| Ok(Deed::Return(self.searcher(&args[0])?))),
+            "drain" => count(1).and_then(|()| Ok(Deed::Drain(self.searcher(&args[0])?))),
+            "lose-discovery" => Ok(Deed::LoseDiscovery(mixers()?)),
+            "find-discovery" => Ok(Deed::FindDiscovery(mixers()?)),
+            other => Err(unexpected(node, other, &DEEDS)),
+        }
+    }
+
+    fn expect(&self, node: &Node) -> Result<Expect, Fault> {
+        let (word, args) = node.call("what is expected, as (agree (within 10s))")?;
+        let within = |rest: &[Node]| match rest {
+            [] => Ok(WITHIN_MS),
+            [one] => match one.call("(within TIME)")? {
+                ("within", [time]) => time.time_ms("a time"),
+                (other, _) => Err(unexpected(one, other, &["within"])),
+            },
+            [_, more, ..] => Err(more.fault(format!("found {}, expected nothing more", more.found()))),
+        };
+        match (word, args) {
+            ("agree", rest) => Ok(Expect::Agree { within_ms: within(rest)? }),
+            ("members", [count, rest @ ..]) => {
+                let count = count.count("members", 1, self.mixers as u32)? as usize;
+                Ok(Expect::Members { count, within_ms: within(rest)? })
+            }
+            ("answered", [share]) => {
+                let found = share.figure("a share")?;
+                if found > 1.0 {
+                    return Err(share.fault(format!("found {found}, expected a share up to 1")));
+                }
+                Ok(Expect::Answered { share: found })
+            }
+            ("aside", [mixer, rest @ ..]) => {
+                Ok(Expect::Aside { mixer: self.mixer(mixer)?, within_ms: within(rest)? })
+            }
+            (word, _) if EXPECTS.contains(&word) => {
+                Err(node.fault(format!("{word} has {} values, which do not fit it", args.len())))
+            }
+            (other, _) => Err(unexpected(node, other, &EXPECTS)),
+        }
+    }
+}
+
+fn time(ms: f64) -> String {
+    if ms >= 1000.0 && ms % 100.0 == 0.0 { format!("{}s", ms / 1000.0) } else { format!("{ms}ms") }
+}
+
+fn names(mixers: &[usize]) -> String {
+    mixers.iter().map(|m| format!("m{}", m + 1)).collect::<Vec<_>>().join(" ")
+}
+
+/// Both ways between two, or one.
+fn between(ways: &Ways) -> String {
+    match ways.as_slice() {
+        [(a, b), ..] if ways.len() == 2 => format!("m{} m{}", a + 1, b + 1),
+        [(a, b), ..] => format!("(from m{}) (to m{})", a + 1, b + 1),
+        [] => String::new(),
+    }
+}
+
+impl fmt::Display for Deed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Partition(groups) => {
+                let groups: Vec<String> = groups.iter().map(|g| format!("({})", names(g))).collect();
+                write!(f, "(partition {})", groups.join(" "))
+            }
+            Self::Cut(ways) => write!(f, "(cut {})", between(ways)),
+            Self::Drop(ways) => write!(f, "(drop {})", between(ways)),
+            Self::Refuse(ways) => write!(f, "(refuse {})", between(ways)),
+            Self::HalfOpen(ways) => write!(f, "(half-open {})", between(ways)),
+            Self::Delay(ways, ms) => write!(f, "(delay {} {})", between(ways), time(*ms)),
+            Self::Slow(ways, rate) => write!(f, "(slow {} {rate})", between(ways)),
+            Self::Flip(ways) => write!(f, "(flip {})", between(ways)),
+            Self::Heal(None) => f.write_str("(heal)"),
+            Self::Heal(Some(ways)) => write!(f, "(heal {})", between(ways)),
+            Self::Stall(m, ms) => write!(f, "(stall m{} {})", m + 1, time(*ms)),
+            Self::Kill(m) => write!(f, "(kill m{})", m + 1),
+            Self::Term(m) => write!(f, "(term m{})", m + 1),
+            Self::Start(m, Kept::Kept) => write!(f, "(start m{})", m + 1),
+            Self::Start(m, Kept::Fresh) => write!(f, "(start m{} fresh)", m + 1),
+            Self::Twin(m) => write!(f, "(twin m{})", m + 1),
+            Self::Hang(s) => write!(f, "(hang s{})", s + 1),
+            Self::Die(s) => write!(f, "(die s{})", s + 1),
+            Self::Return(s) => write!(f, "(return s{})", s + 1),
+            Self::Drain(s) => write!(f, "(drain s{})", s + 1),
+            Self::LoseDiscovery(mixers) => write!(f, "(lose-discovery {})", names(mixers)),
+            Self::FindDiscovery(mixers) => write!(f, "(find-discovery {})", names(mixers)),
+        }
+    }
+}
+
+impl fmt::Display for Expect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Agree { within_ms } => write!(f, "(agree (within {}))", time(*within_ms)),
+            Self::Members { count, within_ms } => {
+                write!(f, "(members {count} (within {}))", time(*within_ms))
+            }
+            Self::Answered { share } => write!(f, "(answered {share})"),
+            Self::Aside { mixer, within_ms } => {
+                write!(f, "(aside m{} (within {}))", mixer + 1, time(*within_ms))
+            }
+        }
+    }
+}
+
+impl fmt::Display for Script {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { title, mixers, searchers, load, steps, expects } = self;
+        write!(
+            f,
+            "(drill \"{}\" (mixers {mixers}) (searchers {searchers}) (load {load})",
+            title.replace('"', "'")
+        )?;
+        for step in steps {
+            write!(f, "\n  (at {} {})", time(step.at_ms), step.deed)?;
+        }
+        for expect in expects {
+            write!(f, "\n  (expect {expect})")?;
+        }
+        f.write_str(")\n")
+    }
+}
--- a/crates/mesh/src/frame.rs
+++ b/crates/mesh/src/frame.rs
@@ -29,6 +29,8 @@
     Long(usize),
     /// A hello of another format, whatever follows its number.
     Format(u16),
+    /// Its bytes are not those that were sent.
+    Sum,
     /// It is of no length, or not what its length says, or no word that is known.
     Malformed,
 }
@@ -38,6 +40,7 @@
         match self {
             Self::Long(length) => write!(f, "a frame of {length} bytes, {LONGEST} is the longest"),
             Self::Format(theirs) => write!(f, "a hello of format {theirs}"),
+            Self::Sum => f.write_str("a frame that was changed on its way"),
             Self::Malformed => f.write_str("a frame that can't be read"),
         }
     }
@@ -46,14 +49,15 @@
 impl std::error::Error for Unreadable {}
 
 impl Frame {
-    /// With its length.
+    /// With its length and its sum. Guards against bytes that change on the way and still read as a word: the start of a
+    /// mixer in a hello with one bit turned made a mixer stand aside for a process that never was.
     pub fn bytes(&self) -> Vec<u8> {
-        let mut bytes = vec![0; 4];
+        let mut bytes = vec![0; 8];
         // A vector takes whatever it is given.
         let body = postcard::to_allocvec(self).unwrap_or_default();
         bytes.extend_from_slice(&body);
-        let length = (body.len() as u32).to_le_bytes();
-        bytes[..4].copy_from_slice(&length);
+        bytes[..4].copy_from_slice(&(body.len() as u32).to_le_bytes());
+        bytes[4..8].copy_from_slice(&crc32fast::hash(&body).to_le_bytes());
         bytes
     }
 
@@ -70,9 +74,13 @@
         if length == 0 {
             return Err(Unreadable::Malformed);
         }
+        let Some((sum, rest)) = rest.split_first_chunk::<4>() else { return Ok(None) };
         let Some(body) = rest.get(..length) else { return Ok(None) };
+        if crc32fast::hash(body) != u32::from_le_bytes(*sum) {
+            return Err(Unreadable::Sum);
+        }
         match postcard::take_from_bytes(body) {
-            Ok((frame, [])) => Ok(Some((frame, 4 + length))),
+            Ok((frame, [])) => Ok(Some((frame, 8 + length))),
             Ok((Self::Hello(hello), _)) if hello.format != FORMAT => Err(Unreadable::Format(hello.format)),
             // Of a hello the number of the format comes first, whatever a later format makes of the rest.
             _ => match postcard::take_from_bytes::<(u32, u16)>(body) {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -8,7 +8,8 @@
 //! peer opened. So a way that is cut in one direction is exactly one link that carries nothing. On a link's way back comes
 //! at most one frame, the reason for which it is refused.
 //!
-//! A frame is its length (4 bytes, little-endian, [`LONGEST`] at most) and a [`Frame`] in `postcard`. Whatever can't be read ends
+//! A frame is its length (4 bytes, little-endian, [`LONGEST`] at most), the CRC-32 of what follows (4 bytes, the same way) and a
+//! [`Frame`] in `postcard`. Whatever can't be read ends
 //! that link, with a count, and nothing else. No frame is waited for by anybody who serves a scan. There is no encryption and
 //! no sign-in: the listener belongs on a network of the mixers' own.
 
--- a/crates/mixer/tests/loopback.rs
+++ b/crates/mixer/tests/loopback.rs
@@ -545,7 +545,10 @@
         assert!(shown.contains(line), "{line:?} is not in {shown}");
     }
     let said = ask(&console.0, "bgp hide").expect("it answers");
-    assert_eq!(said, Err("\"bgp hide\" is not known here; known are bgp show, beliefs, fleet show".to_owned()));
+    assert_eq!(
+        said,
+        Err("\"bgp hide\" is not known here; known are bgp show, beliefs, fleet show".to_owned())
+    );
 
     let beliefs = ask(&console.0, "beliefs").expect("it answers").expect("it is known");
     assert!(beliefs.contains("ready 1, marked 0"), "{beliefs}");
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -482,7 +482,8 @@
             more > ALIKE_MS || more >= -ALIKE_MS && by.start.lot > self.start.lot
         });
         let lives = self.topped.get(&by.start.lot).is_some_and(|topped| by.start.number > *topped);
-        if later && lives {
+        // Its own lot is its own echo, however it came by that number.
+        if later && lives && by.start.lot != self.start.lot {
             self.standing = Standing::Aside(by.start);
             self.end();
             self.effects.push(Effect::Aside(by.start));
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -138,7 +138,7 @@
         (format!(r#"{me}(peer "m2" "0.0.0.0:1"))"#), "1:52: nobody can be reached at 0.0.0.0:1"),
         (
             format!(r#"{me}(peer "m2" "127.0.0.2:1") (peer "m2" "127.0.0.3:1"))"#),
-            "1:79: peer m2 is given twice",
+            "1:78: peer m2 is given twice",
         ),
         (
             format!(r#"{me}(pear "m2" "127.0.0.2:1"))"#),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -26,19 +26,32 @@
     Dies,
     /// Answers for a part that it was not asked for.
     Spoils,
+    /// Answers after so many milliseconds of work.
+    Works(u64),
+    /// Ends every connection as soon as anything comes.
+    Gone,
 }
 
 /// Serves the connections of one searcher; what it is sent is told to `heard`, where somebody listens.
 pub fn searcher(listener: TcpListener, manner: Manner, heard: Sender<String>) {
+    searcher_that(listener, move || manner, heard);
+}
+
+/// The same for one whose manner changes: it is asked for with each frame.
+pub fn searcher_that(
+    listener: TcpListener,
+    manner: impl Fn() -> Manner + Clone + Send + 'static,
+    heard: Sender<String>,
+) {
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let heard = heard.clone();
-            thread::spawn(move || drop(serve(stream, manner, &heard)));
+            let (manner, heard) = (manner.clone(), heard.clone());
+            thread::spawn(move || drop(serve(stream, &manner, &heard)));
         }
     });
 }
 
-fn serve(stream: TcpStream, manner: Manner, heard: &Sender<String>) -> io::Result<()> {
+fn serve(stream: TcpStream, manner: &dyn Fn() -> Manner, heard: &Sender<String>) -> io::Result<()> {
     let mut input = BufReader::new(stream.try_clone()?);
     let mut output = stream;
     loop {
@@ -47,12 +60,19 @@
         let mut frame = vec![0; u32::from_be_bytes(length) as usize];
         input.read_exact(&mut frame)?;
         let Some((letter, mut rest)) = frame.split_first() else { return Ok(()) };
+        let manner = manner();
+        if manner == Manner::Gone {
+            return output.shutdown(std::net::Shutdown::Both);
+        }
         let _ = heard.send(format!("{} {}", char::from(*letter), String::from_utf8_lossy(rest)));
         match (letter, manner) {
             (b'K', _) | (_, Manner::Hangs) => {}
             (b'D', Manner::Dies) => return output.shutdown(std::net::Shutdown::Both),
             (b'D', Manner::Spoils) => send(&mut output, b'O', "nobody.0 200 1 -\nvalue")?,
-            (b'D', Manner::Answers | Manner::Below(_)) => {
+            (b'D', Manner::Answers | Manner::Below(_) | Manner::Works(_)) => {
+                if let Manner::Works(ms) = manner {
+                    thread::sleep(Duration::from_millis(ms));
+                }
                 while !rest.is_empty() {
                     let mut line = String::new();
                     rest.read_line(&mut line)?;
