pewterwharf drill run and random, fleet show

Scripts of drills are run by name or drawn from seeds, written as JSON and drawn as a timeline; one that fails is shrunk by leaving out steps. `fleet show` asks a running mixer at its console.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,8 @@
 
 mod bgp;
 mod check;
+mod drill;
+mod fleet;
 mod load;
 mod plan;
 mod report;
@@ -38,6 +40,12 @@
     Bgp(BgpVerb),
     /// Asks a running mixer what it believes of its searchers, and why it refused scans
     Beliefs(bgp::Show),
+    /// Asks a running mixer what it sees of the other mixers
+    #[command(subcommand)]
+    Fleet(FleetVerb),
+    /// Starts several mixers as processes of their own and puts faults between them
+    #[command(subcommand)]
+    Drill(DrillVerb),
     /// Starts searchers, discovery and a mixer in one process, sends scans and prints what happened
     Try(trial::Trial),
 }
@@ -48,6 +56,20 @@
     Show(bgp::Show),
 }
 
+#[derive(Subcommand)]
+enum FleetVerb {
+    /// Prints members, links, copies by kind, how far behind, words refused and why
+    Show(fleet::Show),
+}
+
+#[derive(Subcommand)]
+enum DrillVerb {
+    /// Runs the drills of scripts: exit 0 all held, 1 something did not, 2 a script can't be read
+    Run(drill::Run),
+    /// Runs drills drawn from seeds, and shrinks one that fails
+    Random(drill::Random),
+}
+
 #[derive(Args)]
 struct Check {
     #[command(subcommand)]
@@ -90,6 +112,9 @@
         },
         Verb::Bgp(BgpVerb::Show(asked)) => bgp::show("bgp show", &asked, &settings),
         Verb::Beliefs(asked) => bgp::show("beliefs", &asked, &settings),
+        Verb::Fleet(FleetVerb::Show(asked)) => fleet::show(&asked, &settings),
+        Verb::Drill(DrillVerb::Run(asked)) => drill::files(&asked),
+        Verb::Drill(DrillVerb::Random(asked)) => drill::random(&asked),
         Verb::Try(asked) => trial::run(&asked),
     }
 }
--- a/crates/mesh/tests/fleet.rs
+++ b/crates/mesh/tests/fleet.rs
@@ -231,7 +231,8 @@
     use pewterwharf_mesh::{LONGEST, Unreadable};
     use pewterwharf_peers::{Hello, Start};
     let (fleet, name, start) = ("fleet".to_owned(), "m1".to_owned(), Start::first(77));
-    let hello = |format| Hello { format, fleet: fleet.clone(), name: name.clone(), start, age_ms: 5, yours: None };
+    let hello =
+        |format| Hello { format, fleet: fleet.clone(), name: name.clone(), start, age_ms: 5, yours: None };
     let bytes = Frame::Hello(hello(1)).bytes();
     assert_eq!(Frame::read(&bytes), Ok(Some((Frame::Hello(hello(1)), bytes.len()))));
     for at in 0..bytes.len() {
@@ -248,7 +249,10 @@
         }
     }
     let later = Frame::Hello(hello(2)).bytes();
-    assert!(matches!(Frame::read(&later), Ok(Some((Frame::Hello(h), _))) if h.format == 2), "the core refuses it");
+    assert!(
+        matches!(Frame::read(&later), Ok(Some((Frame::Hello(h), _))) if h.format == 2),
+        "the core refuses it"
+    );
     let mut longer = later[8..].to_vec();
     longer.extend([9; 40]); // what a later format may add
     let mut whole = (longer.len() as u32).to_le_bytes().to_vec();
@@ -257,5 +261,5 @@
     assert_eq!(Frame::read(&whole), Err(Unreadable::Format(2)));
     let huge = ((60 << 20) as u32).to_le_bytes();
     assert_eq!(Frame::read(&huge), Err(Unreadable::Long(60 << 20)), "nothing is awaited of 60 MB");
-    assert!(LONGEST < 1 << 16);
+    const { assert!(LONGEST < 1 << 16) };
 }
