Late parts of several mixers make a slice together; rehearse plays mixers that share words

Seen in rehearse: with words a hung searcher is marked by all of 50 mixers within 3.0 s (alone 9.0 s in the median, 12 of 50 ever), but 26.7 parts still went there (58.6 alone): until the first mark nobody says anything, and a slice of three parts fills slowly at each. Ruled out: the way of the words (5 ms), the looks' bound (not met).

Change: a part that is late at an unmarked searcher is said as evidence of one part; three of several mixers are a reason to look. The mark stays each mixer's own.

--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -133,7 +133,8 @@
         match say {
             Say::Searcher { at, own, cold, normals, parts } => {
                 self.heed.knows(now, at, own);
-                self.searcher(now, at, own, cold, Mark { normals, parts });
+                let late = own.is_some_and(|own| !own.marked);
+                self.searcher(now, at, own, cold, Mark { normals, parts, late });
             }
             Say::List { index, ready } => drop(replica.say(now, "list", &ListHeld { index, ready }, now)),
             Say::IdleLost { times } => drop(replica.say(now, "", &IdleLost { times }, now)),
@@ -157,7 +158,7 @@
             return;
         };
         self.gone.remove(&at);
-        match own.marked {
+        match own.marked || own.late {
             true => drop(replica.say(now, &name, &mark, now)),
             false => replica.unsay::<Mark>(now, &name),
         }
--- a/crates/mesh/tests/net/mod.rs
+++ b/crates/mesh/tests/net/mod.rs
@@ -254,7 +254,7 @@
     pub fn mark(&mut self, i: usize, searcher: u16, marked: bool) {
         let now = self.time(i);
         if let Some(node) = self.nodes[i].node.as_mut() {
-            let own = Own { marked, since: 1.0, stage: Stage::Up };
+            let own = Own { marked, late: false, since: 1.0, stage: Stage::Up };
             let at = format!("127.0.0.1:{}", 7000 + searcher).parse().expect("an address");
             node.say(now, Say::Searcher { at, own: Some(own), cold: false, normals: 5.0, parts: 3 });
         }
--- a/crates/mixer/src/copies.rs
+++ b/crates/mixer/src/copies.rs
@@ -5,11 +5,8 @@
 use std::net::SocketAddrV4;
 
 use anyhow::{Context, Result, ensure};
-use pewterwharf::interface::{Event, Life, Word};
-use pewterwharf::logic::Known;
 use pewterwharf_mesh::{Mesh, Own, Say, Terms, Way};
 use pewterwharf_replica::Advice;
-use pewterwharf_replica::kinds::Stage;
 use pewterwharf_settings::{Fleet, Settings};
 use pewterwharf_terms::Start;
 use tracing::{info, warn};
@@ -61,29 +58,6 @@
     }
 }
 
-fn event(advice: Advice) -> Event {
-    let of = |searcher, word| Event::Heard { searcher: SocketAddrV4::clone(&searcher), word };
-    match advice {
-        Advice::Look(searcher) => of(searcher, Word::Look),
-        Advice::Doubt(searcher) => of(searcher, Word::Doubt),
-        Advice::Leaves(searcher) => of(searcher, Word::Leaves(true)),
-        Advice::Stays(searcher) => of(searcher, Word::Leaves(false)),
-        Advice::Began(searcher, since) => of(searcher, Word::Began(since)),
-        Advice::NotBegan(searcher) => of(searcher, Word::Began(0.0)),
-        Advice::IdleLost => Event::IdleLost,
-        Advice::Mixers(count) => Event::Mixers(count),
-    }
-}
-
-fn own(known: &Known) -> Own {
-    let stage = match known.life {
-        Life::Ready => Stage::Up,
-        Life::Draining => Stage::Draining,
-        Life::Gone => Stage::Going,
-    };
-    Own { marked: known.marked, since: known.since, stage }
-}
-
 impl Copies {
     /// Begins to join. What the links take of descriptors is taken from `start`.
     ///
@@ -102,7 +76,7 @@
         start.sockets = left;
         let tell = tell.clone();
         let hear = move |advice: Vec<Advice>| {
-            tell.say(Input::Heard(advice.into_iter().map(event).collect()));
+            tell.say(Input::Heard(advice.into_iter().map(Advice::event).collect()));
         };
         let mesh = Mesh::start(terms, hear).with_context(|| format!("fleet listen {}", fleet.listen))?;
         info!(target: "fleet", "{} of fleet {} listens for mixers at {}", fleet.me, fleet.name, mesh.at());
@@ -159,11 +133,12 @@
         let mut says = Vec::new();
         let mut said = BTreeMap::new();
         for known in reducer.searchers() {
-            let own = own(&known);
+            let own = Own::of(&known);
             let before = self.said.get(&known.searcher).copied();
-            let again = |before: Said| before.own != own || own.marked && now - before.at >= AGAIN_MS;
+            let stands = own.marked || own.late;
+            let again = |before: Said| before.own != own || stands && now - before.at >= AGAIN_MS;
             if before.is_none_or(again) {
-                let (normals, parts) = known.evidence;
+                let (normals, parts) = if known.marked { known.evidence } else { (known.late, 1) };
                 let cold = known.cold;
                 says.push(Say::Searcher { at: known.searcher, own: Some(own), cold, normals, parts });
                 said.insert(known.searcher, Said { own, at: now });
--- a/crates/rehearse/src/lib.rs
+++ b/crates/rehearse/src/lib.rs
@@ -1,12 +1,13 @@
 //! The decision module alone, in simulated time, through troubles that begin and end: how long is service gone once the cause
 //! is? Seconds of a day take milliseconds, and the same seed gives the same day.
 //!
-//! [`Fleet`] has searchers in sets, each with some cores and a queue, and mixers that share nothing; [`Trouble`] is what befalls
+//! [`Fleet`] has searchers in sets, each with some cores and a queue, and mixers that share nothing or words; [`Trouble`] is what befalls
 //! them; [`play`] gives a [`Day`], by tenths of a second: scans asked, completed in time, refused at once. All that a host owns
 //! for the module (time-outs, connections, probes) is played as the sockets do it. It is a model, no measure of a real fleet: what
 //! it tells is whether a state of the module outlives its cause.
 
 mod searcher;
+mod words;
 mod world;
 
 pub use world::play;
@@ -57,6 +58,18 @@
     /// Target time of all table types, in milliseconds, and the share of the benefit that is left after it.
     pub target_ms: f64,
     pub late_share: f64,
+    /// Whether the mixers tell each other what they know, and how well that goes.
+    pub words: Option<Words>,
+}
+
+/// Words between mixers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Words {
+    /// Longest time that a word takes, in milliseconds, and the share that is lost.
+    pub delay_ms: f64,
+    pub loss: f64,
+    /// One that says once a second that every searcher is slow.
+    pub liar: Option<usize>,
 }
 
 impl Fleet {
@@ -72,6 +85,7 @@
             retries: 1,
             target_ms: 300.0,
             late_share: 0.3,
+            words: None,
         }
     }
 
@@ -122,6 +136,12 @@
     pub lost: u32,
     /// Non-replayable parts that ran twice: rule 2.
     pub twice: u32,
+    /// Dispatches to searchers that hung, of all mixers.
+    pub into_hang: u32,
+    /// Of the first searcher that hung: milliseconds from then until each mixer had marked it, in order.
+    pub marked_ms: Vec<f64>,
+    /// Bytes of words between mixers.
+    pub word_bytes: u64,
 }
 
 impl Day {
--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -7,8 +7,10 @@
 use oorandom::Rand64;
 use pewterwharf::interface::*;
 use pewterwharf::logic::Mixer;
+use pewterwharf_replica::{Part, Refused};
 
 use crate::searcher::{Job, Searcher};
+use crate::words::Copies;
 use crate::{Day, Fleet, MOMENT_MS, Moment, Spell, Trouble};
 
 /// The day begins there by the module's clock: long after any start that the list names.
@@ -17,6 +19,9 @@
 const WAY_MS: f64 = 0.5;
 /// A probe is awaited for so long, as on the sockets.
 const PROBE_MS: f64 = 250.0;
+/// How often a mixer looks what it has to tell the others, and when one that missed something has it, a round later.
+const LOOK_MS: f64 = 50.0;
+const ROUND_MS: f64 = 200.0;
 /// A refused client asks again after this, or as it is told.
 const AGAIN_MS: f64 = 300.0;
 /// Clients give up after this.
@@ -70,6 +75,12 @@
         began: u64,
     },
     Wake(usize),
+    /// A mixer looks what it has to tell the others.
+    Look(usize),
+    /// A word reaches a mixer, by its number.
+    Word(u64),
+    /// The second has what it missed of the first.
+    Round(usize, usize),
     /// A client asks: its table type, and how often it has.
     Asks {
         table_type: usize,
@@ -110,6 +121,13 @@
     dispatches: BTreeMap<u64, u8>,
     ran: BTreeSet<u64>,
     ids: u64,
+    /// Of each mixer, where they share words.
+    copies: Vec<Copies>,
+    /// Words on their way: from, to, and what.
+    words: BTreeMap<u64, (usize, usize, Part)>,
+    /// The first searcher that hung, when, and who has marked it.
+    hung: Option<(usize, f64)>,
+    knows: BTreeSet<usize>,
     day: Day,
     ends: f64,
 }
@@ -156,6 +174,10 @@
             dispatches: BTreeMap::new(),
             ran: BTreeSet::new(),
             ids: 0,
+            copies: Vec::new(),
+            words: BTreeMap::new(),
+            hung: None,
+            knows: BTreeSet::new(),
             day: Day { moments, ..Day::default() },
             ends: length_ms,
         };
@@ -164,6 +186,12 @@
             world.tell(mixer, Event::List { kind: ListKind::Full, lines: lines.clone() });
             world.add(0.0, Next::Wake(mixer));
         }
+        if fleet.words.is_some() {
+            world.copies = (0..fleet.mixers).map(|m| Copies::new(m, fleet.mixers)).collect();
+        }
+        for mixer in 0..fleet.mixers {
+            world.add(LOOK_MS * mixer as f64 / fleet.mixers as f64, Next::Look(mixer));
+        }
         for (nth, spell) in spells.iter().enumerate() {
             world.add(spell.from, Next::Spell(nth, true));
             world.add(spell.to, Next::Spell(nth, false));
@@ -270,6 +298,60 @@
                 self.tell(mixer, Event::Probed { searcher: address(searcher), ending, took_ms });
             }
             Next::Wake(mixer) => self.tell(mixer, Event::Wake),
+            Next::Look(mixer) => self.look(mixer),
+            Next::Word(number) => {
+                if let Some((from, to, part)) = self.words.remove(&number) {
+                    self.word(from, to, &part);
+                }
+            }
+            Next::Round(from, to) => {
+                let now = EPOCH + self.now;
+                let parts = self.copies[from].delta(now, &self.copies[to]);
+                parts.iter().for_each(|part| self.word(from, to, part));
+            }
+        }
+    }
+
+    /// A mixer tells the others what is new to it.
+    fn look(&mut self, mixer: usize) {
+        let now = EPOCH + self.now;
+        if self.now < self.ends {
+            self.add(self.now + LOOK_MS, Next::Look(mixer));
+        }
+        let known: Vec<_> = self.mixers[mixer].0.known().collect();
+        if let Some((searcher, since)) = self.hung
+            && known.iter().any(|k| k.marked && searcher_at(k.searcher) == searcher)
+            && self.knows.insert(mixer)
+        {
+            let took = self.now - since;
+            self.day.marked_ms.push(took);
+        }
+        let Some(words) = self.fleet.words.clone() else { return };
+        let lies = words.liar == Some(mixer);
+        let part = self.copies[mixer].look(now, &known, lies);
+        for event in self.copies[mixer].tick(now) {
+            self.tell(mixer, event);
+        }
+        let Some(part) = part else { return };
+        for to in (0..self.fleet.mixers).filter(|to| *to != mixer) {
+            self.day.word_bytes += part.rows.iter().map(|r| r.name.len() as u64 + 40).sum::<u64>();
+            if self.chance.rand_float() < words.loss {
+                // Its next word shows the gap; or a round does.
+                self.add(self.now + ROUND_MS, Next::Round(mixer, to));
+                continue;
+            }
+            self.ids += 1;
+            self.words.insert(self.ids, (mixer, to, part.clone()));
+            let at = self.now + WAY_MS + words.delay_ms * self.chance.rand_float();
+            self.add(at, Next::Word(self.ids));
+        }
+    }
+
+    fn word(&mut self, from: usize, to: usize, part: &Part) {
+        match self.copies[to].heard(EPOCH + self.now, from, part) {
+            Ok(events) => events.into_iter().for_each(|event| self.tell(to, event)),
+            Err(Refused::Gap) => self.add(self.now + ROUND_MS, Next::Round(from, to)),
+            Err(_) => {}
         }
     }
 
@@ -285,6 +367,9 @@
         let trouble = self.spells[nth].trouble.clone();
         match trouble {
             Trouble::Hang { who } => {
+                if begins && self.hung.is_none() {
+                    self.hung = who.first().map(|searcher| (*searcher, self.now));
+                }
                 for searcher in who {
                     self.searchers[searcher].hangs = begins;
                     self.begin(searcher);
@@ -401,6 +486,7 @@
                 let dispatches = self.dispatches.entry(part).or_default();
                 let job = Job { mixer, part, dispatch: *dispatches, table_type };
                 *dispatches += 1;
+                self.day.into_hang += u32::from(self.searchers[searcher_at(searcher)].hangs);
                 self.out.insert(job, (searcher_at(searcher), self.now));
                 self.moment(asked_at).sent += 1;
                 self.add(self.now + WAY_MS, Next::Reaches(searcher_at(searcher), job));
--- a/crates/replica/src/heed.rs
+++ b/crates/replica/src/heed.rs
@@ -7,6 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
+use pewterwharf::interface::{Event, Life, Word};
+use pewterwharf::logic::Known;
+
 use crate::kinds::{Began, IdleLost, Kind, Leaving, Mark, Stage};
 use crate::store::{News, Replica};
 
@@ -66,15 +69,48 @@
     Mixers(u32),
 }
 
+impl Advice {
+    /// As the decision module is told.
+    pub fn event(self) -> Event {
+        let of = |searcher, word| Event::Heard { searcher, word };
+        match self {
+            Self::Look(searcher) => of(searcher, Word::Look),
+            Self::Doubt(searcher) => of(searcher, Word::Doubt),
+            Self::Leaves(searcher) => of(searcher, Word::Leaves(true)),
+            Self::Stays(searcher) => of(searcher, Word::Leaves(false)),
+            Self::Began(searcher, since) => of(searcher, Word::Began(since)),
+            Self::NotBegan(searcher) => of(searcher, Word::Began(0.0)),
+            Self::IdleLost => Event::IdleLost,
+            Self::Mixers(count) => Event::Mixers(count),
+        }
+    }
+}
+
 /// What this mixer knows by itself of a searcher that its own list names.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Own {
     pub marked: bool,
+    /// Not marked, and a part is late there.
+    pub late: bool,
     /// Its start and stage, as the own list says.
     pub since: f64,
     pub stage: Stage,
 }
 
+impl Own {
+    /// As the decision module knows it.
+    pub fn of(known: &Known) -> Self {
+        let stage = match known.life {
+            Life::Ready => Stage::Up,
+            Life::Draining => Stage::Draining,
+            Life::Gone => Stage::Going,
+        };
+        Self { marked: known.marked, late: known.late > 0.0, since: known.since, stage }
+    }
+}
+
+/// Parts of a slice, as the module has it: late ones of several mixers together say as much as a slice of one.
+const SLICE: u32 = 3;
 /// Looks in a second, of all peers' words together: a probe each at most.
 const LOOKS_PER_S: f64 = 8.0;
 /// Looks that may come at once.
@@ -244,14 +280,19 @@
     ) {
         let fresh =
             replica.said::<Mark>(now, &one.name).into_iter().filter(|(.., age)| *age <= Mark::FRESH_MS);
-        let by: BTreeSet<String> = fresh
-            .map(|(origin, ..)| origin.to_owned())
-            .filter(|o| *o != self.me && self.trusts(o, now))
-            .collect();
-        if own.marked || own.stage != Stage::Up || by.is_empty() || !by.contains(&one.origin) {
+        let heard = fresh.filter(|(origin, ..)| *origin != self.me && self.trusts(origin, now));
+        let said: Vec<(String, bool)> =
+            heard.map(|(origin, mark, _)| (origin.to_owned(), mark.late)).collect();
+        // A mark stands for a slice; late parts of several make one together, the own among them.
+        let parts: u32 = said.iter().map(|s| if s.1 { 1 } else { SLICE }).sum::<u32>() + u32::from(own.late);
+        let by: BTreeSet<String> = said.iter().map(|s| s.0.clone()).collect();
+        if own.marked || own.stage != Stage::Up || !by.contains(&one.origin) {
             self.passed_over += u64::from(!by.contains(&one.origin) && !own.marked);
             return;
         }
+        if parts < SLICE {
+            return;
+        }
         if let Some(case) = self.cases.get_mut(&searcher) {
             case.by.extend(by.iter().cloned());
         } else {
@@ -268,7 +309,8 @@
         // Several: two at least, and of a larger fleet a tenth of those that are there.
         let several = (self.mixers as usize).div_ceil(10).max(2);
         let doubted = self.doubted.get(&searcher).is_some_and(|until| now < *until);
-        if by.len() >= several && !doubted && self.may_take_out(self.doubted.len()) {
+        let marks = said.iter().filter(|s| !s.1).count();
+        if marks >= several && !doubted && self.may_take_out(self.doubted.len()) {
             self.doubted.insert(searcher, now + TOLD_MS);
             advice.push(Advice::Doubt(searcher));
         }
--- a/crates/replica/src/kinds/mark.rs
+++ b/crates/replica/src/kinds/mark.rs
@@ -2,13 +2,16 @@
 
 use super::Kind;
 
-/// A searcher that a mixer has marked, by its address, and on what evidence.
+/// A searcher that a mixer has marked, by its address, and on what evidence; or one at which a part is late, which alone is no
+/// mark: a slice of several mixers together tells sooner than any one's.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Mark {
     /// Average latency in the slice that marked it, in multiples of normal.
     pub normals: f64,
     /// Parts that this is the average of.
     pub parts: u32,
+    /// No mark yet: a part is late there.
+    pub late: bool,
 }
 
 impl Kind for Mark {
@@ -21,9 +24,9 @@
         self.normals.is_finite() && self.normals >= 0.0
     }
 
-    /// The better founded: more parts, then the higher average. Marks are weighed one by one where that matters.
+    /// The better founded: a mark before a late part, more parts, then the higher average. Marks are weighed one by one where that matters.
     fn join(self, other: Self) -> Self {
-        let more = (other.parts, other.normals) > (self.parts, self.normals);
+        let more = (!other.late, other.parts, other.normals) > (!self.late, self.parts, self.normals);
         if more { other } else { self }
     }
 }
--- a/crates/replica/tests/rows.rs
+++ b/crates/replica/tests/rows.rs
@@ -18,7 +18,7 @@
 }
 
 fn mark(normals: f64) -> Mark {
-    Mark { normals, parts: 3 }
+    Mark { normals, parts: 3, late: false }
 }
 
 /// `to` takes all that `from` holds and it lacks, piece by piece; how many pieces that took.
@@ -63,7 +63,7 @@
         // Few values, so that ties are common.
         let f = f.map(f64::round);
         let three = [0, 1, 2];
-        let [a, b, c] = three.map(|i| Mark { normals: f[i], parts: n[i] });
+        let [a, b, c] = three.map(|i| Mark { normals: f[i], parts: n[i], late: s[i] == Stage::Up });
         assert_joins(a, b, c);
         let [a, b, c] = three.map(|i| Began { since: f[i] });
         assert_joins(a, b, c);
@@ -308,7 +308,8 @@
         Refused::Unfit,
         "a long name"
     );
-    let infinite = postcard::to_allocvec(&Mark { normals: f64::INFINITY, parts: 1 }).expect("it is written");
+    let infinite = postcard::to_allocvec(&Mark { normals: f64::INFINITY, parts: 1, late: false })
+        .expect("it is written");
     assert_eq!(refused(part("b", 0, 1, vec![row("s", 1, infinite)])), Refused::Unfit, "no figure");
     assert_eq!(refused(part("b", 5, 6, Vec::new())), Refused::Gap);
     assert_eq!(me.size().0, 0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -419,6 +419,8 @@
     pub since: f64,
     pub cold: bool,
     pub marked: bool,
+    /// Not marked, and a part of ours has been out there for longer than any should: how long, in normals; else zero.
+    pub late: f64,
     /// What it was last marked for: the average, in normals, and of how many parts.
     pub evidence: (f64, u32),
 }
@@ -484,12 +486,16 @@
     }
 
     pub fn known(&self, now: f64) -> impl Iterator<Item = Known> {
+        let normal = self.norms.normal.iter().copied().fold(1.0, f64::max);
         self.seats.iter().filter(|s| s.life != Life::Gone).map(move |s| Known {
             searcher: s.addr,
             life: s.life,
             since: s.listed,
             cold: s.listed > 0.0 && now - s.listed < self.guards.warm_ms,
             marked: s.tile.marked,
+            late: Some(s.tile.age / normal)
+                .filter(|l| !s.tile.marked && *l > self.norms.limit)
+                .unwrap_or(0.0),
             evidence: s.tile.evidence,
         })
     }
