--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -11,6 +11,7 @@
 //! A verdict waits for what is observed, with a ceiling, never for a time to be enough. The figures beside it (shares, times)
 //! depend on the machine; the verdicts must not.
 
+mod checks;
 mod gate;
 mod process;
 mod random;
--- a/crates/drill/src/rig.rs
+++ b/crates/drill/src/rig.rs
@@ -1,6 +1,6 @@
 //! The rig: starts what a script names, does what it says, and looks at what comes of it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -13,13 +13,12 @@
 use rustix::process::Signal;
 use serde_json::Value;
 
+use crate::checks::{Arrived, Asked, DRAIN_MS, Outcome, Record, Span};
 use crate::gate::{self, Manner, Mode, Target, Way};
 use crate::process::{Files, Process};
 use crate::report::{Broken, Hung, Line, Met, Report, Scans};
 use crate::script::{Deed, Expect, Kept, Script, Ways};
-use crate::stand::{
-    self, Arrived, Asked, Clients, Front, Outcome, Searchers, State, TIMEOUT_MS, WORK_MS, wall_ms,
-};
+use crate::stand::{self, Asking, Clients, Front, Searchers, State, TIMEOUT_MS, WORK_MS, wall_ms};
 
 /// How a drill is run.
 #[derive(Clone, Debug)]
@@ -41,15 +40,6 @@
 const END: Duration = Duration::from_secs(30);
 /// A searcher that died is taken from the list after so long.
 const DELIST_MS: f64 = 1000.0;
-/// Of a drain, what a mixer may still send while it is told, on a machine that is busy: the rule's quarter of a second and
-/// what processes may wait for a core. One that does not keep it goes on for as long as it is asked.
-const DRAIN_MS: f64 = 3000.0;
-/// A searcher that has come back is cold for so long, and bears this share of its full rate at the begin.
-const WARM_MS: f64 = 10_000.0;
-const COLD_FROM: f64 = 0.2;
-const TIP: f64 = 2.0;
-const FALL_MS: f64 = 1000.0;
-
 /// Something that is to be done at a time.
 #[derive(Clone, Debug)]
 enum Do {
@@ -58,9 +48,6 @@
     Delist(usize),
 }
 
-/// From when to when something held for a mixer, in milliseconds.
-type Span = (usize, f64, f64);
-
 struct Rig<'a> {
     script: &'a Script,
     options: &'a Options,
@@ -78,12 +65,9 @@
     starts: u64,
     timeline: Vec<Line>,
     broken: Vec<Broken>,
-    /// Processes that were ended by the script, and when.
-    ended: BTreeMap<u64, f64>,
-    stalls: Vec<Span>,
-    blind: Vec<Span>,
-    drains: Vec<(usize, f64)>,
-    returned: Vec<(usize, f64)>,
+    record: Record,
+    /// Of the processes that the script ended, those that were killed.
+    killed: BTreeSet<u64>,
     hung: Vec<(usize, f64)>,
 }
 
@@ -142,11 +126,8 @@
             starts: 0,
             timeline: Vec::new(),
             broken: Vec::new(),
-            ended: BTreeMap::new(),
-            stalls: Vec::new(),
-            blind: Vec::new(),
-            drains: Vec::new(),
-            returned: Vec::new(),
+            killed: BTreeSet::new(),
+            record: Record { work_ms: WORK_MS as f64, ..Record::default() },
             hung: Vec::new(),
         })
     }
@@ -245,17 +226,19 @@
             met.push(self.meet(expect));
         }
         // Whoever was told of a drain has had its time to show that it keeps it.
-        let drained = self.drains.iter().map(|d| d.1 + DRAIN_MS + 500.0).fold(0.0, f64::max);
+        let drained = self.record.drains.iter().map(|d| d.1 + DRAIN_MS + 500.0).fold(0.0, f64::max);
         self.wait_until(drained);
         let length_ms = self.now();
+        self.record.length_ms = length_ms;
         let asked = clients.end();
         self.end();
-        let arrived = self.searchers.arrived();
-        self.check_answers(&asked);
-        self.check_twice(&arrived);
-        self.check_drains(&arrived, length_ms);
-        self.check_cold(&arrived);
-        let scans = self.scans(&asked);
+        let (mut asked, arrived) = (asked, self.searchers.arrived());
+        self.record.asked = asked.drain(..).map(|a| self.asked(a)).collect();
+        let arrived = arrived.into_iter();
+        self.record.arrived =
+            arrived.map(|a| Arrived { at_ms: self.ms(a.at), searcher: a.searcher, part: a.part }).collect();
+        self.broken.extend(self.record.broken());
+        let scans = self.scans();
         for expect in &self.script.expects {
             if let Expect::Answered { share } = expect {
                 let got = scans.completed as f64 / scans.asked.max(1) as f64;
@@ -263,7 +246,7 @@
                 met.push(Met { expect: expect.to_string(), held: got >= *share, took_ms: 0.0, seen });
             }
         }
-        let hung = self.hangs(&arrived);
+        let hung = self.hangs();
         self.gather_lines();
         let mut timeline = std::mem::take(&mut self.timeline);
         timeline.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
@@ -298,14 +281,14 @@
         let mut over = Vec::new();
         let held = self.processes.iter_mut().enumerate().filter_map(|(m, p)| Some((m, p.as_mut()?)));
         for (m, process) in held.chain(self.others.iter_mut().map(|(m, p)| (*m, p))) {
-            if !self.ended.contains_key(&process.number)
+            if !self.record.ended.contains_key(&process.number)
                 && let Ok(Some(status)) = process.child.try_wait()
             {
                 over.push((m, process.number, status));
             }
         }
         for (m, number, status) in over {
-            self.ended.insert(number, now);
+            self.record.ended.insert(number, now);
             self.breaks("no process ends unasked", now, format!("m{}", m + 1), status.to_string());
         }
     }
@@ -365,11 +348,12 @@
                 if let Some(process) = &self.processes[m] {
                     process.signal(Signal::STOP);
                     later.push((now + ms, Do::Continue(m, process.number)));
-                    self.stalls.push((m, now, now + ms));
+                    self.record.stalls.push(Span { mixer: m, from: now, to: now + ms });
                 }
             }
             Deed::Kill(m) => {
                 if let Some(mut process) = self.leave(m, now) {
+                    self.killed.insert(process.number);
                     let _ = process.child.kill(); // it may have ended
                     let _ = process.child.wait();
                     self.others.push((m, process));
@@ -416,18 +400,18 @@
             Deed::Return(s) => {
                 self.searchers.set(s, State::Up);
                 self.searchers.list(s, "up", Some(wall_ms()));
-                self.returned.push((s, now));
-                self.drains.retain(|d| d.0 != s);
+                self.record.returned.push((s, now));
+                self.record.drains.retain(|d| d.0 != s);
             }
             Deed::Drain(s) => {
                 self.searchers.list(s, "draining", None);
-                self.drains.push((s, now));
+                self.record.drains.push((s, now));
             }
             Deed::LoseDiscovery(mixers) => {
                 let all: Vec<usize> = (0..self.script.mixers).collect();
                 for m in if mixers.is_empty() { all } else { mixers } {
                     self.finding[m].0.set(Manner { mode: Mode::Cut, ..Manner::default() });
-                    self.blind.push((m, now, f64::INFINITY));
+                    self.record.blind.push(Span { mixer: m, from: now, to: f64::INFINITY });
                 }
             }
             Deed::FindDiscovery(mixers) => {
@@ -441,7 +425,7 @@
     fn finds(&mut self, mixers: &[usize], now: f64) {
         for m in mixers {
             self.finding[*m].0.set(Manner::default());
-            self.blind.iter_mut().filter(|b| b.0 == *m && b.2 > now).for_each(|b| b.2 = now);
+            self.record.blind.iter_mut().filter(|b| b.mixer == *m && b.to > now).for_each(|b| b.to = now);
         }
     }
 
@@ -449,7 +433,7 @@
     fn leave(&mut self, m: usize, now: f64) -> Option<Process> {
         let process = self.processes[m].take()?;
         self.front.lock().unwrap_or_else(PoisonError::into_inner)[m] = None;
-        self.ended.insert(process.number, now);
+        self.record.ended.insert(process.number, now);
         *self.targets[m].lock().unwrap_or_else(PoisonError::into_inner) = None;
         Some(process)
     }
@@ -496,8 +480,10 @@
                     (held, seen.collect::<Vec<_>>().join(", "))
                 }
                 Expect::Aside { mixer, .. } => {
-                    let others =
-                        self.others.iter().filter(|(m, p)| m == mixer && !self.ended.contains_key(&p.number));
+                    let others = self
+                        .others
+                        .iter()
+                        .filter(|(m, p)| m == mixer && !self.record.ended.contains_key(&p.number));
                     let standing =
                         |p: &Process| p.fleet().map_or("silent".to_owned(), |v| v["standing"].to_string());
                     let seen: Vec<String> = others.map(|(_, p)| standing(p)).collect();
@@ -525,18 +511,12 @@
             self.others.push((m, process));
         }
         let mut bad = Vec::new();
-        let killed: BTreeSet<u64> = self
-            .timeline
-            .iter()
-            .filter(|l| l.who == "rig" && l.what.starts_with("(kill"))
-            .flat_map(|l| self.ended.iter().filter(|e| (e.1 - l.at_ms).abs() < 5.0).map(|e| *e.0))
-            .collect();
         for (m, process) in &mut self.others {
-            if !self.ended.contains_key(&process.number) {
+            if !self.record.ended.contains_key(&process.number) {
                 process.signal(Signal::TERM);
             }
             match process.ends(END) {
-                Some(status) if status.success() || killed.contains(&process.number) => {}
+                Some(status) if status.success() || self.killed.contains(&process.number) => {}
                 Some(status) => bad.push((*m, format!("it was asked to end, and ended with {status}"))),
                 None => bad.push((*m, "it was asked to end, and did not".to_owned())),
             }
@@ -546,105 +526,17 @@
         }
     }
 
-    fn stalled(&self, m: usize, from: f64, to: f64) -> bool {
-        self.stalls.iter().any(|s| s.0 == m && s.1 <= to && s.2 + DRAIN_MS >= from)
-    }
-
-    fn check_answers(&mut self, asked: &[Asked]) {
-        let mut bad = Vec::new();
-        for one in asked {
-            let killed = self.ended.get(&one.process).is_some_and(|at| *at <= self.ms(one.ended) + 100.0);
-            let what = match one.outcome {
-                Outcome::Lost | Outcome::Silent if !killed => format!("{} got no answer", one.id),
-                Outcome::Other(status) => format!("{} was answered {status}", one.id),
-                _ if one.twice => format!("{} was answered twice", one.id),
-                _ => continue,
-            };
-            bad.push((self.ms(one.ended), one.mixer, what));
-        }
-        for (at, m, what) in bad {
-            self.breaks("each scan gets one final answer", at, format!("m{}", m + 1), what);
-        }
-    }
-
-    /// An entry, of one part, may reach one searcher only.
-    fn check_twice(&mut self, arrived: &[Arrived]) {
-        let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
-        let mut bad = Vec::new();
-        for one in arrived {
-            let nth = one.part.split('.').next().and_then(|id| id.rsplit('-').next()?.parse::<u64>().ok());
-            if nth.is_some_and(|n| n.is_multiple_of(5))
-                && let Some(first) = seen.insert(&one.part, one.searcher)
-            {
-                bad.push((one.at, first, one.searcher, one.part.clone()));
-            }
-        }
-        for (at, first, second, part) in bad {
-            let at = self.ms(at);
-            let what = format!("{part} reached s{} after s{}", second + 1, first + 1);
-            self.breaks(
-                "nothing runs twice that may not",
-                at,
-                part.split('-').next().unwrap_or("?").to_owned(),
-                what,
-            );
-        }
-    }
-
-    fn check_drains(&mut self, arrived: &[Arrived], length_ms: f64) {
-        let mut bad = Vec::new();
-        for (s, at) in &self.drains {
-            for one in arrived.iter().filter(|a| a.searcher == *s) {
-                let when = self.ms(one.at);
-                let mixer =
-                    one.part.split('-').next().and_then(|m| m.strip_prefix('m')?.parse::<usize>().ok());
-                let Some(m) = mixer.map(|m| m - 1) else { continue };
-                // Whoever could not be told, or stood still, is not held to it here.
-                let told = !self.blind.iter().any(|b| b.0 == m && b.1 <= when && b.2 + DRAIN_MS >= *at);
-                if when > at + DRAIN_MS && when < length_ms && told && !self.stalled(m, *at, when) {
-                    bad.push((
-                        when,
-                        m,
-                        format!("{} reached s{} that drains since {at:.0} ms", one.part, s + 1),
-                    ));
-                }
-            }
-        }
-        for (at, m, what) in bad {
-            self.breaks("drains are kept", at, format!("m{}", m + 1), what);
-        }
+    fn asked(&self, a: Asking) -> Asked {
+        let (began_ms, ended_ms) = (self.ms(a.began), self.ms(a.ended));
+        let Asking { id, mixer, process, outcome, twice, .. } = a;
+        Asked { id, mixer, process, began_ms, ended_ms, outcome, twice }
     }
 
-    /// The parts that reach a cold searcher in any span in which it would fall.
-    fn check_cold(&mut self, arrived: &[Arrived]) {
-        let mut bad = Vec::new();
-        for (s, back) in &self.returned {
-            let times: Vec<f64> = arrived
-                .iter()
-                .filter(|a| a.searcher == *s)
-                .map(|a| self.ms(a.at))
-                .filter(|at| at >= back && at - back < WARM_MS)
-                .collect();
-            for (nth, at) in times.iter().enumerate() {
-                let able = COLD_FROM + (1.0 - COLD_FROM) * (at - back) / WARM_MS;
-                let bound = TIP * able * FALL_MS / WORK_MS as f64;
-                let within = times[nth..].iter().take_while(|t| **t < at + FALL_MS).count();
-                if within as f64 > bound {
-                    bad.push((*at, *s, format!("{within} parts in a second, {bound:.0} make it fall")));
-                    break;
-                }
-            }
-        }
-        for (at, s, what) in bad {
-            self.breaks("no cold searcher is pushed over", at, format!("s{}", s + 1), what);
-        }
-    }
-
-    fn scans(&self, asked: &[Asked]) -> Scans {
+    fn scans(&self) -> Scans {
         let mut scans = Scans::default();
         let mut took = Vec::new();
-        for one in asked {
-            let ms = (one.ended - one.began).as_secs_f64() * 1000.0;
+        for one in &self.record.asked {
+            let ms = one.ended_ms - one.began_ms;
             match one.outcome {
                 Outcome::Completed if ms <= TIMEOUT_MS as f64 => {
                     scans.completed += 1;
@@ -665,9 +557,10 @@
         scans
     }
 
-    fn hangs(&self, arrived: &[Arrived]) -> Vec<Hung> {
+    fn hangs(&self) -> Vec<Hung> {
         let hung = self.hung.iter().map(|(s, from)| {
             let back = self
+                .record
                 .returned
                 .iter()
                 .filter(|r| r.0 == *s && r.1 > *from)
@@ -687,8 +580,12 @@
             });
             let mut marked_ms: Vec<f64> = marked.collect();
             marked_ms.sort_by(f64::total_cmp);
-            let within = |a: &&Arrived| a.searcher == *s && self.ms(a.at) >= *from && self.ms(a.at) < back;
-            Hung { searcher: format!("s{}", s + 1), marked_ms, parts: arrived.iter().filter(within).count() }
+            let within = |a: &&Arrived| a.searcher == *s && a.at_ms >= *from && a.at_ms < back;
+            Hung {
+                searcher: format!("s{}", s + 1),
+                marked_ms,
+                parts: self.record.arrived.iter().filter(within).count(),
+            }
         });
         hung.collect()
     }
--- a/crates/drill/src/stand.rs
+++ b/crates/drill/src/stand.rs
@@ -11,6 +11,8 @@
 use pewterwharf_standins::{Lists, Manner, searcher_that};
 use serde_json::json;
 
+use crate::checks::{Outcome, is_entry};
+
 /// Milliseconds of work of a part.
 pub const WORK_MS: u64 = 5;
 /// Shards, and cells of the layout: each shard is held by two cells in a row.
@@ -25,12 +27,11 @@
     Dead,
 }
 
-/// A part that reached a searcher.
+/// A part that reached a searcher, and when.
 #[derive(Clone, Debug)]
-pub struct Arrived {
+pub struct Reached {
     pub at: Instant,
     pub searcher: usize,
-    /// Its name: the scan's id, which begins with its mixer's number, and the shard.
     pub part: String,
 }
 
@@ -38,7 +39,7 @@
 pub struct Searchers {
     pub at: Vec<SocketAddr>,
     states: Vec<Arc<AtomicUsize>>,
-    arrived: Arc<Mutex<Vec<Arrived>>>,
+    arrived: Arc<Mutex<Vec<Reached>>>,
     /// How each is listed, and since when, in milliseconds of the wall clock.
     listed: Mutex<Vec<(&'static str, f64)>>,
     pub lists: Lists,
@@ -48,7 +49,7 @@
 impl Searchers {
     pub fn start(count: usize) -> io::Result<Self> {
         let (mut at, mut states) = (Vec::new(), Vec::new());
-        let arrived: Arc<Mutex<Vec<Arrived>>> = Arc::default();
+        let arrived: Arc<Mutex<Vec<Reached>>> = Arc::default();
         for searcher in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0")?;
             at.push(listener.local_addr()?);
@@ -73,7 +74,7 @@
                         wait.starts_with("d=").then(|| part.to_owned())
                     });
                     let mut arrived = arrived.lock().unwrap_or_else(PoisonError::into_inner);
-                    arrived.extend(parts.map(|part| Arrived { at: now, searcher, part }));
+                    arrived.extend(parts.map(|part| Reached { at: now, searcher, part }));
                 }
             })?;
         }
@@ -115,7 +116,7 @@
         self.states[searcher].store(state, Ordering::SeqCst);
     }
 
-    pub fn arrived(&self) -> Vec<Arrived> {
+    pub fn arrived(&self) -> Vec<Reached> {
         self.arrived.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
@@ -125,33 +126,15 @@
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
 }
 
-/// What came of a scan.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    Completed,
-    Refused,
-    Abandoned,
-    /// An answer that can't be.
-    Other(u16),
-    /// The connection ended without one.
-    Lost,
-    /// None came for as long as was waited.
-    Silent,
-    /// Nobody took the connection.
-    Unreached,
-}
-
-/// A scan that a client asked.
+/// A scan, and when its client began and was done.
 #[derive(Clone, Debug)]
-pub struct Asked {
+pub struct Asking {
     pub id: String,
     pub mixer: usize,
-    /// The process of that mixer that it went to.
     pub process: u64,
     pub began: Instant,
     pub ended: Instant,
     pub outcome: Outcome,
-    /// More bytes came after the answer.
     pub twice: bool,
 }
 
@@ -167,14 +150,14 @@
 pub struct Clients {
     stop: Arc<AtomicUsize>,
     thread: JoinHandle<()>,
-    asked: Arc<Mutex<Vec<Asked>>>,
+    asked: Arc<Mutex<Vec<Asking>>>,
     open: Arc<AtomicUsize>,
 }
 
 impl Clients {
     pub fn start(load: u32, front: Front, seed: u64) -> io::Result<Self> {
         let (stop, open) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
-        let asked: Arc<Mutex<Vec<Asked>>> = Arc::default();
+        let asked: Arc<Mutex<Vec<Asking>>> = Arc::default();
         let (stops, opens, told) = (stop.clone(), open.clone(), asked.clone());
         let run = move || {
             let (mut nth, mut turn) = (0_u64, 0_usize);
@@ -202,7 +185,7 @@
                     let began = Instant::now();
                     let (outcome, twice) = ask(at, &id, nth).unwrap_or((Outcome::Lost, false));
                     let ended = Instant::now();
-                    let asked = Asked { id, mixer, process, began, ended, outcome, twice };
+                    let asked = Asking { id, mixer, process, began, ended, outcome, twice };
                     told.lock().unwrap_or_else(PoisonError::into_inner).push(asked);
                     held.fetch_sub(1, Ordering::SeqCst);
                 });
@@ -216,7 +199,7 @@
     }
 
     /// Asks no more, and waits until all that was asked is over.
-    pub fn end(self) -> Vec<Asked> {
+    pub fn end(self) -> Vec<Asking> {
         self.stop.store(1, Ordering::SeqCst);
         let _ = self.thread.join(); // it told what it had
         while self.open.load(Ordering::SeqCst) > 0 {
@@ -233,7 +216,7 @@
     stream.set_read_timeout(Some(SILENT))?;
     stream.set_nodelay(true)?;
     // Each fifth is one that may not run twice.
-    let (path, parts) = if nth.is_multiple_of(5) { ("entry", 1) } else { ("lookup", 3) };
+    let (path, parts) = if is_entry(nth) { ("entry", 1) } else { ("lookup", 3) };
     let first = nth as usize * 7 % SHARDS;
     let part = |n: usize| json!({"id": (first + n * 5) % SHARDS, "w": if parts == 1 { 1.0 } else { [0.34, 0.33, 0.33][n] }});
     let body = json!({"parts": (0..parts).map(part).collect::<Vec<_>>(), "expr": "find"}).to_string();
--- a/crates/mixer/tests/drills.rs
+++ b/crates/mixer/tests/drills.rs
@@ -50,3 +50,26 @@
     leaving: "one leaves with a word and comes back",
     slow_ways: "slow and late ways",
 }
+
+/// A fleet that stays cut in two can't agree, and scans that meet nobody are not answered: a rig that says otherwise is worth
+/// nothing.
+#[test]
+fn what_does_not_hold_is_told() {
+    let text = r#"(drill "in two" (mixers 3) (searchers 4) (load 20)
+        (at 200ms (partition (m1) (m2 m3))) (at 300ms (die s1)) (at 300ms (die s2)) (at 300ms (die s3)) (at 300ms (die s4))
+        (expect (members 3 (within 6s))) (expect (members 2 (within 1s))) (expect (answered 0.9)))"#;
+    let script = Script::read(text).expect("it reads").remove(0);
+    let report = run(&script, &options(1)).expect("the rig stands");
+    // What cuts and dead searchers may not do is still held.
+    assert_eq!(report.broken, [], "{report}");
+    // m1 comes to see itself alone, the others see two: at no time do all see the same two.
+    assert!(
+        !report.met.iter().find(|m| m.expect.starts_with("(members 2")).is_some_and(|m| m.held),
+        "{report}"
+    );
+    assert!(
+        !report.met.iter().find(|m| m.expect.starts_with("(answered")).is_some_and(|m| m.held),
+        "{report}"
+    );
+    assert!(!report.held() && report.to_string().contains("DID NOT HOLD"));
+}
