--- a/crates/drill/src/report.rs
+++ b/crates/drill/src/report.rs
@@ -67,6 +67,8 @@
     pub met: Vec<Met>,
     pub scans: Scans,
     pub hung: Vec<Hung>,
+    /// Of each process that ran to the end: mixer, processor time in milliseconds, memory in KiB.
+    pub costs: Vec<(String, f64, u64)>,
     pub timeline: Vec<Line>,
     pub length_ms: f64,
 }
@@ -89,6 +91,7 @@
                 "killed": s.killed, "unreached": s.unreached, "p50_ms": s.p50_ms, "p99_ms": s.p99_ms},
             "hung": self.hung.iter().map(|h| json!({"searcher": h.searcher, "marked_ms": h.marked_ms, "parts": h.parts}))
                 .collect::<Vec<_>>(),
+            "costs": self.costs.iter().map(|c| json!({"mixer": c.0, "cpu_ms": c.1, "rss_kib": c.2})).collect::<Vec<_>>(),
             "timeline": self.timeline.iter().map(|l| json!({"at_ms": l.at_ms.round(), "who": l.who, "what": l.what}))
                 .collect::<Vec<_>>(),
         })
@@ -178,6 +181,11 @@
                 h.parts
             )?;
         }
+        if !self.costs.is_empty() {
+            let n = self.costs.len() as f64;
+            let (cpu, kib) = self.costs.iter().fold((0.0, 0), |sum, c| (sum.0 + c.1, sum.1 + c.2));
+            writeln!(f, "  each process: {:.0} ms of processor time, {:.0} KiB", cpu / n, kib as f64 / n)?;
+        }
         if !self.held() {
             for line in &self.timeline {
                 writeln!(f, "  {:>7.2} {:<4} {}", line.at_ms / 1000.0, line.who, line.what)?;
