--- a/crates/mesh/tests/links.rs
+++ b/crates/mesh/tests/links.rs
@@ -203,3 +203,32 @@
     one.leave();
     assert!(began.elapsed() < Duration::from_secs(30));
 }
+
+#[test]
+fn what_is_seen_is_told_to_people_and_to_programs() {
+    let (one, two) = two();
+    let at = "127.0.0.1:7000".parse().expect("an address");
+    let own = Own { marked: true, late: false, since: 0.0, stage: Stage::Up };
+    let says = vec![
+        Say::Searcher { at, own: Some(own), cold: false, normals: 4.0, parts: 3 },
+        Say::List { index: 17, ready: 4 },
+    ];
+    assert!(one.say(says));
+    let shown = until(&two.way(), "told", |s| s.lists.get("m1") == Some(&17));
+    let text = shown.to_string();
+    for words in [
+        "m2, start 1.",
+        ": member, caught up",
+        "m1               alive",
+        "by kind: list 1, mark 1",
+        "lists held: m1 17",
+    ] {
+        assert!(text.contains(words), "no {words:?} in\n{text}");
+    }
+    let json: serde_json::Value = serde_json::from_str(&shown.json()).expect("it is JSON");
+    assert_eq!((json["me"].as_str(), json["members"][0]["name"].as_str()), (Some("m2"), Some("m1")));
+    assert_eq!((json["kinds"]["mark"].as_u64(), json["lists"]["m1"].as_u64()), (Some(1), Some(17)));
+    assert!(shown.counts().lines().any(|l| l.starts_with("fleet_links_opened ")), "{}", shown.counts());
+    one.leave();
+    two.leave();
+}
