Hearsay of a drain ends where the own list says the same

Cause (read in Heed::knows and Mixer::heard, then caused by a test): a drain heard of and then confirmed by the own list left the searcher shut off in the module for good; where the drain was taken back within one start, the mixer never used it again.

Change: what the own list says itself, or a searcher that leaves it, takes the hearsay back; the list alone decides from then on.

--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -365,7 +365,10 @@
     fn obey(&mut self, now: f64) {
         while let Ok(order) = self.given.try_recv() {
             match order {
-                Order::Say(says) => says.into_iter().for_each(|say| self.node.say(now, say)),
+                Order::Say(says) => {
+                    let out = says.into_iter().filter_map(|say| self.node.say(now, say)).collect();
+                    self.carry(now, out);
+                }
                 Order::Show(to) => {
                     let _ = to.send(self.shown(now)); // or nobody waits any more
                 }
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -128,13 +128,14 @@
     }
 
     /// What this mixer has met by itself.
-    pub fn say(&mut self, now: f64, say: Say) {
+    pub fn say(&mut self, now: f64, say: Say) -> Option<Out> {
         let replica = &mut self.exchange.replica;
         match say {
             Say::Searcher { at, own, cold, normals, parts } => {
-                self.heed.knows(now, at, own);
+                let advice = self.heed.knows(now, at, own);
                 let late = own.is_some_and(|own| !own.marked);
                 self.searcher(now, at, own, cold, Mark { normals, parts, late });
+                return advice.map(Out::Advice);
             }
             Say::List { index, ready } => drop(replica.say(now, "list", &ListHeld { index, ready }, now)),
             Say::IdleLost { times } => drop(replica.say(now, "", &IdleLost { times }, now)),
@@ -142,6 +143,7 @@
                 replica.say(now, &customer, &Used { scans, span_ms }, now);
             }
         }
+        None
     }
 
     /// Says what the others may want to know of a searcher: who is up, warm and not marked, and always was, is no word.
--- a/crates/mesh/tests/net/mod.rs
+++ b/crates/mesh/tests/net/mod.rs
@@ -256,7 +256,9 @@
         if let Some(node) = self.nodes[i].node.as_mut() {
             let own = Own { marked, late: false, since: 1.0, stage: Stage::Up };
             let at = format!("127.0.0.1:{}", 7000 + searcher).parse().expect("an address");
-            node.say(now, Say::Searcher { at, own: Some(own), cold: false, normals: 5.0, parts: 3 });
+            let out =
+                node.say(now, Say::Searcher { at, own: Some(own), cold: false, normals: 5.0, parts: 3 });
+            self.carry(i, out.into_iter().collect());
         }
     }
 
--- a/crates/rehearse/src/words.rs
+++ b/crates/rehearse/src/words.rs
@@ -4,7 +4,7 @@
 use pewterwharf::logic::Known;
 use pewterwharf_peers::Start;
 use pewterwharf_replica::kinds::{Began, Mark};
-use pewterwharf_replica::{Heed, Limits, Own, Part, Refused, Replica};
+use pewterwharf_replica::{Advice, Heed, Limits, Own, Part, Refused, Replica};
 
 /// A mark that stays is said anew this often, as on the sockets.
 const AGAIN_MS: f64 = 700.0;
@@ -33,10 +33,11 @@
     }
 
     /// Says what is new of what the module knows; a liar marks all. What the others are to be told.
-    pub fn look(&mut self, now: f64, known: &[Known], lies: bool) -> Option<Part> {
+    pub fn look(&mut self, now: f64, known: &[Known], lies: bool) -> (Vec<Event>, Option<Part>) {
+        let mut events = Vec::new();
         for one in known {
             let (own, name) = (Own::of(one), one.searcher.to_string());
-            self.heed.knows(now, one.searcher, Some(own));
+            events.extend(self.heed.knows(now, one.searcher, Some(own)).map(Advice::event));
             let held = self.marked_at.iter().position(|m| m.0 == name);
             match (one.marked || own.late || lies, held) {
                 (true, Some(at))
@@ -65,21 +66,21 @@
                 }
             }
         }
-        let part = self.replica.said_since(now, self.told, PIECE)?;
-        self.told = part.upto;
-        Some(part)
+        let part = self.replica.said_since(now, self.told, PIECE);
+        self.told = part.as_ref().map_or(self.told, |part| part.upto);
+        (events, part)
     }
 
     /// Takes a word; the events that come of it, or that something between is missing.
     pub fn heard(&mut self, now: f64, from: usize, part: &Part) -> Result<Vec<Event>, Refused> {
         let news = self.replica.take(now, 0.0, &format!("m{from}"), part)?;
         let advice = self.heed.news(now, &news, &self.replica);
-        Ok(advice.into_iter().map(pewterwharf_replica::Advice::event).collect())
+        Ok(advice.into_iter().map(Advice::event).collect())
     }
 
     pub fn tick(&mut self, now: f64) -> Vec<Event> {
         self.replica.tick(now);
-        self.heed.tick(now).into_iter().map(pewterwharf_replica::Advice::event).collect()
+        self.heed.tick(now).into_iter().map(Advice::event).collect()
     }
 
     /// What this one holds and another lacks.
--- a/crates/rehearse/src/world.rs
+++ b/crates/rehearse/src/world.rs
@@ -328,8 +328,9 @@
         }
         let Some(words) = self.fleet.words.clone() else { return };
         let lies = words.liar == Some(mixer);
-        let part = self.copies[mixer].look(now, &known, lies);
-        for event in self.copies[mixer].tick(now) {
+        let (mut events, part) = self.copies[mixer].look(now, &known, lies);
+        events.extend(self.copies[mixer].tick(now));
+        for event in events {
             self.tell(mixer, event);
         }
         let Some(part) = part else { return };
--- a/crates/replica/src/heed.rs
+++ b/crates/replica/src/heed.rs
@@ -195,34 +195,39 @@
     }
 
     /// What this mixer now knows by itself of a searcher; nothing, where its list does not name it any more. Hearsay of it is
-    /// held against that.
-    pub fn knows(&mut self, now: f64, searcher: SocketAddrV4, own: Option<Own>) {
+    /// held against that; what of it is over comes back.
+    #[must_use]
+    pub fn knows(&mut self, now: f64, searcher: SocketAddrV4, own: Option<Own>) -> Option<Advice> {
         let Some(own) = own else {
             self.own.remove(&searcher);
             // Gone from the list: that it would leave was right.
-            if let Some(said) = self.leaving.remove(&searcher).filter(|said| !said.over) {
-                self.case(&said.by, now, true);
-            }
+            let said = self.leaving.remove(&searcher).filter(|said| !said.over);
+            said.iter().for_each(|said| self.case(&said.by, now, true));
             self.began.remove(&searcher);
             self.cases.remove(&searcher);
             self.doubted.remove(&searcher);
-            return;
+            return said.map(|_| Advice::Stays(searcher));
         };
         self.own.insert(searcher, own);
         if let Some(case) = self.cases.get_mut(&searcher) {
             case.right |= own.marked;
         }
+        // What the own list says itself is no hearsay any more: the list alone decides when it is over. Guards against a drain
+        // that is taken back within one start, and would have been kept to for ever.
+        let mut confirms = None;
         let confirmed = |said: &Hearsay| own.stage > Stage::Up || own.since > said.since;
         if self.leaving.get(&searcher).is_some_and(confirmed)
             && let Some(said) = self.leaving.remove(&searcher).filter(|said| !said.over)
         {
             self.case(&said.by, now, true);
+            confirms = Some(Advice::Stays(searcher));
         }
         if self.began.get(&searcher).is_some_and(|said| own.since >= said.since)
             && let Some(said) = self.began.remove(&searcher).filter(|said| !said.over)
         {
             self.case(&said.by, now, true);
         }
+        confirms
     }
 
     /// So many mixers are members, this one among them.
