--- a/src/logic.rs
+++ b/src/logic.rs
@@ -89,8 +89,8 @@
                     _ => {}
                 }
             }
-            // Others' marks are a reason to look; where several agree, or nobody may probe, to send one part at
-            // a time until one comes back in time. Harms a sound searcher that others lie of by so much.
+            // Others' marks are a reason to look; where several agree, or nobody may probe, to send one part
+            // at a time until one comes back in time. Harms a sound searcher that others lie of by so much.
             Note::Hint(several) if !self.tile.marked => {
                 self.tile.trial |= several || !probing;
                 if probing && !std::mem::replace(&mut self.asked, true) {
@@ -784,8 +784,8 @@
         (self.desk.used(), self.post.now < self.desk.lines.doubt_until)
     }
 
-    /// What others say makes it look, send less, or leave alone, and never send what it would not: a copy that
-    /// is wrong or old can cost service, no rule. It counts of searchers on its own list alone.
+    /// What others say makes it look, send less, or leave alone, and never send what it would not: a copy
+    /// that is wrong or old can cost service, no rule. It counts of searchers on its own list alone.
     fn heard(&mut self, searcher: SocketAddrV4, word: Word) {
         let Some(srv) = self.roster.find(searcher) else { return };
         match word {
