Drills of deletions forgotten and of clocks an hour apart; the timeline is readable

Left open of the copies: rows deleted long ago came back to tests of the core only, and no drill had hosts whose clocks differ. A section fleet may say for how long deletions are kept (forget 60s), so that a drill of ten seconds is longer; a way is cut while one mixer holds marks that the others delete and forget, and after the heal nobody holds any. A mixer of a drill can be started on a wall clock an hour off; nothing else reads the wall clock, and clippy holds to that. Random drills draw both. Seen on the drawn timeline: lines overlapped and ran over the right edge; each now stands in the first row that is free.

--- a/crates/drill/src/process.rs
+++ b/crates/drill/src/process.rs
@@ -45,6 +45,9 @@
     /// Differs between starts.
     pub seed: u64,
     pub number: u64,
+    pub forget_ms: Option<f64>,
+    /// How wrong the wall clock of its host is.
+    pub astray_ms: f64,
     /// No section `fleet`: the mixers share nothing.
     pub alone: bool,
 }
@@ -80,6 +83,9 @@
         for (name, at) in files.peers {
             text += &format!("\n  (peer \"{name}\" \"{at}\")");
         }
+        if let Some(ms) = files.forget_ms {
+            text += &format!("\n  (forget {ms}ms)");
+        }
         text += ")\n";
     }
     text
@@ -96,6 +102,7 @@
         let mut child = Command::new(files.program)
             .env("ROUTER_CONFIG", &json)
             .env("PEWTERWHARF_SETTINGS", &lisp)
+            .env("PEWTERWHARF_DRILL_CLOCK_MS", files.astray_ms.to_string())
             .env_remove("ROUTER_NAME")
             .env_remove("ROUTER_LISTEN")
             .env_remove("ROUTER_DISCOVERY")
--- a/crates/drill/src/random.rs
+++ b/crates/drill/src/random.rs
@@ -26,7 +26,7 @@
         let ways: Ways =
             if chance.rand_float() < 0.5 { vec![(m, other)] } else { vec![(m, other), (other, m)] };
         let up = down.iter().filter(|d| !**d).count();
-        let deed = match chance.rand_range(0..16) {
+        let deed = match chance.rand_range(0..17) {
             0 => Deed::Cut(ways),
             1 => Deed::Drop(ways),
             2 => Deed::Refuse(ways),
@@ -71,6 +71,7 @@
                 Deed::Drain(s)
             }
             15 => Deed::LoseDiscovery(vec![m]),
+            16 => Deed::Clock(m, if chance.rand_float() < 0.5 { 3_600_000.0 } else { -3_600_000.0 }),
             _ => continue,
         };
         steps.push(Step { at_ms: at, deed });
@@ -88,9 +89,11 @@
         Expect::Members { count: mixers, within_ms: 10_000.0 },
         Expect::Answered { share: 0.3 },
     ];
+    // For half of them away for a second is away for longer than deletions are kept.
+    let forget_ms = (chance.rand_float() < 0.5).then_some(1000.0);
     let mut title = String::new();
     let _ = write!(title, "seed {seed}"); // a String takes it
-    Script { title, mixers, searchers, load: 30, steps, expects }
+    Script { title, mixers, searchers, load: 30, forget_ms, steps, expects }
 }
 
 /// The smallest script that still fails, by leaving out one step after the other; each try costs a run, so many at most.
--- a/crates/drill/src/report.rs
+++ b/crates/drill/src/report.rs
@@ -99,14 +99,51 @@
 
     /// A timeline as a drawing: a lane for the rig and one for each mixer.
     pub fn svg(&self) -> String {
-        const WIDE: f64 = 1200.0;
-        const LANE: f64 = 110.0;
+        const WIDE: f64 = 1400.0;
         const LEFT: f64 = 60.0;
-        let lanes: Vec<String> =
-            std::iter::once("rig".to_owned()).chain((1..=self.mixers).map(|m| format!("m{m}"))).collect();
+        const ROW: f64 = 12.0;
+        /// Of one character, at the size of the lines.
+        const GLYPH: f64 = 6.1;
+        const LONGEST: usize = 60;
+        let lanes = std::iter::once("rig".to_owned()).chain((1..=self.mixers).map(|m| format!("m{m}")));
         let length = self.length_ms.max(1.0);
-        let x = |ms: f64| LEFT + (WIDE - LEFT - 10.0) * (ms / length).clamp(0.0, 1.0);
-        let high = LANE * lanes.len() as f64 + 40.0;
+        let x = |ms: f64| LEFT + (WIDE - LEFT - 20.0) * (ms / length).clamp(0.0, 1.0);
+        let (mut body, mut top) = (String::new(), 30.0);
+        for lane in lanes {
+            let colour = if lane == "rig" { "#b00" } else { "#036" };
+            let _ =
+                writeln!(body, "<line x1=\"0\" y1=\"{top}\" x2=\"{WIDE}\" y2=\"{top}\" stroke=\"#ccc\"/>");
+            let _ = writeln!(body, "<text x=\"8\" y=\"{:.0}\" font-size=\"13\">{lane}</text>", top + 16.0);
+            // Each line stands in the first row where it covers nothing; `ends` is how far each row is taken.
+            let mut ends: Vec<f64> = Vec::new();
+            for line in self.timeline.iter().filter(|l| l.who == lane) {
+                let what: String = line.what.chars().take(LONGEST).collect();
+                let (at, wide) = (x(line.at_ms), what.chars().count() as f64 * GLYPH);
+                // What would leave the picture stands on the left of its time.
+                let (from, left) =
+                    if at + 6.0 + wide > WIDE { (at - 6.0 - wide, true) } else { (at - 3.0, false) };
+                let row = ends.iter().position(|end| *end < from).unwrap_or(ends.len());
+                let until = if left { at + 6.0 } else { at + 8.0 + wide };
+                match ends.get_mut(row) {
+                    Some(end) => *end = until,
+                    None => ends.push(until),
+                }
+                let y = top + 14.0 + ROW * row as f64;
+                let _ = writeln!(
+                    body,
+                    "<circle cx=\"{at:.1}\" cy=\"{:.1}\" r=\"2\" fill=\"{colour}\"/>",
+                    y - 3.0
+                );
+                let (at, anchor) = if left { (at - 4.0, " text-anchor=\"end\"") } else { (at + 4.0, "") };
+                let what = escaped(&what);
+                let _ = writeln!(
+                    body,
+                    "<text x=\"{at:.1}\" y=\"{y:.1}\" fill=\"{colour}\"{anchor}>{what}</text>"
+                );
+            }
+            top += 12.0 + ROW * ends.len().max(1) as f64;
+        }
+        let high = top + 18.0;
         let mut svg = format!(
             "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"{WIDE}\" height=\"{high}\" font-family=\"monospace\" \
              font-size=\"10\">\n<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n<text x=\"10\" y=\"16\" font-size=\"13\">{}</text>\n",
@@ -121,25 +158,7 @@
             let _ =
                 writeln!(svg, "<text x=\"{at:.1}\" y=\"{:.0}\" fill=\"#999\">{second}s</text>", high - 4.0);
         }
-        for (nth, lane) in lanes.iter().enumerate() {
-            let top = 30.0 + LANE * nth as f64;
-            let _ = writeln!(svg, "<line x1=\"0\" y1=\"{top}\" x2=\"{WIDE}\" y2=\"{top}\" stroke=\"#ccc\"/>");
-            let _ = writeln!(svg, "<text x=\"8\" y=\"{:.0}\" font-size=\"13\">{lane}</text>", top + 16.0);
-            for (row, line) in self.timeline.iter().filter(|l| l.who == *lane).enumerate() {
-                let (at, y) = (x(line.at_ms), top + 14.0 + 12.0 * (row % 8) as f64);
-                let colour = if lane == "rig" { "#b00" } else { "#036" };
-                let _ =
-                    writeln!(svg, "<circle cx=\"{at:.1}\" cy=\"{:.1}\" r=\"2\" fill=\"{colour}\"/>", y - 3.0);
-                let what: String = line.what.chars().take(60).collect();
-                let _ = writeln!(
-                    svg,
-                    "<text x=\"{:.1}\" y=\"{y:.1}\" fill=\"{colour}\">{}</text>",
-                    at + 4.0,
-                    escaped(&what)
-                );
-            }
-        }
-        svg + "</svg>\n"
+        svg + &body + "</svg>\n"
     }
 }
 
--- a/crates/drill/src/rig.rs
+++ b/crates/drill/src/rig.rs
@@ -69,6 +69,8 @@
     /// Of the processes that the script ended, those that were killed.
     killed: BTreeSet<u64>,
     hung: Vec<(usize, f64)>,
+    /// How wrong the wall clock of each mixer's host is, in milliseconds.
+    astray_ms: Vec<f64>,
 }
 
 /// Runs one drill.
@@ -129,6 +131,7 @@
             killed: BTreeSet::new(),
             record: Record { work_ms: WORK_MS as f64, ..Record::default() },
             hung: Vec::new(),
+            astray_ms: vec![0.0; n],
         })
     }
 
@@ -176,6 +179,8 @@
                 .wrapping_mul(0x9e37_79b9_7f4a_7c15)
                 .wrapping_add((m as u64) << 32 | self.starts),
             number: self.starts,
+            forget_ms: self.script.forget_ms,
+            astray_ms: self.astray_ms[m],
             alone: self.options.alone || peers.is_empty(),
         };
         Process::start(&files)
@@ -385,6 +390,7 @@
                     self.others.push((m, process));
                 }
             }
+            Deed::Clock(m, by) => self.astray_ms[m] = by,
             Deed::Start(m, kept) => {
                 if self.processes[m].is_none() {
                     if kept == Kept::Fresh {
@@ -484,6 +490,7 @@
         let within = match expect {
             Expect::Agree { within_ms }
             | Expect::Members { within_ms, .. }
+            | Expect::NoMarks { within_ms }
             | Expect::Aside { within_ms, .. } => *within_ms,
             Expect::Answered { .. } => 0.0,
         };
@@ -499,6 +506,17 @@
                         .map(|(m, v)| format!("m{} sees {}", m + 1, v.as_ref().map_or(0, members)));
                     (held, seen.collect::<Vec<_>>().join(", "))
                 }
+                Expect::NoMarks { .. } => {
+                    let marks =
+                        |v: &Option<Value>| v.as_ref().map(|v| v["kinds"]["mark"].as_u64().unwrap_or(0));
+                    let views = self.views();
+                    let held = views.iter().all(|(_, v)| marks(v) == Some(0));
+                    let seen = views.iter().map(|(m, v)| match marks(v) {
+                        Some(count) => format!("m{} holds {count}", m + 1),
+                        None => format!("m{}: silent", m + 1),
+                    });
+                    (held, seen.collect::<Vec<_>>().join(", "))
+                }
                 Expect::Aside { mixer, .. } => {
                     let others = self
                         .others
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -52,6 +52,9 @@
     Die(usize),
     Return(usize),
     Drain(usize),
+    /// The wall clock of a mixer's host is wrong by so much, in milliseconds: what is started from then on finds it so. What
+    /// runs reads none.
+    Clock(usize, f64),
     LoseDiscovery(Vec<usize>),
     FindDiscovery(Vec<usize>),
 }
@@ -72,6 +75,8 @@
     Members { count: usize, within_ms: f64 },
     /// So great a share of all scans was completed.
     Answered { share: f64 },
+    /// Nobody holds a mark of anybody.
+    NoMarks { within_ms: f64 },
     /// A mixer stands aside from the fleet, as a later process has its name.
     Aside { mixer: usize, within_ms: f64 },
 }
@@ -84,11 +89,13 @@
     pub searchers: usize,
     /// Scans in a second, of all mixers together.
     pub load: u32,
+    /// For so long mixers keep in mind that something was deleted, in milliseconds; as they do of themselves, where absent.
+    pub forget_ms: Option<f64>,
     pub steps: Vec<Step>,
     pub expects: Vec<Expect>,
 }
 
-const DEEDS: [&str; 20] = [
+const DEEDS: [&str; 21] = [
     "partition",
     "cut",
     "drop",
@@ -107,10 +114,11 @@
     "die",
     "return",
     "drain",
+    "clock",
     "lose-discovery",
     "find-discovery",
 ];
-const EXPECTS: [&str; 4] = ["agree", "members", "answered", "aside"];
+const EXPECTS: [&str; 5] = ["agree", "members", "answered", "aside", "no-marks"];
 
 impl Script {
     /// Reads all drills of a text.
@@ -139,6 +147,7 @@
             mixers: 3,
             searchers: 4,
             load: 20,
+            forget_ms: None,
             steps: Vec::new(),
             expects: Vec::new(),
         };
@@ -148,12 +157,17 @@
                 ("mixers", [n]) => script.mixers = n.count("mixers", 1, MOST_MIXERS)? as usize,
                 ("searchers", [n]) => script.searchers = n.count("searchers", 1, MOST_SEARCHERS)? as usize,
                 ("load", [n]) => script.load = n.count("load", 0, MOST_LOAD)?,
+                ("forget", [time]) => script.forget_ms = Some(time.time_ms("a time")?),
                 ("at" | "expect", _) => {}
-                (key @ ("mixers" | "searchers" | "load"), values) => {
+                (key @ ("mixers" | "searchers" | "load" | "forget"), values) => {
                     return Err(node.fault(format!("{key} has {} values, expected one", values.len())));
                 }
                 (other, _) => {
-                    return Err(unexpected(node, other, &["mixers", "searchers", "load", "at", "expect"]));
+                    return Err(unexpected(
+                        node,
+                        other,
+                        &["mixers", "searchers", "load", "forget", "at", "expect"],
+                    ));
                 }
             }
         }
@@ -269,6 +283,17 @@
             "die" => count(1).and_then(|()| Ok(Deed::Die(self.searcher(&args[0])?))),
             "return" => count(1).and_then(|()| Ok(Deed::Return(self.searcher(&args[0])?))),
             "drain" => count(1).and_then(|()| Ok(Deed::Drain(self.searcher(&args[0])?))),
+            "clock" => match args {
+                [mixer, how, time] => {
+                    let by = time.time_ms("a time")?;
+                    match how.word("ahead or behind")? {
+                        "ahead" => Ok(Deed::Clock(self.mixer(mixer)?, by)),
+                        "behind" => Ok(Deed::Clock(self.mixer(mixer)?, -by)),
+                        other => Err(unexpected(how, other, &["ahead", "behind"])),
+                    }
+                }
+                _ => Err(node.fault("expected a mixer, ahead or behind, and a time, as (clock m2 ahead 1h)")),
+            },
             "lose-discovery" => Ok(Deed::LoseDiscovery(mixers()?)),
             "find-discovery" => Ok(Deed::FindDiscovery(mixers()?)),
             other => Err(unexpected(node, other, &DEEDS)),
@@ -298,6 +323,7 @@
                 }
                 Ok(Expect::Answered { share: found })
             }
+            ("no-marks", rest) => Ok(Expect::NoMarks { within_ms: within(rest)? }),
             ("aside", [mixer, rest @ ..]) => {
                 Ok(Expect::Aside { mixer: self.mixer(mixer)?, within_ms: within(rest)? })
             }
@@ -352,6 +378,10 @@
             Self::Die(s) => write!(f, "(die s{})", s + 1),
             Self::Return(s) => write!(f, "(return s{})", s + 1),
             Self::Drain(s) => write!(f, "(drain s{})", s + 1),
+            Self::Clock(m, by) => {
+                let how = if *by < 0.0 { "behind" } else { "ahead" };
+                write!(f, "(clock m{} {how} {})", m + 1, time(by.abs()))
+            }
             Self::LoseDiscovery(mixers) => write!(f, "(lose-discovery {})", names(mixers)),
             Self::FindDiscovery(mixers) => write!(f, "(find-discovery {})", names(mixers)),
         }
@@ -365,6 +395,7 @@
             Self::Members { count, within_ms } => {
                 write!(f, "(members {count} (within {}))", time(*within_ms))
             }
+            Self::NoMarks { within_ms } => write!(f, "(no-marks (within {}))", time(*within_ms)),
             Self::Answered { share } => write!(f, "(answered {share})"),
             Self::Aside { mixer, within_ms } => {
                 write!(f, "(aside m{} (within {}))", mixer + 1, time(*within_ms))
@@ -375,12 +406,15 @@
 
 impl fmt::Display for Script {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { title, mixers, searchers, load, steps, expects } = self;
+        let Self { title, mixers, searchers, load, forget_ms, steps, expects } = self;
         write!(
             f,
             "(drill \"{}\" (mixers {mixers}) (searchers {searchers}) (load {load})",
             title.replace('"', "'")
         )?;
+        if let Some(ms) = forget_ms {
+            write!(f, " (forget {})", time(*ms))?;
+        }
         for step in steps {
             write!(f, "\n  (at {} {})", time(step.at_ms), step.deed)?;
         }
--- a/crates/drill/src/stand.rs
+++ b/crates/drill/src/stand.rs
@@ -123,6 +123,10 @@
 
 /// Milliseconds of the wall clock, as lists tell starts.
 pub fn wall_ms() -> f64 {
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "discovery says when searchers started, as its own host's clock has it"
+    )]
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
 }
 
--- a/crates/drill/tests/scripts.rs
+++ b/crates/drill/tests/scripts.rs
@@ -40,9 +40,10 @@
       (at 9ms (heal m1 m2)) (at 10ms (heal (from m1) (to m2))) (at 11ms (start m1 fresh)) (at 12ms (start m1 kept))
       (at 13ms (term m3)) (at 14ms (twin m2)) (at 15ms (die s1)) (at 16ms (return s1)) (at 17ms (drain s2))
       (at 18ms (lose-discovery)) (at 19ms (lose-discovery m1 m2)) (at 20ms (find-discovery m1))
+      (at 21ms (clock m1 ahead 1h)) (at 22ms (clock m2 behind 90s)) (forget 3s) (expect (no-marks (within 4s)))
       (expect (members 3)) (expect (agree)) (expect (aside m2 (within 2s))))"#;
     let read = Script::read(text).expect("it reads");
-    assert_eq!(read[0].steps.len(), 20);
+    assert_eq!(read[0].steps.len(), 22);
     assert_eq!(Script::read(&read[0].to_string()), Ok(read));
 }
 
@@ -66,6 +67,8 @@
         of("(drop (from m1) (two m2))"),
         of("(delay m1 m2)"),
         of("(start m1 old)"),
+        of("(clock m1 1h)"),
+        of("(clock m1 off 1h)"),
         told("(drill \"x\" (expect (agreed)))"),
         told("(drill \"x\" (expect (answered 2)))"),
         told("(drill \"x\" (expect (agree (with 2s))))"),
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -60,6 +60,8 @@
     pub peers: Vec<(String, SocketAddr)>,
     /// Differs between starts.
     pub seed: u64,
+    /// For so long a deletion is kept before it is forgotten, in milliseconds.
+    pub forget_ms: f64,
 }
 
 impl Terms {
@@ -256,8 +258,10 @@
                 To { at, standing, token, wait_ms, queue, written: 0, bytes: 0, back, used_at: 0.0, why };
             (name, to)
         };
+        let mut node = Node::new(&terms.fleet, &terms.me, &names, terms.seed);
+        node.exchange.replica.forget_after(terms.forget_ms);
         Self {
-            node: Node::new(&terms.fleet, &terms.me, &names, terms.seed),
+            node,
             poll,
             listener,
             given,
--- a/crates/mesh/tests/links.rs
+++ b/crates/mesh/tests/links.rs
@@ -16,7 +16,7 @@
 
 fn terms(me: &str, listen: SocketAddr, peers: &[(&str, SocketAddr)], seed: u64) -> Terms {
     let peers = peers.iter().map(|(name, at)| ((*name).to_owned(), *at)).collect();
-    Terms { fleet: "praha".to_owned(), me: me.to_owned(), listen, peers, seed }
+    Terms { fleet: "praha".to_owned(), me: me.to_owned(), listen, peers, seed, forget_ms: 60_000.0 }
 }
 
 /// Waits until what is seen is as wanted; the ceiling is for a machine that stands still.
--- a/crates/mixer/src/clock.rs
+++ b/crates/mixer/src/clock.rs
@@ -10,9 +10,16 @@
 }
 
 impl Clock {
+    #[expect(
+        clippy::disallowed_methods,
+        reason = "the one place where the wall clock is read, once: a step moves nothing"
+    )]
     pub fn start() -> Self {
+        // Drills of a host whose clock is wrong say so here, as no process can be given a wall clock of its own.
+        let astray_ms =
+            std::env::var("PEWTERWHARF_DRILL_CLOCK_MS").ok().and_then(|ms| ms.parse().ok()).unwrap_or(0.0);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { origin: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
+        Self { origin: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 + astray_ms }
     }
 
     pub fn now(&self) -> f64 {
--- a/crates/mixer/src/copies.rs
+++ b/crates/mixer/src/copies.rs
@@ -55,6 +55,7 @@
         listen: fleet.listen,
         peers: fleet.peers.iter().map(|p| (p.name.clone(), p.address)).collect(),
         seed,
+        forget_ms: fleet.forget_ms,
     }
 }
 
--- a/crates/mixer/tests/drills.rs
+++ b/crates/mixer/tests/drills.rs
@@ -49,6 +49,8 @@
     drain_without_discovery: "a drain is kept by who is cut off from discovery",
     leaving: "one leaves with a word and comes back",
     slow_ways: "slow and late ways",
+    forgotten_rows: "rows deleted and forgotten while one was away do not come back",
+    stepped_clocks: "hosts whose clocks are an hour apart",
 }
 
 /// A fleet that stays cut in two can't agree, and scans that meet nobody are not answered: a rig that says otherwise is worth
--- a/crates/mixer/tests/drills/fleet.lisp
+++ b/crates/mixer/tests/drills/fleet.lisp
@@ -101,3 +101,23 @@
   (expect (agree (within 30s)))
   (expect (members 4 (within 30s)))
   (expect (answered 0.8)))
+
+; The marks of s1 are held by m4 when the way is cut; they are deleted and forgotten on the other side before it is healed.
+(drill "rows deleted and forgotten while one was away do not come back" (mixers 4) (searchers 4) (load 60) (forget 1s)
+  (at 300ms (hang s1))
+  (at 4s (partition (m1 m2 m3) (m4)))
+  (at 4500ms (return s1))
+  (at 12s (heal))
+  (expect (agree (within 30s)))
+  (expect (no-marks (within 30s)))
+  (expect (agree (within 30s)))
+  (expect (answered 0.8)))
+
+(drill "hosts whose clocks are an hour apart" (mixers 4) (searchers 4) (load 40)
+  (at 100ms (clock m1 ahead 1h)) (at 100ms (clock m2 behind 1h))
+  (at 300ms (kill m1)) (at 500ms (start m1)) (at 800ms (kill m2)) (at 1s (start m2))
+  (at 2s (drain s1)) (at 2500ms (hang s2)) (at 5s (return s2)) (at 5s (die s3)) (at 7s (return s3))
+  (at 8s (clock m1 behind 1h)) (at 8s (kill m1)) (at 8500ms (start m1))
+  (expect (members 4 (within 30s)))
+  (expect (agree (within 30s)))
+  (expect (answered 0.8)))
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -7,9 +7,9 @@
 use crate::kinds::{self, Kind};
 use crate::rows::{Entry, LONGEST_NAME, LONGEST_VALUE, Part, RANGES, Refused, Sum, Why, WireRow};
 
-/// A deletion is kept for so long: well past the time in which rounds reach everybody who is up. Who was away for longer
+/// A deletion is kept for so long, where nothing else is said: well past the time in which rounds reach everybody who is up. Who was away for longer
 /// takes all from the beginning.
-const KEEP_DELETED_MS: f64 = 60_000.0;
+pub const KEEP_DELETED_MS: f64 = 60_000.0;
 /// What a row costs beside its name and value, in bytes: its places in two maps.
 const ROW_COST: usize = 160;
 
@@ -83,6 +83,7 @@
     me: String,
     named: BTreeSet<String>,
     limits: Limits,
+    forget_ms: f64,
     held: BTreeMap<String, Held>,
     refused: BTreeMap<Refused, u64>,
 }
@@ -165,7 +166,12 @@
         let mut named: BTreeSet<String> = named.into_iter().collect();
         named.insert(me.to_owned());
         let held = BTreeMap::from([(me.to_owned(), Held { start, ..Held::default() })]);
-        Self { me: me.to_owned(), named, limits, held, refused: BTreeMap::new() }
+        Self { me: me.to_owned(), named, limits, forget_ms: KEEP_DELETED_MS, held, refused: BTreeMap::new() }
+    }
+
+    /// Keeps a deletion for so long, in milliseconds, before it is forgotten.
+    pub fn forget_after(&mut self, ms: f64) {
+        self.forget_ms = ms;
     }
 
     pub fn me(&self) -> &str {
@@ -519,8 +525,9 @@
 
     /// Forgets deletions that everybody had time to hear of.
     pub fn tick(&mut self, now: f64) {
+        let forget_ms = self.forget_ms;
         for held in self.held.values_mut().filter(|h| h.deleted > 0 && h.sweep.is_none()) {
-            let old = |row: &Row| row.value.is_none() && now - row.since > KEEP_DELETED_MS;
+            let old = |row: &Row| row.value.is_none() && now - row.since > forget_ms;
             let gone: Vec<Key> =
                 held.rows.iter().filter(|(_, r)| old(r)).map(|(key, _)| key.clone()).collect();
             for key in gone {
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -16,6 +16,9 @@
     pub listen: SocketAddr,
     /// 1 to 512.
     pub peers: Vec<FleetPeer>,
+    /// For so long it is kept in mind that something was deleted, in milliseconds: 1 s to 1 h. Whoever is away for longer
+    /// takes all anew.
+    pub forget_ms: f64,
 }
 
 /// Another mixer.
@@ -25,7 +28,11 @@
     pub address: SocketAddr,
 }
 
-const KEYS: [&str; 3] = ["name", "me", "peer"];
+const KEYS: [&str; 4] = ["name", "me", "peer", "forget"];
+/// Well past the time in which word reaches everybody who is up.
+const FORGET_MS: f64 = 60_000.0;
+/// Under the first, a deletion is forgotten before a slow way has carried it; over the second it only costs memory.
+const FORGET: (f64, f64) = (1000.0, 3_600_000.0);
 /// Peers that a file may name.
 const MOST: usize = 512;
 /// Longest name, in bytes.
@@ -45,6 +52,7 @@
 impl Fleet {
     pub(crate) fn read(whole: &Node, keys: &[Node]) -> Result<Self, Fault> {
         let (mut called, mut me, mut peers, mut seen) = (None, None, Vec::<FleetPeer>::new(), Vec::new());
+        let mut forget_ms = FORGET_MS;
         for node in keys {
             let (key, values) = node.call("a key of fleet, as (name \"praha\")")?;
             if key != "peer" {
@@ -61,6 +69,14 @@
                         (other, _) => return Err(unexpected(listen, other, &["listen"])),
                     }
                 }
+                ("forget", [time]) => {
+                    forget_ms = time.time_ms("fleet forget")?;
+                    if !(FORGET.0..=FORGET.1).contains(&forget_ms) {
+                        return Err(
+                            node.fault(format!("found {forget_ms}ms, expected fleet forget from 1s to 1h"))
+                        );
+                    }
+                }
                 ("peer", [peer, address]) => {
                     let peer = FleetPeer {
                         name: name(peer, "a peer's name")?,
@@ -96,6 +112,6 @@
                 whole.fault("expected a (peer \"NAME\" \"ADDRESS:PORT\") beside this mixer in (fleet ...)")
             );
         }
-        Ok(Self { name, me, listen, peers })
+        Ok(Self { name, me, listen, peers, forget_ms })
     }
 }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -142,7 +142,11 @@
         ),
         (
             format!(r#"{me}(pear "m2" "127.0.0.2:1"))"#),
-            "1:52: found pear, expected one of name, me, peer; did you mean peer?",
+            "1:52: found pear, expected one of name, me, peer, forget; did you mean peer?",
+        ),
+        (
+            format!(r#"{me}(peer "m2" "127.0.0.2:1") (forget 10ms))"#),
+            "1:78: found 10ms, expected fleet forget from 1s to 1h",
         ),
         (
             format!("{me})"),
