A mixer that ends gives its name up, and links to processes that are gone are opened anew

From the request on it gives way (Peers::ends). - A mixer that stood aside spun: its links were due to be opened and never were (due() in links.rs); a whole core, until its end. - A link whose far end was killed behind a half-open way stood for good: written to, it took all. A link is now opened anew when its peer's process has changed, when the peer is down, and when it has stood for 5 s while the peer is not there.

--- a/crates/drill/src/process.rs
+++ b/crates/drill/src/process.rs
@@ -28,6 +28,7 @@
 
 pub struct Process {
     pub number: u64,
+    pub began: Instant,
     pub child: Child,
     pub told: Arc<(Mutex<Told>, Condvar)>,
     pub console: PathBuf,
@@ -136,7 +137,7 @@
             says.0.lock().unwrap_or_else(PoisonError::into_inner).over = true;
             says.1.notify_all();
         })?;
-        Ok(Self { number: files.number, child, told, console })
+        Ok(Self { number: files.number, began: Instant::now(), child, told, console })
     }
 
     /// Whether it has said that it is ready, and where clients reach it.
--- a/crates/drill/src/rig.rs
+++ b/crates/drill/src/rig.rs
@@ -251,6 +251,7 @@
             let (cpu, kib) = p.as_ref()?.cost()?;
             Some((format!("m{}", m + 1), cpu, kib))
         };
+        self.spinning();
         let costs = self.processes.iter().enumerate().filter_map(cost).collect();
         self.end();
         let (mut asked, arrived) = (asked, self.searchers.arrived());
@@ -538,6 +539,21 @@
         }
     }
 
+    /// Finds processes that work where there is nothing to do: the loads of drills take a tenth of a core.
+    fn spinning(&mut self) {
+        const LEAST_MS: f64 = 3000.0;
+        const SHARE: f64 = 0.5;
+        let held = self.processes.iter().enumerate().filter_map(|(m, p)| Some((m, p.as_ref()?)));
+        let spins = held.chain(self.others.iter().map(|(m, p)| (*m, p))).filter_map(|(m, p)| {
+            let (cpu, lived) = (p.cost()?.0, p.began.elapsed().as_secs_f64() * 1000.0);
+            (lived >= LEAST_MS && cpu > SHARE * lived).then(|| (m, format!("{cpu:.0} ms of {lived:.0}")))
+        });
+        let (now, spins) = (self.now(), spins.collect::<Vec<_>>());
+        for (m, what) in spins {
+            self.breaks("no process spins", now, format!("m{}", m + 1), what);
+        }
+    }
+
     /// Asks all that run to end, and sees that they do.
     fn end(&mut self) {
         let now = self.now();
--- a/crates/mesh/src/links.rs
+++ b/crates/mesh/src/links.rs
@@ -33,6 +33,9 @@
 const WAITS_MS: (f64, f64) = (100.0, 2000.0);
 /// A link that stood for so long was none that only seems to be there.
 const STOOD_MS: f64 = 2000.0;
+/// A link that has stood for so long, to a peer that is not there for all that, is opened anew: past all time-outs of
+/// membership.
+const DEAF_MS: f64 = 5000.0;
 /// What may wait to be written on one link, on all, and what may have come and not be whole on all, in bytes.
 const OUT: usize = 128 * 1024;
 const OUT_ALL: usize = 2 << 20;
@@ -76,6 +79,7 @@
 enum Order {
     Say(Vec<Say>),
     Show(Sender<Shown>),
+    Ends,
     Leave,
 }
 
@@ -155,6 +159,11 @@
         self.told.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// This mixer was asked to end, and serves what it has taken on: a later process of its name may have the name.
+    pub fn ends(&self) {
+        self.way.give(Order::Ends);
+    }
+
     /// Leaves the fleet with a word; takes two fifths of a second at most.
     pub fn leave(self) {
         self.way.give(Order::Leave);
@@ -353,8 +362,10 @@
         // Links that have more to be read wait for their allowance, a few milliseconds.
         let more = if self.more.is_empty() { f64::INFINITY } else { self.now() + 5.0 };
         let ends = self.ends_at.unwrap_or(f64::INFINITY);
+        let opens = self.kept() && self.node.peers.takes_part();
         let to = self.to.values().map(|to| match to.standing {
-            Standing::Closed { until } if self.kept() => until,
+            // Guards against a thread that spins: who stands aside opens none, and is not due for it.
+            Standing::Closed { until } if opens => until,
             Standing::Opening { since, .. } => since + PATIENCE_MS,
             _ => f64::INFINITY,
         });
@@ -376,6 +387,7 @@
                 Order::Show(to) => {
                     let _ = to.send(self.shown(now)); // or nobody waits any more
                 }
+                Order::Ends => self.node.peers.ends(),
                 Order::Leave => {
                     let out = self.node.leave(now);
                     self.carry(now, out);
@@ -406,6 +418,7 @@
         for one in out {
             match one {
                 Out::Send { to, frame } => self.send(now, &to, &frame),
+                Out::Reopen { to } => self.reopen(now, &to),
                 Out::Greet { to } => self.greet(now, &to),
                 Out::Outdone { name, by } => self.outdone(now, &name, by),
                 Out::Advice(advice) => self.advice.push(advice),
@@ -451,6 +464,14 @@
         }
     }
 
+    /// A link that stands, and that the peer does not hear, is ended; one that is being opened is the new one already.
+    fn reopen(&mut self, now: f64, name: &str) {
+        let open = |to: &To| matches!(to.standing, Standing::Open { .. });
+        if self.to.get(name).is_some_and(open) {
+            self.close(now, name, "it leads to nobody who is there", true);
+        }
+    }
+
     fn greet(&mut self, now: f64, name: &str) {
         let Some(to) = self.to.get_mut(name) else { return };
         match &mut to.standing {
@@ -811,6 +832,13 @@
         let names: Vec<String> =
             self.to.iter().filter(|(_, to)| late(to)).map(|(name, _)| name.clone()).collect();
         names.iter().for_each(|name| self.close(now, name, "nobody answers", false));
+        // Guards against a link whose far end has gone without a word: written to, it takes all and carries nothing.
+        let deaf = |(name, to): (&String, &To)| {
+            let old = matches!(to.standing, Standing::Open { since, .. } if now - since >= DEAF_MS);
+            (old && !self.node.peers.up().contains_key(name)).then(|| name.clone())
+        };
+        let names: Vec<String> = self.to.iter().filter_map(deaf).collect();
+        names.iter().for_each(|name| self.reopen(now, name));
         let mute = |f: &From| f.who.is_none() && now - f.since >= PATIENCE_MS;
         let tokens: Vec<usize> = self.from.iter().filter(|(_, f)| mute(f)).map(|(t, _)| *t).collect();
         for token in tokens {
--- a/crates/mesh/src/node.rs
+++ b/crates/mesh/src/node.rs
@@ -38,6 +38,8 @@
 pub enum Out {
     /// To that peer.
     Send { to: String, frame: Frame },
+    /// Ends the link to that peer, and opens another soon.
+    Reopen { to: String },
     /// Begins its link to that peer anew, with a hello first.
     Greet { to: String },
     /// Ends links on which an earlier start of that name speaks, with the reason.
@@ -197,10 +199,18 @@
                     self.exchange.peer(&name, Some(start));
                 }
                 Effect::Down { name } => {
+                    // One that leaves has last words on its links.
+                    if self.peers.takes_part() {
+                        out.push(Out::Reopen { to: name.clone() });
+                    }
                     out.push(Out::Log(format!("{name} is not there any more")));
                     self.exchange.peer(&name, None);
                 }
-                Effect::Started { name, start } => self.exchange.started(&name, start),
+                Effect::Started { name, start } => {
+                    self.exchange.started(&name, start);
+                    // A link that was opened to an earlier process leads nowhere, even if nobody has told this end of it.
+                    out.push(Out::Reopen { to: name });
+                }
                 Effect::Renewed(start) => {
                     out.push(Out::Log(format!(
                         "an earlier start of this name is known: this one is {start}"
--- a/crates/mesh/tests/net/mod.rs
+++ b/crates/mesh/tests/net/mod.rs
@@ -169,7 +169,7 @@
                         self.put(i, other, Carried::Refused(pewterwharf_peers::Refusal::Older(by)));
                     }
                 }
-                Out::Log(_) => {}
+                Out::Reopen { .. } | Out::Log(_) => {}
             }
         }
     }
--- a/crates/mixer/src/copies.rs
+++ b/crates/mixer/src/copies.rs
@@ -123,6 +123,11 @@
         self.on.as_ref().map_or_else(String::new, |on| on.mesh.counts())
     }
 
+    /// This mixer was asked to end.
+    pub fn ends(&self) {
+        self.on.iter().for_each(|on| on.mesh.ends());
+    }
+
     /// Leaves the fleet with a word.
     pub fn leave(self) {
         self.on.into_iter().for_each(|on| on.mesh.leave());
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -202,6 +202,7 @@
             }
             // What leads clients here goes first.
             Told::Input(at, Input::Stop) => {
+                self.copies.ends();
                 if self.announcing.stop() {
                     inputs.push((at, Input::Stop));
                 }
--- a/crates/mixer/tests/drills.rs
+++ b/crates/mixer/tests/drills.rs
@@ -51,6 +51,8 @@
     slow_ways: "slow and late ways",
     forgotten_rows: "rows deleted and forgotten while one was away do not come back",
     stepped_clocks: "hosts whose clocks are an hour apart",
+    ends_and_begins: "started again while the process before still ends",
+    half_open_and_killed: "killed behind a way that is half open, and started again",
 }
 
 /// A fleet that stays cut in two can't agree, and scans that meet nobody are not answered: a rig that says otherwise is worth
--- a/crates/mixer/tests/drills/fleet.lisp
+++ b/crates/mixer/tests/drills/fleet.lisp
@@ -121,3 +121,19 @@
   (expect (members 4 (within 30s)))
   (expect (agree (within 30s)))
   (expect (answered 0.8)))
+
+; Found by lot: its new process gave way to the one that was still ending.
+(drill "started again while the process before still ends" (mixers 3) (searchers 4) (load 30)
+  (at 500ms (term m2)) (at 600ms (start m2 fresh))
+  (at 1500ms (term m1)) (at 1600ms (start m1)) (at 2500ms (term m3)) (at 2600ms (start m3))
+  (expect (members 3 (within 30s)))
+  (expect (agree (within 30s)))
+  (expect (answered 0.8)))
+
+; Found by lot: the link to the process that was killed stood for good, as nobody had told this end of it.
+(drill "killed behind a way that is half open, and started again" (mixers 2) (searchers 8) (load 30)
+  (at 500ms (half-open (from m2) (to m1))) (at 900ms (kill m2))
+  (at 2s (heal)) (at 2s (start m2))
+  (expect (members 2 (within 30s)))
+  (expect (agree (within 30s)))
+  (expect (answered 0.8)))
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -246,6 +246,8 @@
     began: Option<f64>,
     /// Processes of its own name, by their lots, that it has taken a number above, and that number.
     topped: BTreeMap<u64, u64>,
+    /// It was asked to end.
+    ends: bool,
     up: BTreeMap<String, Start>,
     left: BTreeSet<String>,
     foca: Foca<Id, Named, Chance, foca::NoCustomBroadcast>,
@@ -306,6 +308,7 @@
             starts: BTreeMap::new(),
             began: None,
             topped: BTreeMap::new(),
+            ends: false,
             up: BTreeMap::new(),
             left: BTreeSet::new(),
             foca: Foca::new(id, config, Chance(chance), codec),
@@ -483,7 +486,8 @@
         });
         let lives = self.topped.get(&by.start.lot).is_some_and(|topped| by.start.number > *topped);
         // Its own lot is its own echo, however it came by that number.
-        if later && lives && by.start.lot != self.start.lot {
+        let gives_way = self.ends || later && lives;
+        if gives_way && by.start.lot != self.start.lot {
             self.standing = Standing::Aside(by.start);
             self.end();
             self.effects.push(Effect::Aside(by.start));
@@ -496,6 +500,12 @@
         self.rise(by.start);
     }
 
+    /// This mixer was asked to end: whoever comes under its name from now on is the later, whatever their ages. Guards against
+    /// a restart within [`ALIKE_MS`] whose new process gave way, by lot, to one that was still serving its last scans.
+    pub fn ends(&mut self) {
+        self.ends = true;
+    }
+
     /// Takes a number above that start.
     fn rise(&mut self, above: Start) {
         self.start = self.start.after(above);
