A silent, stopped or returning watch is heard before a drain's grace; drains are not taken back

Change: one thread a watch, polled: others are asked beside one that is doubted, and the first that speaks is gone by.

--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -69,6 +69,8 @@
     watches_lost,
     /// Lists of a watch that a newer one has replaced.
     lists_late,
+    /// Lists older than the one held: none takes a drain back.
+    lists_older,
     /// New configurations that were taken, and files that could not be used.
     reloads,
     reloads_failed,
--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -1,11 +1,15 @@
-//! Keeps a watch on the searcher list and hands on what it tells.
+//! Keeps a watch on the searcher list and hands on what it tells. One thread a watch, which never waits for one
+//! connection alone: while none can be trusted it begins others beside, and goes by the first that speaks.
 
+use std::collections::BTreeMap;
 use std::io::{ErrorKind, Write};
-use std::net::{SocketAddr, SocketAddrV4, TcpStream};
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Error, Result, ensure};
+use anyhow::{Context, Error, Result, bail, ensure};
+use mio::net::TcpStream;
+use mio::{Events, Interest, Poll, Token};
 use tracing::{debug, warn};
 
 pub use pewterwharf_terms::list::{Entry, List, list};
@@ -15,10 +19,17 @@
 use crate::inputs::Input;
 use crate::tell::Tell;
 
-/// Waits between watches: the first, and the longest.
-const WAITS: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
-/// A watch that says nothing for so long is begun anew: it sends an empty line every 2 s.
-const SILENT: Duration = Duration::from_secs(7);
+/// A watch sends an empty line every 2 s: one that has said nothing for so long is doubted, and others begin beside it. What it
+/// misses counts as told 6 s after it fell silent, so that a slow one of these still has over 3 s to speak.
+const QUIET: Duration = Duration::from_millis(2600);
+/// One that stops in the middle of a line is doubted after so long.
+const STOPPED: Duration = Duration::from_millis(100);
+/// While no watch can be trusted, another begins so often: discovery that returns is heard well within a drain's grace of
+/// 250 ms, whether it answers what had been asked or only what is asked then.
+const EVERY: Duration = Duration::from_millis(100);
+/// Of those that have not spoken, the eldest stays for as long as a doubted one (guards against a place that is slow to start), and
+/// the youngest gives way to the next (guards against one that answers nothing asked while it was down).
+const ATTEMPTS: usize = 2;
 /// How often a watch looks whether it still counts.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -50,140 +61,303 @@
 
 impl Watch {
     /// Watches for as long as it counts and the program runs.
-    pub fn run(mut self, connect: Duration, watches: &Watches, tell: &Tell) {
-        let mut wait = WAITS.0;
-        while watches.count(self.number) {
-            let before = self.index;
-            match self.follow(connect, watches, tell) {
-                Ok(()) => debug!("discovery at {} ended the watch", self.at),
-                Err(error) => debug!("discovery at {}: {error:#}", self.at),
+    pub fn run(self, watches: &Watches, tell: &Tell) {
+        let poll = loop {
+            match Poll::new() {
+                Ok(poll) => break poll,
+                // No descriptor is left for now.
+                Err(error) => warn!("no way to watch discovery: {error}"),
             }
-            if !watches.count(self.number) || !tell.say(Input::WatchLost) {
-                return;
+            std::thread::sleep(LOOK);
+        };
+        let Self { number, at, index } = self;
+        let (room, wires, next_id) = (Room::of(2 * LONGEST), BTreeMap::new(), 0);
+        let mut told = Telling { poll, number, at, index, room, wires, next_id, watches, tell };
+        if let Err(error) = told.run() {
+            debug!("watch {number} has ended: {error:#}");
+        }
+    }
+}
+
+/// A watch at work.
+struct Telling<'a> {
+    poll: Poll,
+    number: u64,
+    at: SocketAddrV4,
+    index: Option<u64>,
+    room: Room,
+    /// Its connections, the eldest first: at most one that has spoken, and attempts at a better one.
+    wires: BTreeMap<usize, Wire>,
+    next_id: usize,
+    watches: &'a Watches,
+    tell: &'a Tell,
+}
+
+impl Telling<'_> {
+    fn run(&mut self) -> Result<()> {
+        let mut events = Events::with_capacity(8);
+        let mut next = Instant::now();
+        while self.watches.count(self.number) {
+            let now = Instant::now();
+            let trusted = self.wires.values().filter_map(|w| w.trusted_until(now)).max();
+            if trusted.is_some() {
+                self.wires.retain(|_, wire| wire.spoken); // it speaks again: nobody else is needed
+            } else if now >= next {
+                next = now + EVERY;
+                self.attempt(now);
+            }
+            let wait = trusted.unwrap_or(next).saturating_duration_since(now).min(LOOK);
+            match self.poll.poll(&mut events, Some(wait)) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                other => other?,
+            }
+            for event in &events {
+                self.turn(event.token().0)?;
             }
-            wait = if self.index == before { (wait * 2).min(WAITS.1) } else { WAITS.0 };
-            std::thread::sleep(wait);
         }
+        Ok(())
     }
 
-    fn follow(&mut self, connect: Duration, watches: &Watches, tell: &Tell) -> Result<()> {
-        let stream = TcpStream::connect_timeout(&SocketAddr::V4(self.at), connect)?;
-        stream.set_read_timeout(Some(LOOK))?;
-        stream.set_write_timeout(Some(SILENT))?;
-        stream.set_nodelay(true)?;
-        let mut input = Incoming {
-            buffer: Buffer::new(&Room::of(2 * LONGEST)),
-            stream: &stream,
-            number: self.number,
-            watches,
-        };
-        if self.index.is_none() {
-            // Versions held are another place's: the whole list first, whatever it is numbered.
-            (&stream)
-                .write_all(format!("GET /api/targets HTTP/1.1\r\nHost: {}\r\n\r\n", self.at).as_bytes())?;
-            let body = input.whole()?;
-            self.heard(&body, tell)?;
+    /// Begins one more, in the place of another if there are too many.
+    fn attempt(&mut self, now: Instant) {
+        // A watch that a newer one is to replace leaves descriptors for that.
+        let newest = self.watches.wanted.load(Ordering::Acquire) == self.number;
+        let most = if newest { ATTEMPTS } else { 1 };
+        self.wires.retain(|_, wire| wire.spoken || now.duration_since(wire.since) < QUIET);
+        let open: Vec<usize> = self.wires.iter().filter(|w| !w.1.spoken).map(|w| *w.0).collect();
+        if open.len() >= most
+            && let Some(youngest) = open.last()
+        {
+            self.wires.remove(youngest);
         }
-        let (at, after) = (self.at, self.index.unwrap_or(0));
-        let request = format!("GET /api/targets?watch=1&after={after} HTTP/1.1\r\nHost: {at}\r\n\r\n");
-        (&stream).write_all(request.as_bytes())?;
-        ensure!(input.head()? == Body::Chunked, "the watch is not chunked");
-        let mut line = Vec::new();
-        loop {
-            let Some(data) = input.chunk()? else { return Ok(()) };
-            // An empty line is a word too: the list is as it was.
-            watches.said.store(tell.now() as u64, Ordering::Release);
-            for byte in data {
-                if byte == b'\n' {
-                    self.heard(&std::mem::take(&mut line), tell)?;
-                } else {
-                    line.push(byte);
-                }
-            }
-            ensure!(line.len() <= LONGEST, "a line over {LONGEST} bytes");
+        self.next_id += 1;
+        debug!("asks discovery at {} for what came after {:?}", self.at, self.index);
+        match self.begin(now) {
+            Ok(wire) => drop(self.wires.insert(self.next_id, wire)),
+            Err(error) => debug!("discovery at {}: {error}", self.at),
         }
     }
 
-    fn heard(&mut self, line: &[u8], tell: &Tell) -> Result<()> {
-        if line.iter().all(u8::is_ascii_whitespace) {
-            return Ok(());
+    fn begin(&self, now: Instant) -> Result<Wire> {
+        let mut stream = TcpStream::connect(SocketAddr::V4(self.at))?;
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut stream, Token(self.next_id), interest)?;
+        let (buffer, text) = (Buffer::new(&self.room), Text::default());
+        Ok(Wire { stream, buffer, stage: Stage::Opening, since: now, heard: now, text, spoken: false })
+    }
+
+    /// Goes on with a connection on which something has happened; fails once nobody listens.
+    fn turn(&mut self, id: usize) -> Result<()> {
+        let Some(mut wire) = self.wires.remove(&id) else { return Ok(()) };
+        let (before, spoken) = (self.index, wire.spoken);
+        let end = wire.turn(self);
+        if wire.spoken && !spoken {
+            // What it says comes after all that the others have said.
+            self.wires.clear();
+        }
+        match end {
+            Ok(()) => drop(self.wires.insert(id, wire)),
+            Err(error) => {
+                debug!("discovery at {}: {error:#}, version {before:?} before", self.at);
+                ensure!(self.tell.say(Input::WatchLost), "nobody listens");
+            }
         }
-        let read = serde_json::from_slice(line).context("not JSON").and_then(|value| list(&value));
+        Ok(())
+    }
+
+    fn heard(&mut self, text: &[u8]) -> Result<()> {
+        let read = serde_json::from_slice(text).context("not JSON").and_then(|value| list(&value));
         let list = read.inspect_err(|error| warn!("discovery sent a line that can't be read: {error:#}"))?;
         self.index = Some(list.index);
-        tell.say(Input::List { watch: self.number, list });
+        self.tell.say(Input::List { watch: self.number, list });
         Ok(())
     }
 }
 
-/// What comes of a watch's connection, for as long as it counts.
-struct Incoming<'a> {
+/// How far a connection has come.
+enum Stage {
+    Opening,
+    /// The whole list is asked for first.
+    ListHead,
+    ListBody(Body),
+    WatchHead,
+    Lines,
+}
+
+/// One connection to discovery.
+struct Wire {
+    stream: TcpStream,
     buffer: Buffer,
-    stream: &'a TcpStream,
-    number: u64,
-    watches: &'a Watches,
+    stage: Stage,
+    since: Instant,
+    /// When anything last came.
+    heard: Instant,
+    text: Text,
+    /// It has told a list, or that there is nothing new.
+    spoken: bool,
 }
 
-impl Incoming<'_> {
-    /// Reads once; false at the end.
-    fn more(&mut self) -> Result<bool> {
-        ensure!(self.buffer.bytes().len() <= LONGEST, "over {LONGEST} bytes in one piece");
-        let since = Instant::now();
+impl Wire {
+    /// Until when what it says is gone by and nobody else is asked.
+    fn trusted_until(&self, now: Instant) -> Option<Instant> {
+        let begun = !self.buffer.bytes().is_empty() || self.text.begun();
+        let until = self.heard + if begun { STOPPED } else { QUIET };
+        (self.spoken && until > now).then_some(until)
+    }
+
+    fn ask(&mut self, path: &str, at: SocketAddrV4, stage: Stage) -> Result<()> {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {at}\r\n\r\n");
+        (&self.stream).write_all(request.as_bytes())?;
+        self.stage = stage;
+        Ok(())
+    }
+
+    fn watch(&mut self, telling: &Telling) -> Result<()> {
+        let after = telling.index.unwrap_or(0);
+        self.ask(&format!("/api/targets?watch=1&after={after}"), telling.at, Stage::WatchHead)
+    }
+
+    /// Takes up what has come; why it ends, once it does.
+    fn turn(&mut self, telling: &mut Telling) -> Result<()> {
+        if matches!(self.stage, Stage::Opening) {
+            if let Some(error) = self.stream.take_error()? {
+                return Err(error.into());
+            }
+            match self.stream.peer_addr() {
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::NotConnected => return Ok(()),
+                Err(error) => return Err(error.into()),
+            }
+            self.stream.set_nodelay(true)?;
+            match telling.index {
+                // Versions held are another place's: the whole list first, whatever it is numbered.
+                None => self.ask("/api/targets", telling.at, Stage::ListHead)?,
+                Some(_) => self.watch(telling)?,
+            }
+        }
         loop {
-            ensure!(self.watches.count(self.number), "another watch has taken its place");
-            match self.buffer.fill(&mut self.stream) {
-                Ok(read) => return Ok(read > 0),
-                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                    ensure!(since.elapsed() < SILENT, "nothing came for long");
+            match self.buffer.fill(&mut &self.stream) {
+                Ok(0) => break,
+                Ok(_) => {
+                    self.heard = Instant::now();
+                    self.take(telling)?;
+                    ensure!(self.buffer.bytes().len() <= LONGEST, "over {LONGEST} bytes in one piece");
                 }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(error) => return Err(error.into()),
             }
         }
+        if self.text.begun() {
+            telling.heard(&self.text.take())?;
+        }
+        bail!("it has ended")
     }
 
-    fn head(&mut self) -> Result<Body> {
+    /// Takes what has come whole.
+    fn take(&mut self, telling: &mut Telling) -> Result<()> {
         loop {
-            if let Some((status, body, used)) = http::response(self.buffer.bytes()).map_err(Error::msg)? {
-                ensure!(status == 200, "status {status}");
-                self.buffer.used(used);
-                return Ok(body);
+            match self.stage {
+                Stage::Opening => return Ok(()),
+                Stage::ListHead | Stage::WatchHead => {
+                    let head = http::response(self.buffer.bytes()).map_err(Error::msg)?;
+                    let Some((status, body, used)) = head else { return Ok(()) };
+                    self.buffer.used(used);
+                    ensure!(status == 200, "status {status}");
+                    self.stage = match self.stage {
+                        Stage::ListHead => Stage::ListBody(body),
+                        _ => Stage::Lines,
+                    };
+                    let watched = matches!(self.stage, Stage::Lines);
+                    ensure!(!watched || body == Body::Chunked, "the watch is not chunked");
+                }
+                Stage::ListBody(Body::Length(length)) => {
+                    ensure!(length <= LONGEST, "a list over {LONGEST} bytes");
+                    let Some(body) = self.buffer.bytes().get(..length) else { return Ok(()) };
+                    telling.heard(body)?;
+                    self.buffer.used(length);
+                    self.spoken = true;
+                    self.watch(telling)?;
+                }
+                Stage::ListBody(Body::Chunked) | Stage::Lines => {
+                    let chunk = http::chunk(self.buffer.bytes()).map_err(Error::msg)?;
+                    let Some((data, used)) = chunk else { return Ok(()) };
+                    let (last, lines) = (data.is_empty(), matches!(self.stage, Stage::Lines));
+                    let data = data.to_vec();
+                    self.buffer.used(used);
+                    ensure!(!(last && lines), "it has ended the watch");
+                    if lines {
+                        // An empty line is a word too: the list is as it was.
+                        telling.watches.said.store(telling.tell.now() as u64, Ordering::Release);
+                        self.lines(&data, telling)?;
+                    } else if !last {
+                        self.text.bytes.extend(data);
+                        ensure!(self.text.bytes.len() <= LONGEST, "a list over {LONGEST} bytes");
+                    } else {
+                        telling.heard(&self.text.take())?;
+                        self.spoken = true;
+                        self.watch(telling)?;
+                    }
+                }
             }
-            ensure!(self.more()?, "it ended in a head");
         }
     }
 
-    /// The next chunk; none after the last, or at the end.
-    fn chunk(&mut self) -> Result<Option<Vec<u8>>> {
-        loop {
-            if let Some((data, used)) = http::chunk(self.buffer.bytes()).map_err(Error::msg)? {
-                let data = data.to_vec();
-                self.buffer.used(used);
-                return Ok(Some(data).filter(|data| !data.is_empty()));
-            }
-            if !self.more()? {
-                return Ok(None);
+    fn lines(&mut self, data: &[u8], telling: &mut Telling) -> Result<()> {
+        for byte in data {
+            if let Some(text) = self.text.push(*byte) {
+                if !text.iter().all(u8::is_ascii_whitespace) {
+                    telling.heard(&text)?;
+                }
+                self.spoken = true;
             }
         }
+        ensure!(self.text.bytes.len() <= LONGEST, "a line over {LONGEST} bytes");
+        Ok(())
     }
+}
 
-    /// A whole answer's body.
-    fn whole(&mut self) -> Result<Vec<u8>> {
-        let mut body = Vec::new();
-        match self.head()? {
-            Body::Chunked => {
-                while let Some(data) = self.chunk()? {
-                    body.extend_from_slice(&data);
-                    ensure!(body.len() <= LONGEST, "a list over {LONGEST} bytes");
-                }
-            }
-            Body::Length(length) => {
-                while self.buffer.bytes().len() < length {
-                    ensure!(self.more()?, "it ended in a list");
-                }
-                body.extend_from_slice(&self.buffer.bytes()[..length]);
-                self.buffer.used(length);
-            }
+/// The text of a list as it comes: a line, or several of one value that is indented.
+#[derive(Default)]
+struct Text {
+    bytes: Vec<u8>,
+    /// Brackets that are open, and whether it stands in a string, and behind a backslash there.
+    depth: usize,
+    string: bool,
+    escaped: bool,
+    /// Up to this length it was looked whether it can still become a value.
+    looked: usize,
+}
+
+impl Text {
+    /// Takes one more byte; the text of a value or of an empty line once it has come whole.
+    fn push(&mut self, byte: u8) -> Option<Vec<u8>> {
+        self.bytes.push(byte);
+        match byte {
+            b'\n' if self.depth == 0 || self.hopeless() => return Some(self.take()),
+            _ if self.escaped => self.escaped = false,
+            b'\\' => self.escaped = self.string,
+            b'"' => self.string = !self.string,
+            b'{' | b'[' if !self.string => self.depth += 1,
+            b'}' | b']' if !self.string => self.depth = self.depth.saturating_sub(1),
+            _ => {}
         }
-        Ok(body)
+        None
+    }
+
+    /// Whether no further line can make a value of it. It is read anew only once it has doubled, as lists are long.
+    fn hopeless(&mut self) -> bool {
+        if self.bytes.len() < 2 * self.looked {
+            return false;
+        }
+        self.looked = self.bytes.len();
+        serde_json::from_slice::<serde_json::Value>(&self.bytes).is_err_and(|error| !error.is_eof())
+    }
+
+    fn begun(&self) -> bool {
+        !self.bytes.iter().all(u8::is_ascii_whitespace)
+    }
+
+    fn take(&mut self) -> Vec<u8> {
+        std::mem::take(self).bytes
     }
 }
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
 
-use pewterwharf::interface::{Action, Decide, Ending, Event, Life, ListKind};
+use pewterwharf::interface::{Action, Decide, Ending, Event, Life};
 use pewterwharf::logic::{Beliefs, Known, Mixer};
 use pewterwharf_terms::Terms;
 use pewterwharf_terms::list::List;
@@ -21,6 +21,9 @@
 
 /// After a warning, further ones are told at the debug level for so long.
 const QUIET_MS: f64 = 1000.0;
+/// So long a new process waits for the watch's first word before it goes by the list that it held: what the agent has counts as
+/// told from the first moment, and an agent that is up answers at once.
+const HOLD_MS: f64 = 1500.0;
 /// Connections of clients that may come while others are on their way out.
 const CHANGING: usize = 8;
 /// Descriptors for everything but clients and searchers: seven once started, a few more while connecting anew.
@@ -43,6 +46,8 @@
     names: HashMap<String, SocketAddrV4>,
     links: BTreeMap<u64, Link>,
     list_index: u64,
+    /// The list as held before the start, until the watch speaks or has been silent for long.
+    cached: Option<List>,
     /// The watch whose lists are gone by, and the newest.
     watch: u64,
     watch_wanted: u64,
@@ -80,6 +85,7 @@
             names: HashMap::new(),
             links: BTreeMap::new(),
             list_index: 0,
+            cached: None,
             watch: 0,
             watch_wanted: 0,
             discovery: None,
@@ -183,11 +189,10 @@
         ]
     }
 
-    /// The list as it was held before the start.
-    pub fn cached(&mut self, now: f64, list: List) -> Vec<Effect> {
-        self.listed(now, list, ListKind::Cached);
-        self.turns(now);
-        std::mem::take(&mut self.effects)
+    /// The list as it was held before the start: it counts once the watch has said what changed since, or is silent.
+    pub fn cached(&mut self, now: f64, list: List) {
+        self.cached = Some(list);
+        self.add_due(now + HOLD_MS, Due::Cached);
     }
 
     /// Takes in what has happened, each with its time, and says what to do about it. Changes to the list go
@@ -276,6 +281,7 @@
                 }
             }
             Due::Quiet(conn) => self.quiet(now, conn),
+            Due::Cached => self.uncache(now),
             Due::Overdue(_) | Due::Drained => {}
         }
     }
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -43,6 +43,8 @@
     Linger(u64),
     /// A client has had its time to ask.
     Quiet(u64),
+    /// The list as held before the start is gone by, if the watch has not spoken.
+    Cached,
     /// Something of draining is to be looked at.
     Drained,
 }
@@ -95,6 +97,8 @@
     pub(super) name: String,
     pub(super) addr: SocketAddrV4,
     pub(super) life: Life,
+    /// When its process started, as the list says.
+    pub(super) since: f64,
     pub(super) links: Vec<u64>,
 }
 
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -17,6 +17,16 @@
 /// Part of the searchers' idle time after which a link is closed here, so that no dispatch meets a close.
 const IDLE: f64 = 0.8;
 
+/// What a list is against the one that is held.
+#[derive(Clone, Copy, PartialEq)]
+enum News {
+    Newer,
+    /// Of the same place, by its number.
+    Older,
+    /// The first of another place: its versions are numbered anew, and it may not have heard all that the last one told.
+    OtherPlace,
+}
+
 impl Reducer {
     pub(super) fn dispatch(
         &mut self,
@@ -381,13 +391,30 @@
             self.counters.lists_late += 1;
             return;
         }
+        let mut news = News::Newer;
         if watch > self.watch {
             self.watch = watch;
             info!("watch {watch} has spoken");
             self.effects.push(Effect::Heard { watch });
+            news = News::OtherPlace;
+        } else if list.index < self.list_index {
+            self.counters.lists_older += 1;
+            news = News::Older;
+        }
+        match list.whole {
+            true => self.cached = None,
+            false => self.uncache(now),
+        }
+        // Who came after an older list was made is not gone for not being in it.
+        let whole = list.whole && news != News::Older;
+        self.listed(now, list, if whole { ListKind::Full } else { ListKind::Changes }, news);
+    }
+
+    /// Goes by the list held before the start, unless a newer has come.
+    pub(super) fn uncache(&mut self, now: f64) {
+        if let Some(list) = self.cached.take() {
+            self.listed(now, list, ListKind::Cached, News::Newer);
         }
-        let kind = if list.whole { ListKind::Full } else { ListKind::Changes };
-        self.listed(now, list, kind);
     }
 
     /// A new configuration moves the watch; what else it changes counts from the next start.
@@ -411,16 +438,30 @@
         }
     }
 
-    pub(super) fn listed(&mut self, now: f64, list: List, kind: ListKind) {
+    fn listed(&mut self, now: f64, list: List, kind: ListKind, news: News) {
         self.counters.lists += 1;
         self.counters.list_entries_bad += list.bad.len() as u64;
-        self.list_index = list.index;
+        self.list_index = if news == News::Older { self.list_index } else { list.index };
         list.bad.iter().for_each(|why| self.warn(now, &format!("discovery: {why}")));
+        let left = |s: &Searcher| match news {
+            News::Newer => false,
+            News::OtherPlace => s.life == Life::Draining,
+            News::Older => s.life != Life::Ready,
+        };
+        let left: HashMap<String, (f64, Life)> =
+            self.srvs.values().filter(|s| left(s)).map(|s| (s.name.clone(), (s.since, s.life))).collect();
         if kind != ListKind::Changes {
             self.srvs.values_mut().for_each(|s| s.life = Life::Gone);
         }
         let mut lines = Vec::with_capacity(list.entries.len());
-        for entry in list.entries {
+        for mut entry in list.entries {
+            // A drain was told: a list made before that, or by another place that has not heard of it, takes nothing back.
+            if let Some((since, life)) = left.get(&entry.name)
+                && entry.life == Life::Ready
+                && entry.since <= *since
+            {
+                entry.life = *life;
+            }
             lines.extend(self.entry(entry));
         }
         // What waits for a connection to one that takes nothing new is not sent.
@@ -451,7 +492,7 @@
                     key.set_port(key.port().wrapping_add(1));
                 }
                 self.names.insert(name.clone(), key);
-                let srv = Searcher { name, addr, life, links: Vec::new() };
+                let srv = Searcher { name, addr, life, since, links: Vec::new() };
                 self.srvs.insert(key, srv);
                 key
             }
@@ -461,7 +502,7 @@
         if srv.life == Life::Ready && life != Life::Ready {
             info!("{} {}", srv.name, if life == Life::Gone { "is gone" } else { "drains" });
         }
-        srv.life = life;
+        (srv.life, srv.since) = (life, since);
         if srv.addr != addr && life != Life::Gone {
             info!("{} has moved from {} to {addr}", srv.name, srv.addr);
             srv.addr = addr;
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -46,7 +46,6 @@
     heard: Receiver<Told>,
     tell: Tell,
     orders: Orders,
-    connect: Duration,
     clients: HashMap<u64, Line>,
     links: HashMap<u64, Link>,
     searchers: searcher::Orders,
@@ -83,12 +82,13 @@
         }
         let copies = Copies::open(settings, &mut start, &tell)?;
         let mut reducer = Reducer::new(start.terms.clone(), start.seed, start.sockets);
-        let mut effects = Vec::new();
-        let mut index = 0;
+        // Without a list of ours the first that the watch tells is whole; else it is asked for.
+        let mut index = Some(0);
         match discovery::list(&start.known) {
+            Ok(list) if list.entries.is_empty() => index = Some(list.index),
             Ok(list) => {
-                index = list.index;
-                effects = reducer.cached(clock.now(), list);
+                index = None;
+                reducer.cached(clock.now(), list);
             }
             Err(error) if !start.known.is_null() => warn!("known can't be read: {error:#}"),
             Err(_) => {}
@@ -97,9 +97,9 @@
         // Before the signals are heard: a fault in it is told at the start, like any other.
         let announcing = Announcing::open(settings, reducer.type_names(), start.seed, &tell, copies.way())?;
         let watches = Arc::new(Watches::default());
-        let first = Watch { number: 0, at: start.discovery, index: Some(index) };
+        let first = Watch { number: 0, at: start.discovery, index };
         let (told, counted) = (tell.clone(), watches.clone());
-        spawn("discovery", STACK, move || first.run(connect, &counted, &told))?;
+        spawn("discovery", STACK, move || first.run(&counted, &told))?;
         let listener = TcpListener::bind(start.listen).with_context(|| format!("listen={}", start.listen))?;
         let (at, places) = (local(&listener)?, reducer.client_places());
         let (ours, room) = (Room::of(start.memory / BUFFERS), Room::of(start.memory / BUFFERS));
@@ -135,13 +135,12 @@
             }
         })?;
         let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
-        let mut service = Self {
+        Ok(Self {
             clock,
             reducer,
             heard,
             tell,
             orders,
-            connect,
             clients,
             links,
             searchers,
@@ -149,9 +148,7 @@
             met,
             announcing,
             copies,
-        };
-        effects.into_iter().for_each(|effect| service.carry_out(effect));
-        Ok(service)
+        })
     }
 
     /// Runs until it is asked to end and all is answered.
@@ -261,9 +258,9 @@
             Effect::StopListening => self.orders.stop_listening(),
             Effect::Watch { number, at } => {
                 self.watches.wanted.store(number, Ordering::Release);
-                let (watch, connect) = (Watch { number, at, index: None }, self.connect);
+                let watch = Watch { number, at, index: None };
                 let (told, watches) = (self.tell.clone(), self.watches.clone());
-                if let Err(error) = spawn("discovery", STACK, move || watch.run(connect, &watches, &told)) {
+                if let Err(error) = spawn("discovery", STACK, move || watch.run(&watches, &told)) {
                     warn!("no thread for a watch: {error}");
                 }
             }
--- /dev/null
+++ b/crates/mixer/tests/watches.rs
@@ -0,0 +1,143 @@
+//! Watches that fall silent, stop, are reset or return, on loopback: each crossing is forced by what discovery says when.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Child;
+use std::time::{Duration, Instant};
+
+use pewterwharf_standins as standins;
+
+mod rig;
+use rig::*;
+
+/// A mixer with a discovery that the test plays by hand, and a searcher that is only listed.
+struct Watched {
+    discovery: TcpListener,
+    child: Child,
+    log: BufReader<std::process::ChildStderr>,
+    searcher: SocketAddr,
+}
+
+impl Watched {
+    fn start() -> Self {
+        let discovery = port();
+        let at = discovery.local_addr().expect("an address").to_string();
+        let (child, log, _) = launch(at, EXAMPLE);
+        Self { discovery, child, log, searcher: "127.0.0.1:9".parse().expect("an address") }
+    }
+
+    fn list(&self, index: u64, status: &str) -> String {
+        standins::list(index, index == 1, &[(self.searcher, status)]).to_string()
+    }
+
+    /// A watch that is asked for, which has told the searcher as up.
+    fn told(&mut self) -> TcpStream {
+        let stream = accept(&self.discovery);
+        assert!(request_line(&stream).contains("watch=1&after=0"));
+        say(&stream, &format!("{WATCH}{}", chunk(&format!("{}\n", self.list(1, "up")))));
+        wait(&mut self.log, "ready");
+        stream
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        let _ = self.child.kill(); // it may have ended
+        let _ = self.child.wait();
+    }
+}
+
+fn say(mut stream: &TcpStream, text: &str) {
+    stream.write_all(text.as_bytes()).expect("it takes bytes");
+}
+
+#[test]
+fn a_silent_watch_is_replaced_before_what_it_missed_counts_as_told() {
+    let mut mixer = Watched::start();
+    let first = mixer.told();
+    let silent = Instant::now();
+    let second = accept(&mixer.discovery);
+    assert!(request_line(&second).contains("watch=1&after=1"));
+    // Six seconds, less three in which this one may be slow to start.
+    assert!(silent.elapsed() < Duration::from_secs(3), "noticed after {:?}", silent.elapsed());
+    say(&second, &format!("{WATCH}{}", chunk(&format!("{}\n", mixer.list(2, "draining")))));
+    wait(&mut mixer.log, "drains");
+    drop(first);
+}
+
+#[test]
+fn a_watch_that_is_slow_to_start_is_waited_for_while_others_are_asked() {
+    let mut mixer = Watched::start();
+    let _first = mixer.told();
+    let eldest = accept(&mixer.discovery);
+    let later: Vec<TcpStream> = (0..8).map(|_| accept(&mixer.discovery)).collect();
+    say(&eldest, &format!("{WATCH}{}", chunk(&format!("{}\n", mixer.list(2, "draining")))));
+    wait(&mut mixer.log, "drains");
+    drop(later);
+}
+
+#[test]
+fn discovery_that_took_watches_and_said_nothing_is_heard_at_its_return_by_what_it_is_asked_then() {
+    let mut mixer = Watched::start();
+    drop(mixer.told());
+    // It is down: it takes what is asked, says nothing, or half a list, and will never go on with that.
+    let mut held: Vec<TcpStream> = (0..5).map(|_| accept(&mixer.discovery)).collect();
+    let half = mixer.list(2, "draining");
+    say(&held[2], &format!("{WATCH}{}", chunk(&half[..half.len() / 2])));
+    held.extend((0..5).map(|_| accept(&mixer.discovery)));
+    // It returns. Well within a grace of 250 ms it is asked again.
+    let back = Instant::now();
+    let asked = accept(&mixer.discovery);
+    assert!(back.elapsed() < Duration::from_millis(200), "asked after {:?}", back.elapsed());
+    say(&asked, &format!("{WATCH}{}", chunk(&format!("{half}\n"))));
+    wait(&mut mixer.log, "drains");
+}
+
+#[test]
+fn discovery_that_ends_every_connection_is_heard_within_a_grace_of_its_return() {
+    let mut mixer = Watched::start();
+    drop(mixer.told());
+    // Enough of them for waits between tries to have grown, if they grew.
+    (0..10).for_each(|_| drop(accept(&mixer.discovery)));
+    let back = Instant::now();
+    let asked = accept(&mixer.discovery);
+    assert!(back.elapsed() < Duration::from_millis(200), "asked after {:?}", back.elapsed());
+    say(&asked, &format!("{WATCH}{}", chunk(&format!("{}\n", mixer.list(2, "draining")))));
+    wait(&mut mixer.log, "drains");
+}
+
+#[test]
+fn a_watch_that_stops_in_a_line_or_is_reset_there_is_asked_for_anew() {
+    for reset in [false, true] {
+        let mut mixer = Watched::start();
+        let first = mixer.told();
+        let list = format!("{}\n", mixer.list(2, "draining"));
+        say(&first, &chunk(&list[..20]));
+        let held = if reset { None } else { Some(first) };
+        let stopped = Instant::now();
+        let second = accept(&mixer.discovery);
+        assert!(request_line(&second).contains("after=1"));
+        assert!(stopped.elapsed() < Duration::from_millis(1000), "after {:?}", stopped.elapsed());
+        say(&second, &format!("{WATCH}{}", chunk(&list)));
+        wait(&mut mixer.log, "drains");
+        drop(held);
+    }
+}
+
+#[test]
+fn a_list_over_several_lines_is_read_and_one_that_is_none_is_not_waited_for() {
+    let mut mixer = Watched::start();
+    let first = mixer.told();
+    let list = standins::list(2, false, &[(mixer.searcher, "draining")]);
+    let indented = serde_json::to_string_pretty(&list).expect("it is JSON");
+    // In pieces that end anywhere, with an empty line between.
+    let text = format!("\n{indented}\n\n");
+    for piece in text.as_bytes().chunks(7) {
+        say(&first, &chunk(std::str::from_utf8(piece).expect("it is ASCII")));
+    }
+    wait(&mut mixer.log, "drains");
+    say(&first, &chunk("{\n {{{\n"));
+    wait(&mut mixer.log, "can't be read");
+    let second = accept(&mixer.discovery);
+    assert!(request_line(&second).contains("after=2"));
+}
