--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -1,6 +1,6 @@
 //! The reducer's part for clients: their connections, what they ask, the answers, and the end of the program.
 
-use pewterwharf::interface::Event;
+use pewterwharf::interface::{Event, Repeat};
 use tracing::{debug, info};
 
 use super::Reducer;
@@ -214,13 +214,18 @@
         let work_ms = work.map(|w| w.iter().sum());
         let retry = ask.retry;
         self.events.push(Event::Scan { id, number, table_type, customer, gone_at, work_ms, retry });
+        let again_until = match self.terms.types[table_type].repeat {
+            Repeat::Keyed { window_ms } => now + window_ms,
+            _ => f64::INFINITY,
+        };
         let mut parts = Vec::with_capacity(ask.parts.len());
         for part in &ask.parts {
             let at = self.id();
             parts.push(at);
             self.events.push(Event::Part { id: at, number, shard: part.shard, weight: part.weight });
             let name = format!("{}.{}", ask.id, part.shard).into();
-            let part = Part { scan: id, name, shard: part.shard, sent: 0, value: None };
+            #[rustfmt::skip]
+            let part = Part { scan: id, name, shard: part.shard, sent: 0, may_have_run: 0, again_until, value: None };
             self.parts.insert(at, part);
         }
         self.asked.insert(ask.id.clone());
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -24,6 +24,10 @@
     pub(super) name: Rc<str>,
     pub(super) shard: u32,
     pub(super) sent: u8,
+    /// Dispatches that went out and are not proved never to have run.
+    pub(super) may_have_run: u8,
+    /// Until when it may go out again though one of them has run; infinite where its effect sets no time.
+    pub(super) again_until: f64,
     pub(super) value: Option<String>,
 }
 
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -88,6 +88,7 @@
     /// Hands over for writing what waits for a link.
     fn flush(&mut self, now: f64, id: u64) {
         let Some(link) = self.links.get_mut(&id) else { return };
+        let mut past = Vec::new();
         while let Some(queued) = link.queue.pop_front() {
             let bytes = match queued {
                 Queued::Probe => {
@@ -96,16 +97,28 @@
                     probe.frame = Some(link.frames);
                     frame::probe()
                 }
-                Queued::Call(call, legs) => {
+                Queued::Call(call, mut legs) => {
+                    legs.retain(|leg| {
+                        let waits = self.flights.get(leg).is_some_and(|f| f.call == call);
+                        let Some(part) = self.parts.get_mut(&leg.0).filter(|_| waits) else { return false };
+                        // A copy that waited for this link may not be needed any more.
+                        if part.value.is_some() {
+                            return false;
+                        }
+                        // A keyed part's window may have ended while the call waited for its link.
+                        if part.may_have_run > 0 && now >= part.again_until {
+                            past.push(*leg);
+                            return false;
+                        }
+                        part.may_have_run += 1;
+                        true
+                    });
                     let mut pieces = Vec::new();
                     for leg in &legs {
-                        let flight = self.flights.get_mut(leg).filter(|f| f.call == call);
                         let part = self.parts.get(&leg.0);
                         let scan = part.and_then(|p| self.scans.get(&p.scan));
+                        let flight = self.flights.get_mut(leg);
                         let (Some(flight), Some(part), Some(scan)) = (flight, part, scan) else { continue };
-                        if part.value.is_some() {
-                            continue; // a copy that waited for this link is not needed any more
-                        }
                         flight.frame = Some(link.frames);
                         let wait_ms = (flight.until - now).max(1.0) as u64;
                         pieces.push(Piece { id: &part.name, shard: part.shard, wait_ms, text: &scan.text });
@@ -119,6 +132,7 @@
             link.frames += 1;
             self.effects.push(Effect::Write { link: id, bytes });
         }
+        past.into_iter().for_each(|leg| self.end_flight(now, leg, Ending::Moot));
     }
 
     pub(super) fn time_out(&mut self, now: f64, leg: Leg) {
@@ -163,6 +177,11 @@
             Ending::Moot => &mut self.counters.ended_moot,
         };
         *count += 1;
+        if let Some(part) =
+            self.parts.get_mut(&leg.0).filter(|_| flight.frame.is_some() && ending.never_ran())
+        {
+            part.may_have_run = part.may_have_run.saturating_sub(1);
+        }
         let took_ms = now - flight.sent_at;
         if let Some(link) = self.links.get_mut(&flight.link) {
             link.over(&flight.name, flight.frame.is_some());
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -476,14 +476,19 @@
         }
     }
 
-    /// Whether the effect of a part allows one more dispatch (budget and places aside).
-    fn may_repeat(&self, scan: &Scan, part: &Part, now: f64) -> bool {
-        let may = match self.types[scan.kind].repeat {
+    /// Whether a further run of a part does no harm. Beyond its window a keyed one that may have run would run again,
+    /// whoever asks for it.
+    fn harmless(&self, scan: &Scan, part: &Part, now: f64) -> bool {
+        match self.types[scan.kind].repeat {
             Repeat::Replayable => true,
             Repeat::Keyed { window_ms } => part.proved_unrun() || now < part.taken_at + window_ms,
             Repeat::NonReplayable => part.proved_unrun(),
-        };
-        may && part.sent.len() < self.permits.dispatches as usize
+        }
+    }
+
+    /// Whether the effect of a part allows one more dispatch (budget and places aside).
+    fn may_repeat(&self, scan: &Scan, part: &Part, now: f64) -> bool {
+        self.harmless(scan, part, now) && part.sent.len() < self.permits.dispatches as usize
     }
 
     /// A call that leaves for this searcher in this turn and has room for one more part.
@@ -653,8 +658,8 @@
         if have > 2.0 * Self::HAIR && have >= scan.floor && !opens {
             return self.complete(at, have >= scan.need, post);
         }
-        let unrun = scan.parts.iter().all(Part::proved_unrun);
-        if !scan.second && (unrun || self.types[scan.kind].repeat != Repeat::NonReplayable) {
+        let harmless = scan.parts.iter().all(|part| self.harmless(scan, part, post.now));
+        if !scan.second && harmless {
             post.out.push(Action::Throttle { scan: id, back_in_ms: self.permits.back_in_ms });
         } else {
             post.out.push(Action::Abandon { scan: id });
