--- a/src/logic.rs
+++ b/src/logic.rs
@@ -476,8 +476,8 @@
         }
     }
 
-    /// Whether a further run of a part does no harm. Beyond its window a keyed one that may have run would run again,
-    /// whoever asks for it.
+    /// Whether a further run of a part does no harm. Beyond its window a keyed one that may have run would
+    /// run again, whoever asks for it.
     fn harmless(&self, scan: &Scan, part: &Part, now: f64) -> bool {
         match self.types[scan.kind].repeat {
             Repeat::Replayable => true,
