--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -2,16 +2,22 @@
 
 use std::fmt;
 
+use pewterwharf::logic::BARS;
+
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident,)*) => {
         /// Counts since the start.
         #[derive(Clone, Debug, Default, PartialEq, Eq)]
-        pub struct Counters { $($(#[$doc])* pub $name: u64,)* }
+        pub struct Counters {
+            $($(#[$doc])* pub $name: u64,)*
+            /// The scans of each table type: one that starves is seen here.
+            pub by_type: Vec<ByType>,
+        }
 
         impl fmt::Display for Counters {
             fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
                 $(writeln!(f, "{} {}", stringify!($name), self.$name)?;)*
-                Ok(())
+                self.by_type.iter().try_for_each(|counts| counts.fmt(f))
             }
         }
     };
@@ -26,9 +32,10 @@
     scans_throttled,
     /// Of the throttled, those turned away before the module, as the mixer held its full number.
     scans_turned_away,
-    /// Of the throttled, those refused by the module's door, by what their first part met: no searcher that is up and has
-    /// room; what its searcher is believed to take; a part of ours that waits there; the limit on calls out there.
+    /// Of the throttled, those refused by the module's door, by what their first part met: no searcher that is up; none that
+    /// has room, those that are up being cold; what its searcher is believed to take; a part of ours that waits there; the limit on calls out there.
     door_nobody_up,
+    door_cold,
     door_cost,
     door_old_part,
     door_limit,
@@ -75,3 +82,36 @@
     reloads,
     reloads_failed,
 }
+
+/// What became of the scans of one table type: taken = completed + throttled + abandoned + gone + open.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ByType {
+    pub name: String,
+    pub taken: u64,
+    pub completed: u64,
+    pub throttled: u64,
+    /// Of the throttled, those refused by the door, in the order of its counters above.
+    pub door: [u64; BARS],
+    pub abandoned: u64,
+    pub gone: u64,
+}
+
+impl fmt::Display for ByType {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Self { name, taken, completed, throttled, door, abandoned, gone } = self;
+        let [nobody_up, cold, cost, old_part, limit] = *door;
+        let counts = [
+            ("scans_taken", *taken),
+            ("scans_completed", *completed),
+            ("scans_throttled", *throttled),
+            ("door_nobody_up", nobody_up),
+            ("door_cold", cold),
+            ("door_cost", cost),
+            ("door_old_part", old_part),
+            ("door_limit", limit),
+            ("scans_abandoned", *abandoned),
+            ("scans_gone", *gone),
+        ];
+        counts.iter().try_for_each(|(count, number)| writeln!(f, "{count}{{table_type={name:?}}} {number}"))
+    }
+}
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -14,7 +14,7 @@
 use pewterwharf_terms::list::List;
 use tracing::{debug, info, warn};
 
-use crate::counters::Counters;
+use crate::counters::{ByType, Counters};
 use crate::http;
 use crate::inputs::{Effect, Input, Phase};
 use held::{Client, Due, Flight, Leg, Link, Part, Scan, Searcher};
@@ -73,6 +73,8 @@
             // How a second step travels on sockets is not stated, so none is opened.
             kind.second_step = false;
         }
+        let names = terms.type_names.iter().cloned();
+        let by_type = names.map(|name| ByType { name, ..ByType::default() }).collect();
         Self {
             module: terms.open(seed),
             terms,
@@ -99,7 +101,7 @@
             deaf: false,
             events: Vec::new(),
             effects: Vec::new(),
-            counters: Counters::default(),
+            counters: Counters { by_type, ..Counters::default() },
         }
     }
 
@@ -160,9 +162,14 @@
 
     /// The counts, with what is open now.
     pub fn counters(&self) -> Counters {
-        let [door_nobody_up, door_cost, door_old_part, door_limit] = self.module.beliefs().refused;
+        let beliefs = self.module.beliefs();
+        let [door_nobody_up, door_cold, door_cost, door_old_part, door_limit] = beliefs.refused_in_all();
+        let mut by_type = self.counters.by_type.clone();
+        by_type.iter_mut().zip(beliefs.refused).for_each(|(counts, door)| counts.door = door);
         Counters {
+            by_type,
             door_nobody_up,
+            door_cold,
             door_cost,
             door_old_part,
             door_limit,
@@ -224,6 +231,7 @@
             self.warn(now, "a scan was still open at its time");
             self.counters.scans_overdue += 1;
             self.counters.scans_abandoned += 1;
+            self.count_type(scan, |of| &mut of.abandoned);
             self.events.push(Event::ClientGone { scan });
             self.answer_scan(now, scan, 504, None, b"the time is up\n");
         }
@@ -331,6 +339,9 @@
                 let Some(held) = self.scans.get(&scan) else { return };
                 self.counters.scans_completed += 1;
                 self.counters.scans_whole += u64::from(whole);
+                if let Some(counts) = self.counters.by_type.get_mut(held.table_type) {
+                    counts.completed += 1;
+                }
                 let parts = held.parts.iter().filter_map(|id| self.parts.get(id));
                 let values = parts.filter_map(|p| p.value.as_deref().map(|v| (p.shard, v)));
                 let body = http::rows(whole, values);
@@ -338,10 +349,12 @@
             }
             Action::Throttle { scan, back_in_ms } => {
                 self.counters.scans_throttled += u64::from(self.scans.contains_key(&scan));
+                self.count_type(scan, |of| &mut of.throttled);
                 self.answer_scan(now, scan, 503, back_in_ms, b"throttled\n");
             }
             Action::Abandon { scan } => {
                 self.counters.scans_abandoned += u64::from(self.scans.contains_key(&scan));
+                self.count_type(scan, |of| &mut of.abandoned);
                 self.answer_scan(now, scan, 504, None, b"abandoned\n");
             }
             Action::Probe { searcher } => self.probe(now, searcher),
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -5,6 +5,7 @@
 
 use super::Reducer;
 use super::held::{Client, ClientStanding, Due, Part, Scan};
+use crate::counters::ByType;
 use crate::http::{self, Ask, ScanAsk};
 use crate::inputs::{Effect, Phase};
 
@@ -123,6 +124,7 @@
         self.drop_client(conn);
         if let Some(scan) = scan {
             self.counters.scans_gone += 1;
+            self.count_type(scan, |of| &mut of.gone);
             debug!("client {conn} left scan {scan}");
             self.forget(scan);
             self.events.push(Event::ClientGone { scan });
@@ -196,12 +198,14 @@
 
     fn scan(&mut self, now: f64, conn: u64, ask: ScanAsk, table_type: usize, customer: usize) {
         self.counters.scans_taken += 1;
+        self.counters.by_type[table_type].taken += 1;
         if let Some(client) = self.clients.get_mut(&conn) {
             client.faults = 0;
         }
         let held = self.scans.len() + self.parts.len();
         if held + 1 + ask.parts.len() > self.terms.open_cap {
             self.counters.scans_throttled += 1;
+            self.counters.by_type[table_type].throttled += 1;
             self.counters.scans_turned_away += 1;
             return self.answer(now, conn, 503, self.terms.permits.back_in_ms, b"full\n");
         }
@@ -229,7 +233,7 @@
             self.parts.insert(at, part);
         }
         self.asked.insert(ask.id.clone());
-        self.scans.insert(id, Scan { conn, name: ask.id, text: ask.text, parts });
+        self.scans.insert(id, Scan { conn, name: ask.id, text: ask.text, table_type, parts });
         self.add_due(gone_at, Due::Overdue(id));
         if let Some(client) = self.clients.get_mut(&conn) {
             client.scan = Some(id);
@@ -251,6 +255,14 @@
         self.answer(now, conn, status, back_in_ms, body);
     }
 
+    /// Counts one more of what became of the scans of a table type.
+    pub(super) fn count_type(&mut self, scan: u64, of: fn(&mut ByType) -> &mut u64) {
+        let held = self.scans.get(&scan).map(|s| s.table_type);
+        if let Some(counts) = held.and_then(|kind| self.counters.by_type.get_mut(kind)) {
+            *of(counts) += 1;
+        }
+    }
+
     /// Forgets a scan and its parts; dispatches that are out end by themselves.
     fn forget(&mut self, scan: u64) {
         let Some(scan) = self.scans.remove(&scan) else { return };
@@ -304,6 +316,7 @@
                 // Asked twice: whoever asks does not want to wait.
                 for scan in self.scans.keys().copied().collect::<Vec<_>>() {
                     self.counters.scans_abandoned += 1;
+                    self.count_type(scan, |of| &mut of.abandoned);
                     self.events.push(Event::ClientGone { scan });
                     self.answer_scan(now, scan, 504, None, b"the mixer ends\n");
                 }
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -15,6 +15,7 @@
     /// The id that its client gave.
     pub(super) name: String,
     pub(super) text: String,
+    pub(super) table_type: usize,
     pub(super) parts: Vec<u64>,
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,7 +13,7 @@
 
 use crate::interface::*;
 use crate::state::*;
-pub use crate::state::{Beliefs, Known};
+pub use crate::state::{BARS, Beliefs, Known};
 
 impl Searcher {
     /// The design's half second; the paper asks for the smallest that holds enough parts.
@@ -32,10 +32,7 @@
     fn note(&mut self, note: Note, post: &mut Post, ready: bool, probing: bool) {
         let now = post.now;
         match note {
-            Note::Renewed => {
-                (self.tile, self.dead) = (Tile::NEW, false);
-                self.slices.clear();
-            }
+            Note::Renewed => (self.tile, self.dead, self.slices) = (Tile::NEW, false, Vec::new()),
             Note::Sent(leg, kind, norms) => {
                 self.norms = norms;
                 let open = |s: &Slice| now - s.from < Self::SLICE_MS || s.sent < Self::FEW;
@@ -47,18 +44,20 @@
                     slice.out.push((leg, kind, now));
                 }
             }
-            Note::Filed(leg, share, ending, sent_at) => {
+            Note::Filed(leg, share, normal, ending, sent_at) => {
                 self.ok_from = if ending == Ending::Ok { self.ok_from.max(sent_at) } else { self.ok_from };
-                let lat = Self::faded(&self.tile, &self.norms, self.zone, now);
+                let lag = Self::faded(&self.tile, &self.norms, self.zone, now);
                 // Of silence one part says no more than that it was beyond the multiple: a lost answer at its
                 // full time would outweigh a score of good ones, and lift what the next is held against.
                 let silent = matches!(ending, Ending::TimedOut | Ending::Cancelled);
-                let counts = if silent { share.min(self.norms.limit + lat) } else { share };
+                let counts = if silent { share.min(self.norms.limit + lag[0]) } else { share };
+                let counts = [counts, (counts - 1.0) * normal];
                 post.put(GAUGE, Note::Zone(self.zone, counts));
                 // What was confirmed long ago says little: the newest part then weighs more.
-                let old = 1.0 - ((self.tile.lat_at - now) / self.norms.fade_ms).exp();
+                let old = 1.0 - ((self.tile.lag_at - now) / self.norms.fade_ms).exp();
                 let weight = if probing { Self::SMOOTH } else { Self::SMOOTH.max(old) };
-                (self.tile.lat, self.tile.lat_at) = (lat + weight * (counts - lat), now);
+                self.tile.lag = std::array::from_fn(|i| lag[i] + weight * (counts[i] - lag[i]));
+                self.tile.lag_at = now;
                 self.tile.down = matches!(ending, Ending::ConnectFailed | Ending::Reset);
                 // A lost connection marks and is probed at once: no slice need fill to tell the dead.
                 self.dead |= ending == Ending::ConnectFailed;
@@ -133,9 +132,10 @@
 
     /// The smoothed latency, on its way back to its zone's average: guards against a zone that is dead or
     /// slow to reach, each searcher of which is seldom heard of; harms its good ones until they are.
-    fn faded(tile: &Tile, norms: &Norms, zone: usize, now: f64) -> f64 {
-        let average = norms.zones.get(&zone).copied().unwrap_or(1.0);
-        average + (tile.lat - average) * ((tile.lat_at - now) / norms.fade_ms).exp()
+    fn faded(tile: &Tile, norms: &Norms, zone: usize, now: f64) -> [f64; 2] {
+        let average = norms.zones.get(&zone).copied().unwrap_or(Tile::NEW.lag);
+        let left = ((tile.lag_at - now) / norms.fade_ms).exp();
+        std::array::from_fn(|i| average[i] + (tile.lag[i] - average[i]) * left)
     }
 
     /// A slice is judged when it is over and its parts have ended, or as soon as the ages of those still
@@ -145,7 +145,9 @@
         let (now, limit, mut worst) = (post.now, self.norms.limit, (0.0, 0));
         let lost = |l: &(Leg, usize, f64)| self.norms.overtaken(l.1, l.2, self.ok_from);
         let out = self.slices.iter().flat_map(|s| &s.out).filter(|l| !lost(l));
-        self.tile.age = out.map(|l| now - l.2).fold(0.0, f64::max);
+        let ages = out.map(|l| (now - l.2, self.norms.normal[l.1]));
+        (self.tile.age, self.tile.late) =
+            ages.fold((0.0, 0.0), |(age, late), (a, n)| (f64::max(age, a - n), f64::max(late, a / n)));
         // Parts of one call leave at one time.
         let calls = self.slices.iter().flat_map(|s| &s.out).filter(|l| lost(l)).map(|l| l.2.to_bits());
         self.tile.lost = calls.collect::<BTreeSet<_>>().len() as u32;
@@ -202,12 +204,13 @@
                 // All slow: the median moves, nobody is marked. Under one it is of normals not yet learnt.
                 self.median = median(self.means.values().copied(), Searcher::FEW as usize).unwrap_or(1.0);
             }
-            Note::Zone(zone, share) => {
-                let average = self.zones.entry(zone).or_insert(1.0);
-                *average += Self::TEN * (share - *average);
+            Note::Zone(zone, lag) => {
+                let average = self.zones.entry(zone).or_insert(Tile::NEW.lag);
+                average.iter_mut().zip(lag).for_each(|(a, l)| *a += Self::TEN * (l - *a));
             }
             Note::Tick => {
-                self.zones.values_mut().for_each(|z| *z += (1.0 - *z) * Mixer::TICK_MS / self.fade_ms);
+                let fade = |(z, new): (&mut f64, f64)| *z += (new - *z) * Mixer::TICK_MS / self.fade_ms;
+                self.zones.values_mut().for_each(|z| z.iter_mut().zip(Tile::NEW.lag).for_each(fade));
                 let (normal, work) = self.normal.iter().map(|n| (n.0.max(1.0), n.2)).unzip();
                 let (limit, zones) = (Self::MULTIPLE * self.median.max(1.0), self.zones.clone());
                 let norms = Rc::new(Norms { normal, work, limit, zones, fade_ms: self.fade_ms });
@@ -292,7 +295,7 @@
                 }
             }
             Note::Norms(norms) => self.norms = norms,
-            Note::Back(srv) => self.seats[srv].since = now,
+            Note::Back(srv) => (self.seats[srv].since, self.seats[srv].known_at) = (now, now),
             Note::Told(Event::Scan { id, number, table_type: kind, customer, gone_at, work_ms, retry }) => {
                 self.took(now);
                 self.door.see(customer, now, Door::SEEN_MS);
@@ -316,6 +319,7 @@
                 let Some((at, scan)) = self.scans.iter_mut().rfind(|s| s.1.number == number) else { return };
                 self.owners.insert(id, (*at, scan.parts.len()));
                 self.touched.insert(*at);
+                self.asked[scan.kind] += scan.need * self.norms.work[scan.kind] / Self::FLOW_MS;
                 scan.parts.push(Part::new(id, shard, weight, now));
             }
             Note::Told(Event::Ended { part, dispatch, ending, took_ms, busy, .. }) => {
@@ -331,6 +335,7 @@
             Note::Tick => {
                 self.touched.append(&mut self.short);
                 self.flow *= 1.0 - Mixer::TICK_MS / Self::FLOW_MS;
+                self.asked.iter_mut().for_each(|a| *a *= 1.0 - Mixer::TICK_MS / Self::FLOW_MS);
             }
             Note::Settle => self.settle(post),
             _ => {}
@@ -366,7 +371,7 @@
         if !(lost || silent && seat.busy() == 0) {
             self.adapt(&flight, ms, post.now);
         }
-        post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, ending, flight.sent_at));
+        post.put(SRVS + flight.srv, Note::Filed(leg, ms / normal, normal, ending, flight.sent_at));
         let Some(&(at, nth)) = self.owners.get(&leg.0) else { return };
         let Some(scan) = self.scans.get_mut(&at) else { return };
         scan.deaths += u32::from(ending == Ending::Reset);
@@ -441,7 +446,7 @@
         let doubted = !proved && (scan.deaths > 0 || self.door.tastes(scan.customer, now));
         let fresh = !scan.second && scan.parts.iter().all(|p| p.sent.is_empty());
         if let Some(bar) = fresh.then(|| self.bars(scan, now)).flatten() {
-            self.barred[bar as usize] += 1;
+            self.barred[scan.kind][bar as usize] += 1;
             return self.end(at, post);
         }
         while self.scans.get(&at).is_some_and(|s| s.coming() + Self::HAIR < s.need) {
@@ -509,40 +514,53 @@
         let choices = self.cells.holders(part.shard).filter_map(|srv| {
             let seat = &self.seats[srv];
             let tried = part.sent.iter().any(|s| s.0 == srv);
-            let able = seat.up() && self.room(seat, self.work(scan.kind, srv), now);
+            let able = seat.up() && self.room(seat, scan.kind, self.work(scan.kind, srv), now);
             let shared = self.shared(srv);
             let calls = seat.busy().saturating_sub(u32::from(shared));
-            let late = seat.tile.age > self.norms.limit * self.norms.normal[scan.kind];
+            let late = seat.tile.late > self.norms.limit;
             let tier = u8::from(seat.tile.marked || seat.tile.trial && calls > 0 || tried || late);
-            let cost = Searcher::faded(&seat.tile, &self.norms, seat.zone, now) * f64::from(1 + calls);
+            let cost = Searcher::faded(&seat.tile, &self.norms, seat.zone, now)[0] * f64::from(1 + calls);
             able.then_some((tier, cost.log(Self::EQUAL).round(), !shared, seat.lot, srv))
         });
         let best = choices.min_by(|a, b| a.partial_cmp(b).unwrap_or(Equal));
         best.map(|(tier, cost, .., srv)| (tier, Self::EQUAL.powf(cost), srv))
     }
 
-    /// A stretched window is half as long again, as mixers that don't know of each other meet by chance.
-    const STRETCH: f64 = 1.5;
+    /// A stretched window is so much longer, as mixers that don't know of each other meet by chance.
+    const STRETCH: f64 = 1.75;
     /// Less busy than this, what is borne says little of what could be: at most doubled.
     const IDLE: f64 = 0.5;
     /// Span of own traffic: some fall windows.
     const FLOW_MS: f64 = 5000.0;
 
-    /// What a mixer may send a cold searcher: its equal part of the multiple of what warm ones bear, at that
-    /// age, if it warms as slowly as it may; less than one part is one part in a window stretched so far, the
-    /// first by lot. What warm ones bear: own traffic, as if all sent as much, over how busy they say they
-    /// are, and one core at least. Guards newcomers and returns against a push and against starving.
-    /// Harms when most of the fleet is cold.
-    fn room(&self, seat: &Seat, work: f64, now: f64) -> bool {
+    /// What a mixer may send a cold searcher: its equal part of the multiple of what warm ones bear at that
+    /// age, if it warms as slowly as it may; each table type has its own of that, by benefit times what it
+    /// asks for, or the light would leave none to the heavy. Less than one part is one in a window stretched
+    /// so far, less the time in which one is asked for anyway. The first comes by a lot, the same for all
+    /// searchers, so that wide scans meet room wherever they need it. What warm ones bear: own traffic, as if
+    /// all sent as much, over how busy they say they are, one core at least. An earlier process of this mixer
+    /// may have sent as much: it waits a window, and its lot counts from when it learned of the start. Harms
+    /// when most are cold.
+    fn room(&self, seat: &Seat, kind: usize, work: f64, now: f64) -> bool {
         let (g, age) = (&self.guards, now - seat.began());
+        if seat.began() <= 0.0 || age >= g.warm_ms {
+            return true;
+        }
         let able = g.cold_from + (1.0 - g.cold_from) * (age / g.warm_ms).max(0.0);
         let busy = self.busy.map_or(1.0, |b| b.clamp(Self::IDLE, 1.0));
         let cores = (self.flow * self.mixers / self.ready.max(1.0) / busy).max(1.0);
-        let share = g.tip_multiple * able * cores * g.fall_ms / self.mixers;
-        let span = g.fall_ms * if work <= share { 1.0 } else { Self::STRETCH * work / share };
-        let spent: f64 = seat.spent.iter().filter(|s| s.0 >= now - span).map(|s| s.1).sum();
-        let fits = spent + work <= share.max(work) && (work <= share || age >= seat.lot.fract() * span);
-        seat.began() <= 0.0 || age >= g.warm_ms || fits
+        let worth = |kind: usize| self.types[kind].benefit * self.asked[kind];
+        let part = worth(kind) / (0..self.types.len()).map(worth).sum::<f64>().max(f64::MIN_POSITIVE);
+        let share = part * g.tip_multiple * able * cores * g.fall_ms / self.mixers;
+        let seen = 1.0 - ((self.opened - now) / Self::FLOW_MS).exp();
+        let gap = work * self.ready * seen / self.asked[kind];
+        let span = (Self::STRETCH * g.fall_ms * work / share - gap).max(g.fall_ms);
+        let (span, turn) = match work <= share {
+            true => (g.fall_ms, self.opened + g.fall_ms),
+            false => (span, seat.known_at + self.lot * span),
+        };
+        let spent = seat.spent.iter().filter(|s| s.0 >= now - span && s.2 == kind).map(|s| s.1);
+        now >= turn && spent.sum::<f64>() + work <= share.max(work)
     }
 
     fn dispatch(&mut self, at: usize, nth: usize, srv: usize, post: &mut Post) {
@@ -580,7 +598,7 @@
         self.flow += work / Self::FLOW_MS;
         if seat.began() > 0.0 {
             trim(&mut seat.spent, |s| s.0 < now - self.guards.warm_ms);
-            seat.spent.push_back((now, work));
+            seat.spent.push_back((now, work, kind));
         }
         post.out.push(Action::Dispatch { part: leg.0, searcher: seat.addr, patience_ms });
         post.put(SRVS + srv, Note::Sent(leg, kind, self.norms.clone()));
@@ -595,7 +613,8 @@
     /// share, once a latency, when one took too long: guards against hot spots and jams of any cause.
     fn adapt(&mut self, flight: &Flight, ms: f64, now: f64) {
         let seat = &mut self.seats[flight.srv];
-        if ms <= Self::PRESSED * self.types[flight.kind].target_ms {
+        let (work, target) = (self.norms.work[flight.kind], self.types[flight.kind].target_ms);
+        if ms <= work + Self::PRESSED * (target - work) {
             seat.limit += 1.0 / seat.limit;
         } else if now - seat.cut_at > self.norms.normal[flight.kind] {
             seat.limit = (seat.limit.min(f64::from(seat.busy() + 1)) * Self::CUT).max(1.0);
@@ -603,7 +622,7 @@
         }
     }
 
-    /// Share of what is left to the target that our oldest part may have waited, or a cost may come to.
+    /// Share of what a part's own work leaves to the target that it may wait at its searcher.
     const SLOW: f64 = 0.6;
 
     /// What cannot come in time is refused at the door: too few of the replicas that it needs have room
@@ -614,20 +633,24 @@
         let left = scan.target_at - now;
         let over = self.door.over(scan.customer);
         let tried = Searcher::SLICE_MS * self.mixers / f64::from(Searcher::FEW);
-        let bar = |(_, cost, srv): (u8, f64, usize)| {
-            let (seat, calls) = (&self.seats[srv], self.seats[srv].busy());
-            let Seat { tile, limit, sent_at, .. } = seat;
-            let limit = if over { Door::OVER * limit } else { *limit };
+        let (normal, work) = (self.norms.normal[scan.kind], self.norms.work[scan.kind].min(left));
+        let most = (work + Self::SLOW * (left - work)).max(Self::EQUAL * work);
+        let bar = |(_, _, srv): (u8, f64, usize)| {
+            let seat @ Seat { tile, limit, sent_at, .. } = &self.seats[srv];
+            let [share, delay] = Searcher::faded(tile, &self.norms, seat.zone, now);
+            let (calls, limit) = (seat.busy(), if over { Door::OVER * limit } else { *limit });
             match calls {
                 _ if now - sent_at >= tried => None,
-                0 => (cost * self.norms.normal[scan.kind] > Self::SLOW * left).then_some(Bar::Cost),
-                _ if tile.age > Self::SLOW * left => Some(Bar::Age),
+                0 => ((share * normal).min(normal + delay) > most).then_some(Bar::Cost),
+                _ if normal + tile.age > most => Some(Bar::Age),
                 _ => (f64::from(calls + 1) > limit).then_some(Bar::Limit),
             }
         };
         let first = Cell::new(None);
         let passes = |p: &Part| {
-            let met = self.replica(scan, p, now).map_or(Some(Bar::Nobody), bar);
+            let up = self.cells.holders(p.shard).any(|s| self.seats[s].up());
+            let nobody = if up { Bar::Cold } else { Bar::Nobody };
+            let met = self.replica(scan, p, now).map_or(Some(nobody), bar);
             first.set(first.get().or(met));
             met.is_none()
         };
@@ -658,12 +681,9 @@
         if have > 2.0 * Self::HAIR && have >= scan.floor && !opens {
             return self.complete(at, have >= scan.need, post);
         }
-        let harmless = scan.parts.iter().all(|part| self.harmless(scan, part, post.now));
-        if !scan.second && harmless {
-            post.out.push(Action::Throttle { scan: id, back_in_ms: self.permits.back_in_ms });
-        } else {
-            post.out.push(Action::Abandon { scan: id });
-        }
+        let throttled = !scan.second && scan.parts.iter().all(|part| self.harmless(scan, part, post.now));
+        let throttle = Action::Throttle { scan: id, back_in_ms: self.permits.back_in_ms };
+        post.out.push(if throttled { throttle } else { Action::Abandon { scan: id } });
         self.close(at, post);
     }
 
@@ -693,15 +713,9 @@
     const ASK_MS: f64 = 1000.0;
     const ASKS: f64 = 4.0;
 
-    pub fn open(
-        seed: u64,
-        types: Vec<TableType>,
-        customers: Vec<Customer>,
-        layout: Layout,
-        guards: Guards,
-        permits: Permits,
-        berth: Berth,
-    ) -> Self {
+    #[rustfmt::skip]
+    pub fn open(seed: u64, types: Vec<TableType>, customers: Vec<Customer>, layout: Layout, guards: Guards,
+        permits: Permits, berth: Berth) -> Self {
         let start: Vec<f64> = types.iter().map(|t| t.target_ms * Self::START).collect();
         let normal = start.iter().map(|n| (*n, 1.0, *n)).collect();
         let fade_ms = if permits.probe { Searcher::FADE_MS } else { Searcher::FADE_UNPROBED_MS };
@@ -709,15 +723,13 @@
         let (limit, zones) = (Gauge::MULTIPLE, BTreeMap::new());
         let norms = Rc::new(Norms { normal: start.clone(), work: start, limit, zones, fade_ms });
         let subscribe_at = if permits.ask_within_ms.is_some() { 0.0 } else { f64::INFINITY };
-        let further = Purse::of(guards.budget.unwrap_or(Purse::OWN));
-        let (mixers, late) = (f64::from(berth.mixers.max(1)), Purse::of(Purse::OWN));
-        let desk =
-            Desk::new(types, layout, guards, permits, mixers, norms, Door::of(customers), further, late);
-        let mut post = Post::default();
-        post.awake.extend([DESK, GAUGE]);
+        let (further, late) = (Purse::of(guards.budget.unwrap_or(Purse::OWN)), Purse::of(Purse::OWN));
+        let stated = f64::from(berth.mixers.max(1));
+        let (door, lot) = (Door::of(customers), Rand64::new(u128::from(!seed)).rand_float());
+        let desk = Desk::new(types, layout, guards, permits, stated, norms, door, further, late, lot);
+        let post = Post::new();
         let (seed, roster, srvs) = (Rand64::new(u128::from(seed)), Roster::default(), Vec::new());
         let (zone, refused, next_tick) = (berth.zone, 0, f64::NEG_INFINITY);
-        let stated = mixers;
         Self { seed, zone, stated, roster, subscribe_at, refused, next_tick, srvs, gauge, desk, post }
     }
 
@@ -741,7 +753,7 @@
             self.subscribe_at = self.post.now + wait * (0.5 + self.seed.rand_float());
             return;
         }
-        self.refused = 0;
+        (self.refused, self.desk.opened) = (0, self.desk.opened.min(self.post.now));
         if kind != ListKind::Changes {
             self.desk.seats.iter_mut().for_each(|s| s.life = Life::Gone); // but for those that it names
         }
@@ -755,14 +767,14 @@
                 // must not prefer the same.
                 let lot = f64::from(u8::from(zone != self.zone)) + self.seed.rand_float();
                 put(&mut self.srvs, srv, actor);
-                put(&mut self.desk.seats, srv, Seat::new(addr, cell, zone, since, life, lot));
+                put(&mut self.desk.seats, srv, Seat::new(addr, cell, zone, since, life, lot, self.post.now));
                 self.desk.cells.enter(cell, srv);
                 continue;
             };
             let seat = &mut self.desk.seats[srv];
             if seat.listed != since && life == Life::Ready {
                 (seat.listed, seat.since, seat.limit) = (since, since, f64::INFINITY);
-                seat.hushed = false;
+                (seat.known_at, seat.hushed) = (self.post.now, false);
                 self.post.put(SRVS + srv, Note::Renewed);
             }
             seat.life = life;
@@ -822,9 +834,8 @@
             match event {
                 Event::List { kind, lines } => self.list(kind, lines),
                 Event::Probed { searcher, ending, took_ms } => {
-                    if let Some(srv) = self.roster.find(searcher) {
-                        self.post.put(SRVS + srv, Note::Pong(ending, took_ms));
-                    }
+                    let srv = self.roster.find(searcher).into_iter();
+                    srv.for_each(|srv| self.post.put(SRVS + srv, Note::Pong(ending, took_ms)));
                 }
                 Event::Heard { searcher, word } => self.heard(searcher, word),
                 // Never fewer than stated: who is not seen may be cut off and send all the same.
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,8 +16,8 @@
     pub normal: Vec<f64>,
     pub work: Vec<f64>,
     pub limit: f64,
-    /// The average share of each zone's parts.
-    pub zones: BTreeMap<usize, f64>,
+    /// The average of each zone's parts.
+    pub zones: BTreeMap<usize, Lag>,
     /// In what time a latency that nothing confirms fades.
     pub fade_ms: f64,
 }
@@ -30,14 +30,20 @@
     }
 }
 
+/// A latency against its table type's normal one: as a share of it, and in milliseconds beyond it. What delays parts of one
+/// type by a share delays those of another by a share where the searcher is slow, and by a time where it has a queue.
+pub(crate) type Lag = [f64; 2];
+
 /// What a searcher lets the desk know of itself.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Tile {
-    /// Smoothed latency, in normals, and when it was last confirmed.
-    pub lat: f64,
-    pub lat_at: f64,
-    /// Of its oldest part of ours.
+    /// Smoothed latency, and when it was last confirmed.
+    pub lag: Lag,
+    pub lag_at: f64,
+    /// Of its parts of ours that are out, what the oldest has waited beyond its table type's normal latency, in milliseconds,
+    /// and the highest age as a share of that latency.
     pub age: f64,
+    pub late: f64,
     /// Calls out that were overtaken.
     pub lost: u32,
     pub marked: bool,
@@ -51,9 +57,10 @@
 impl Tile {
     /// A searcher that is not yet heard from counts as average.
     pub const NEW: Self = Self {
-        lat: 1.0,
-        lat_at: 0.0,
+        lag: [1.0, 0.0],
+        lag_at: 0.0,
         age: 0.0,
+        late: 0.0,
         lost: 0,
         marked: false,
         trial: false,
@@ -67,15 +74,15 @@
     // To a searcher.
     Renewed,
     Sent(Leg, usize, Rc<Norms>),
-    /// A part's share of the normal latency, how it ended, and when it was sent.
-    Filed(Leg, f64, Ending, f64),
+    /// A part's share of the normal latency, that latency in milliseconds, how it ended, and when it was sent.
+    Filed(Leg, f64, f64, Ending, f64),
     Pong(Ending, f64),
     /// Others have marked it; whether several that agree.
     Hint(bool),
     // To the gauge: of a table type, of a searcher.
     Heard(usize, f64),
     Slice(usize, f64),
-    Zone(usize, f64),
+    Zone(usize, Lag),
     // To the desk.
     Tile(usize, Tile),
     /// A searcher that was dead answers again.
@@ -104,6 +111,10 @@
 pub(crate) const SRVS: usize = 2;
 
 impl Post {
+    pub fn new() -> Self {
+        Self { awake: BTreeSet::from([DESK, GAUGE]), ..Self::default() }
+    }
+
     pub fn put(&mut self, to: usize, note: Note) {
         if self.boxes.len() <= to {
             self.boxes.resize_with(to + 1, VecDeque::new);
@@ -190,7 +201,7 @@
     /// Of each searcher's last slice.
     pub means: BTreeMap<usize, f64>,
     pub median: f64,
-    pub zones: BTreeMap<usize, f64>,
+    pub zones: BTreeMap<usize, Lag>,
     pub fade_ms: f64,
 }
 
@@ -334,6 +345,11 @@
     pub lines: Lines,
     /// How busy searchers are, by the reports of the newest answers; none until one came.
     pub busy: Option<f64>,
+    /// Work in a millisecond that each table type asks for.
+    pub asked: Vec<f64>,
+    /// When the first list came, and when, as a share of any span, this mixer's turn at cold searchers comes.
+    pub opened: f64,
+    pub lot: f64,
     /// Own work sent in a millisecond, and the searchers that are ready.
     pub flow: f64,
     pub ready: f64,
@@ -349,15 +365,17 @@
     pub touched: BTreeSet<usize>,
     /// Scans that lack parts and wait for room.
     pub short: BTreeSet<usize>,
-    /// Scans refused at the door, by [`Bar`].
-    pub barred: [u64; 4],
+    /// Scans refused at the door, by table type and [`Bar`].
+    pub barred: Vec<[u64; BARS]>,
 }
 
 /// Why the door refused a scan: what the first of its parts met that no searcher could take in time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Bar {
-    /// No searcher is up and has room.
+    /// No searcher is up.
     Nobody,
+    /// Some are, all cold and without room.
+    Cold,
     /// What its searcher is believed to take.
     Cost,
     /// The age of the oldest part there.
@@ -366,6 +384,9 @@
     Limit,
 }
 
+/// Reasons of the door.
+pub const BARS: usize = 5;
+
 /// What a mixer believes of its searchers, and why it refused scans: for people, and decides nothing.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Beliefs {
@@ -384,13 +405,21 @@
     pub unasked_ms: f64,
     /// Highest smoothed latency of a searcher that is ready, in normals, as last confirmed.
     pub latency: f64,
-    /// Scans refused at the door since the start, as no searcher was up, its cost, its oldest part, its limit.
-    pub refused: [u64; 4],
+    /// Scans refused at the door since the start, by table type: as no searcher was up, as those that were are cold and had no
+    /// room, its cost, its oldest part, its limit.
+    pub refused: Vec<[u64; BARS]>,
+}
+
+impl Beliefs {
+    /// Scans refused at the door, of all table types, by reason.
+    pub fn refused_in_all(&self) -> [u64; BARS] {
+        std::array::from_fn(|bar| self.refused.iter().map(|counts| counts[bar]).sum())
+    }
 }
 
 impl fmt::Display for Beliefs {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { ready, marked, down, trial, cold, held, calls, lost, unasked_ms, latency, refused } = self;
+        let Self { ready, marked, down, trial, cold, held, calls, lost, unasked_ms, latency, .. } = self;
         writeln!(
             f,
             "searchers\n  ready {ready}, marked {marked}, without connection {down}, on trial {trial}"
@@ -402,10 +431,10 @@
             unasked_ms / 1e3
         )?;
         writeln!(f, "calls out\n  {calls}, of these overtaken {lost}")?;
-        let [nobody, cost, age, limit] = refused;
+        let [nobody, no_room, cost, age, limit] = self.refused_in_all();
         writeln!(
             f,
-            "scans refused at the door\n  nobody up {nobody}, cost {cost}, old part {age}, limit {limit}"
+            "scans refused at the door\n  nobody up {nobody}, cold {no_room}, cost {cost}, old part {age}, limit {limit}"
         )
     }
 }
@@ -437,7 +466,9 @@
         door: Door,
         further: Purse,
         late: Purse,
+        lot: f64,
     ) -> Self {
+        let (barred, asked) = (vec![[0; BARS]; types.len()], vec![0.0; types.len()]);
         Self {
             cells: Cells::new(layout.cells, layout.reach),
             types,
@@ -452,6 +483,9 @@
             seats: Vec::new(),
             lines: Lines::default(),
             busy: None,
+            asked,
+            opened: f64::INFINITY,
+            lot,
             flow: 0.0,
             ready: 0.0,
             next: 0,
@@ -462,7 +496,7 @@
             this_turn: BTreeMap::new(),
             touched: BTreeSet::new(),
             short: BTreeSet::new(),
-            barred: [0; 4],
+            barred,
         }
     }
 
@@ -480,22 +514,19 @@
             calls: ready().map(|s| s.calls).sum(),
             lost: ready().map(|s| s.tile.lost).sum(),
             unasked_ms: ready().filter(|s| s.sent_at > 0.0).map(|s| now - s.sent_at).fold(0.0, f64::max),
-            latency: ready().map(|s| s.tile.lat).fold(0.0, f64::max),
-            refused: self.barred,
+            latency: ready().map(|s| s.tile.lag[0]).fold(0.0, f64::max),
+            refused: self.barred.clone(),
         }
     }
 
     pub fn known(&self, now: f64) -> impl Iterator<Item = Known> {
-        let normal = self.norms.normal.iter().copied().fold(1.0, f64::max);
         self.seats.iter().filter(|s| s.life != Life::Gone).map(move |s| Known {
             searcher: s.addr,
             life: s.life,
             since: s.listed,
             cold: s.listed > 0.0 && now - s.listed < self.guards.warm_ms,
             marked: s.tile.marked,
-            late: Some(s.tile.age / normal)
-                .filter(|l| !s.tile.marked && *l > self.norms.limit)
-                .unwrap_or(0.0),
+            late: Some(s.tile.late).filter(|l| !s.tile.marked && *l > self.norms.limit).unwrap_or(0.0),
             evidence: s.tile.evidence,
         })
     }
@@ -553,17 +584,27 @@
     /// Of own calls out.
     pub limit: f64,
     pub cut_at: f64,
-    /// Work sent to it lately.
-    pub spent: VecDeque<(f64, f64)>,
+    /// When this mixer learned of that start.
+    pub known_at: f64,
+    /// Work sent to it lately, and for which table type.
+    pub spent: VecDeque<(f64, f64, usize)>,
 }
 
 impl Seat {
-    pub fn new(addr: SocketAddrV4, cell: u32, zone: u16, since: f64, life: Life, lot: f64) -> Self {
+    pub fn new(
+        addr: SocketAddrV4,
+        cell: u32,
+        zone: u16,
+        since: f64,
+        life: Life,
+        lot: f64,
+        known_at: f64,
+    ) -> Self {
         let (zone, tile, limit, heard_at) = (usize::from(zone), Tile::NEW, f64::INFINITY, f64::INFINITY);
         let (listed, calls, cut_at, ok_from, sent_at, spent) = (since, 0, 0.0, 0.0, 0.0, VecDeque::new());
         #[rustfmt::skip]
         let seat = Self { addr, cell, zone, listed, since, told: 0.0, life, hushed: false, tile, lot, calls, heard_at, ok_from,
-            sent_at, limit, cut_at, spent };
+            sent_at, limit, cut_at, known_at, spent };
         seat
     }
 
--- /dev/null
+++ b/tests/common/ramp.rs
@@ -0,0 +1,540 @@
+//! Many mixers that share nothing before searchers some of which are cold: what all of them together send to one, and
+//! how much of each table type is served. No network: a way there and back, a queue before some cores, and a list that each
+//! mixer hears at its own time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use oorandom::Rand64;
+use pewterwharf::interface::*;
+use pewterwharf::logic::{BARS, Mixer};
+
+/// The day begins there by the module's clock: long after any start that the list names.
+const EPOCH: f64 = 1_000_000.0;
+const WAY_MS: f64 = 0.5;
+
+/// A table type as it is asked for.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Of all scans.
+    pub share: f64,
+    pub parts: u32,
+    pub need: f64,
+    /// Mean work of a part, in milliseconds of one core.
+    pub work_ms: f64,
+    pub target_ms: f64,
+    pub repeat: Repeat,
+}
+
+#[derive(Clone, Debug)]
+pub struct Ramp {
+    pub mixers: usize,
+    /// Highest traffic of a mixer over the mean, at least: others have less.
+    pub uneven: f64,
+    pub searchers: usize,
+    /// Cells in a row that hold a shard; every cell has one searcher.
+    pub reach: u32,
+    pub cores: usize,
+    /// Of what all searchers can do when warm.
+    pub load: f64,
+    pub kinds: Vec<Kind>,
+    /// The first so many searchers start anew, the first at 3 s, each next one so much later.
+    pub cold: usize,
+    pub apart_ms: f64,
+    /// A mixer hears of it within so long.
+    pub notice_ms: f64,
+    pub guards: Guards,
+    /// So great a share of the mixers is started anew at the same time, each half second from the first start on.
+    pub restarts: f64,
+    /// The cold searchers start a second time after so long.
+    pub again_ms: Option<f64>,
+    /// From 3 s on all work takes so many times as long.
+    pub slower: f64,
+    /// What the settings say of the count of mixers, over what it is.
+    pub stated: f64,
+    pub length_ms: f64,
+}
+
+/// What came of it.
+#[derive(Debug, Default)]
+pub struct Played {
+    /// Of each table type: scans asked, completed in time.
+    pub kinds: Vec<(u32, u32)>,
+    /// Of those asked while searchers were cold.
+    pub while_cold: Vec<(u32, u32)>,
+    /// The fullest window of a cold searcher: calls of mean work in it, over what is borne (the budget and chance).
+    pub fullest: f64,
+    /// What cold searchers got in all, over the sum of what the settings allow.
+    pub used: f64,
+    /// Of each table type, the scans refused at the door, by reason.
+    pub refused: Vec<[u64; BARS]>,
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Next {
+    Ask,
+    Reaches(usize, usize, u64, u8),
+    Worked(usize, u64),
+    Ends(usize, usize, u64, u8),
+    TimedOut(usize, u64, u8),
+    Wake(usize, u64),
+    Start(usize),
+    /// A mixer hears that a searcher started, and when.
+    Hears(usize, usize, u64),
+    Restart(usize),
+}
+
+struct Searcher {
+    since: f64,
+    /// Jobs at work and in the queue: mixer, part, dispatch.
+    at_work: usize,
+    queue: VecDeque<(usize, u64, u8)>,
+    /// What came while it was cold: when, and the mean work of its table type.
+    came: Vec<(f64, f64)>,
+}
+
+struct World {
+    ramp: Ramp,
+    now: f64,
+    order: u64,
+    next: BinaryHeap<Reverse<(u64, u64, Next)>>,
+    chance: Rand64,
+    mixers: Vec<(Mixer, Vec<Event>, u64)>,
+    lists: Vec<Vec<f64>>,
+    weights: Vec<f64>,
+    searchers: Vec<Searcher>,
+    /// Of a scan: mixer, kind, when asked.
+    scans: BTreeMap<u64, (usize, usize, f64)>,
+    /// Of a part: kind.
+    parts: BTreeMap<u64, usize>,
+    dispatched: BTreeMap<u64, u8>,
+    out: BTreeMap<(usize, u64, u8), (usize, f64)>,
+    /// What a core works on, by a number.
+    jobs: BTreeMap<u64, (usize, u64, u8)>,
+    ids: u64,
+    played: Played,
+    used: (f64, f64),
+}
+
+fn address(searcher: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, (searcher >> 8) as u8, searcher as u8), 5000)
+}
+
+fn searcher_at(address: SocketAddrV4) -> usize {
+    let octets = address.ip().octets();
+    usize::from(octets[2]) << 8 | usize::from(octets[3])
+}
+
+impl Ramp {
+    pub fn play(&self, seed: u64) -> Played {
+        let mut chance = Rand64::new(u128::from(seed));
+        // A few mixers get several times the mean, as a front gives them.
+        let weights: Vec<f64> = (0..self.mixers)
+            .map(|nth| if nth % 10 == 0 { self.uneven } else { 0.5 + chance.rand_float() })
+            .collect();
+        let mut world = World {
+            ramp: self.clone(),
+            now: 0.0,
+            order: 0,
+            next: BinaryHeap::new(),
+            mixers: Vec::new(),
+            lists: vec![vec![0.0; self.searchers]; self.mixers],
+            weights,
+            searchers: (0..self.searchers)
+                .map(|_| Searcher { since: 0.0, at_work: 0, queue: VecDeque::new(), came: Vec::new() })
+                .collect(),
+            scans: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            dispatched: BTreeMap::new(),
+            out: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            ids: 0,
+            played: Played {
+                kinds: vec![(0, 0); self.kinds.len()],
+                while_cold: vec![(0, 0); self.kinds.len()],
+                ..Played::default()
+            },
+            used: (0.0, 0.0),
+            chance,
+        };
+        world.run(seed);
+        world.count();
+        world.played
+    }
+
+    /// Mean work of the parts that are asked for.
+    pub fn mean_work(&self) -> f64 {
+        let parts: f64 = self.kinds.iter().map(|k| k.share * f64::from(k.parts)).sum();
+        self.kinds.iter().map(|k| k.share * f64::from(k.parts) * k.work_ms).sum::<f64>() / parts
+    }
+
+    fn scans_per_ms(&self) -> f64 {
+        let shares: f64 = self.kinds.iter().map(|k| k.share).sum();
+        let sent = |k: &Kind| (k.need * f64::from(k.parts)).ceil();
+        let work: f64 = self.kinds.iter().map(|k| k.share / shares * sent(k) * k.work_ms).sum();
+        self.load * (self.searchers * self.cores) as f64 / work
+    }
+
+    fn able(&self, age: f64) -> f64 {
+        let Guards { cold_from, warm_ms, .. } = self.guards;
+        (cold_from + (1.0 - cold_from) * age / warm_ms).clamp(cold_from, 1.0)
+    }
+}
+
+impl World {
+    fn add(&mut self, at: f64, next: Next) {
+        self.order += 1;
+        self.next.push(Reverse(((at.max(self.now) * 1000.0) as u64, self.order, next)));
+    }
+
+    fn open(&self, seed: u64) -> Mixer {
+        let ramp = &self.ramp;
+        let types = ramp.kinds.iter().map(|k| TableType {
+            target_ms: k.target_ms,
+            query_timeout_ms: 2.0 * k.target_ms,
+            benefit: 1.0,
+            late_share: 0.2,
+            target_stretch: 0.0,
+            repeat: k.repeat,
+            need: k.need,
+            floor: k.need,
+            partial_share: 0.9,
+            second_step: false,
+        });
+        let layout =
+            Layout { cells: ramp.searchers as u32, reach: ramp.reach, parts_per_call: 1, call_work_ms: 0.0 };
+        let permits = Permits {
+            cancel: true,
+            probe: true,
+            second_copies: true,
+            dispatches: 3,
+            back_in_ms: Some(500.0),
+            ask_within_ms: None,
+        };
+        let customers = vec![Customer { scans_per_s: 1000.0, over_share: 0.2 }];
+        let berth = Berth { mixers: ((ramp.mixers as f64 * ramp.stated) as u32).max(1), zone: 0 };
+        Mixer::open(seed, types.collect(), customers, layout, ramp.guards.clone(), permits, berth)
+    }
+
+    fn lines(&self, mixer: usize) -> Event {
+        let lines = self.lists[mixer].iter().enumerate().map(|(s, since)| Listed {
+            searcher: address(s),
+            cell: s as u32,
+            zone: 0,
+            since: *since,
+            life: Life::Ready,
+        });
+        Event::List { kind: ListKind::Full, lines: lines.collect() }
+    }
+
+    fn run(&mut self, seed: u64) {
+        for nth in 0..self.ramp.mixers {
+            let mixer = self.open(seed * 10_000 + nth as u64);
+            self.mixers.push((mixer, Vec::new(), 0));
+            let list = self.lines(nth);
+            self.mixers[nth].1.push(list);
+            let at = self.chance.rand_float() * 20.0;
+            self.add(at, Next::Wake(nth, 0));
+        }
+        for srv in 0..self.ramp.cold {
+            let at = 3000.0 + srv as f64 * self.ramp.apart_ms;
+            self.add(at, Next::Start(srv));
+            if let Some(again) = self.ramp.again_ms {
+                self.add(at + again, Next::Start(srv));
+            }
+        }
+        if self.ramp.restarts > 0.0 {
+            let batch = self.ramp.mixers as f64 * self.ramp.restarts;
+            for nth in 0..self.ramp.mixers {
+                self.add(3000.0 + 500.0 * (nth as f64 / batch).floor(), Next::Restart(nth));
+            }
+        }
+        self.add(0.0, Next::Ask);
+        while let Some(Reverse((at, _, next))) = self.next.pop() {
+            self.now = at as f64 / 1000.0;
+            if self.now > self.ramp.length_ms + 2000.0 {
+                break;
+            }
+            let told = self.happens(next);
+            if let Some(mixer) = told {
+                self.turn(mixer);
+            }
+        }
+    }
+
+    /// What happens; the mixer that is told of something.
+    fn happens(&mut self, next: Next) -> Option<usize> {
+        match next {
+            Next::Ask => {
+                if self.now >= self.ramp.length_ms {
+                    return None;
+                }
+                let mean = 1.0 / self.ramp.scans_per_ms();
+                let wait = -mean * (1.0 - self.chance.rand_float()).ln();
+                self.add(self.now + wait, Next::Ask);
+                let sum: f64 = self.weights.iter().sum();
+                let mut lot = self.chance.rand_float() * sum;
+                let mixer = self.weights.iter().position(|w| {
+                    lot -= w;
+                    lot <= 0.0
+                })?;
+                let sum: f64 = self.ramp.kinds.iter().map(|k| k.share).sum();
+                let mut lot = self.chance.rand_float() * sum;
+                let kind = self.ramp.kinds.iter().position(|k| {
+                    lot -= k.share;
+                    lot <= 0.0
+                })?;
+                self.ask(mixer, kind);
+                Some(mixer)
+            }
+            Next::Reaches(srv, mixer, part, dispatch) => {
+                self.reaches(srv, (mixer, part, dispatch));
+                None
+            }
+            Next::Worked(srv, job) => {
+                let (mixer, part, dispatch) = self.jobs.remove(&job)?;
+                self.add(self.now + WAY_MS, Next::Ends(srv, mixer, part, dispatch));
+                self.searchers[srv].at_work -= 1;
+                if let Some(next) = self.searchers[srv].queue.pop_front() {
+                    self.work(srv, next);
+                }
+                None
+            }
+            Next::Ends(_, mixer, part, dispatch) => {
+                let (srv, sent_at) = self.out.remove(&(mixer, part, dispatch))?;
+                let ended = self.ended(part, dispatch, srv, Ending::Ok, self.now - sent_at);
+                self.mixers[mixer].1.push(ended);
+                Some(mixer)
+            }
+            Next::TimedOut(mixer, part, dispatch) => {
+                let (srv, sent_at) = self.out.remove(&(mixer, part, dispatch))?;
+                let ended = self.ended(part, dispatch, srv, Ending::TimedOut, self.now - sent_at);
+                self.mixers[mixer].1.push(ended);
+                Some(mixer)
+            }
+            Next::Wake(mixer, process) => {
+                (self.mixers[mixer].2 == process).then(|| self.mixers[mixer].1.push(Event::Wake))?;
+                Some(mixer)
+            }
+            Next::Start(srv) => {
+                self.count_one(srv);
+                (self.searchers[srv].since, self.searchers[srv].came) = (self.now, Vec::new());
+                for mixer in 0..self.ramp.mixers {
+                    let at = self.now + self.chance.rand_float() * self.ramp.notice_ms;
+                    self.add(at, Next::Hears(mixer, srv, (self.now * 1000.0) as u64));
+                }
+                None
+            }
+            Next::Hears(mixer, srv, since) => {
+                self.lists[mixer][srv] = EPOCH + since as f64 / 1000.0;
+                let list = self.lines(mixer);
+                self.mixers[mixer].1.push(list);
+                Some(mixer)
+            }
+            Next::Restart(nth) => {
+                let process = self.mixers[nth].2 + 1;
+                let seed = self.chance.rand_u64();
+                self.mixers[nth] = (self.open(seed), Vec::new(), process);
+                self.out.retain(|leg, _| leg.0 != nth);
+                let list = self.lines(nth);
+                self.mixers[nth].1.push(list);
+                Some(nth)
+            }
+        }
+    }
+
+    fn ended(&self, part: u64, dispatch: u8, srv: usize, ending: Ending, took_ms: f64) -> Event {
+        Event::Ended { part, dispatch, searcher: address(srv), ending, took_ms, busy: None }
+    }
+
+    fn cold_now(&self) -> bool {
+        self.now >= 3000.0
+            && self.searchers.iter().any(|s| s.since > 0.0 && self.now - s.since < self.ramp.guards.warm_ms)
+    }
+
+    fn ask(&mut self, mixer: usize, kind: usize) {
+        self.ids += 1;
+        let (id, number) = (self.ids, self.ids as u32);
+        let Kind { parts, target_ms, .. } = self.ramp.kinds[kind].clone();
+        self.scans.insert(id, (mixer, kind, self.now));
+        self.played.kinds[kind].0 += 1;
+        if self.cold_now() {
+            self.played.while_cold[kind].0 += 1;
+        }
+        let gone_at = EPOCH + self.now + 2.0 * target_ms;
+        let inbox = &mut self.mixers[mixer].1;
+        inbox.push(Event::Scan {
+            id,
+            number,
+            table_type: kind,
+            customer: 0,
+            gone_at,
+            work_ms: None,
+            retry: false,
+        });
+        let first = self.chance.rand_range(0..self.ramp.searchers as u64) as u32;
+        for nth in 0..parts {
+            self.ids += 1;
+            self.parts.insert(self.ids, kind);
+            let shard = (first + nth) % self.ramp.searchers as u32;
+            let weight = 1.0 / f64::from(parts);
+            self.mixers[mixer].1.push(Event::Part { id: self.ids, number, shard, weight });
+        }
+    }
+
+    fn reaches(&mut self, srv: usize, leg: (usize, u64, u8)) {
+        let Some(kind) = self.parts.get(&leg.1).copied() else { return };
+        let work = self.ramp.kinds[kind].work_ms;
+        let (now, warm_ms) = (self.now, self.ramp.guards.warm_ms);
+        let searcher = &mut self.searchers[srv];
+        // As long as a mixer has not been told, the rule does not count what it sends.
+        let told = self.lists[leg.0][srv] == EPOCH + searcher.since && searcher.since > 0.0;
+        if told && now - searcher.since < warm_ms {
+            searcher.came.push((now, work));
+        }
+        if searcher.at_work < self.ramp.cores {
+            self.work(srv, leg);
+        } else if searcher.queue.len() < 100 {
+            searcher.queue.push_back(leg);
+        } else if let Some((srv, sent_at)) = self.out.remove(&leg) {
+            let ended = self.ended(leg.1, leg.2, srv, Ending::Full, self.now - sent_at);
+            self.mixers[leg.0].1.push(ended);
+        }
+    }
+
+    fn work(&mut self, srv: usize, leg: (usize, u64, u8)) {
+        let Some(kind) = self.parts.get(&leg.1).copied() else { return };
+        self.searchers[srv].at_work += 1;
+        self.ids += 1;
+        self.jobs.insert(self.ids, leg);
+        let age = self.now - self.searchers[srv].since;
+        let cold = self.searchers[srv].since > 0.0;
+        let able = if cold { self.ramp.able(age) } else { 1.0 };
+        let slower = if self.now >= 3000.0 { self.ramp.slower } else { 1.0 };
+        // About as spread as the operators' parts are.
+        let spread = 0.4 + 1.2 * self.chance.rand_float();
+        let took = self.ramp.kinds[kind].work_ms * spread * slower / able;
+        self.add(self.now + took, Next::Worked(srv, self.ids));
+    }
+
+    fn turn(&mut self, mixer: usize) {
+        let events = std::mem::take(&mut self.mixers[mixer].1);
+        let process = self.mixers[mixer].2;
+        for action in self.mixers[mixer].0.turn(EPOCH + self.now, events) {
+            match action {
+                Action::Dispatch { part, searcher, patience_ms } => {
+                    let dispatch = self.dispatched.entry(part).or_default();
+                    let leg = (mixer, part, *dispatch);
+                    *dispatch += 1;
+                    let srv = searcher_at(searcher);
+                    self.out.insert(leg, (srv, self.now));
+                    self.add(self.now + WAY_MS, Next::Reaches(srv, leg.0, leg.1, leg.2));
+                    self.add(self.now + patience_ms, Next::TimedOut(leg.0, leg.1, leg.2));
+                }
+                Action::Cancel { part, dispatch } => {
+                    if let Some((srv, sent_at)) = self.out.remove(&(mixer, part, dispatch)) {
+                        self.searchers[srv].queue.retain(|l| *l != (mixer, part, dispatch));
+                        let ended = self.ended(part, dispatch, srv, Ending::Cancelled, self.now - sent_at);
+                        self.mixers[mixer].1.push(ended);
+                    }
+                }
+                Action::Complete { scan, .. } => {
+                    if let Some((_, kind, asked_at)) = self.scans.remove(&scan)
+                        && self.now - asked_at <= self.ramp.kinds[kind].target_ms
+                    {
+                        self.played.kinds[kind].1 += 1;
+                        let cold = asked_at >= 3000.0 && self.cold_now();
+                        self.played.while_cold[kind].1 += u32::from(cold);
+                    }
+                }
+                Action::Throttle { scan, .. } | Action::Abandon { scan } => drop(self.scans.remove(&scan)),
+                Action::Probe { searcher } => {
+                    let probed = Event::Probed { searcher, ending: Ending::Ok, took_ms: 1.0 };
+                    self.mixers[mixer].1.push(probed);
+                }
+                Action::WakeAt { at } => self.add(at - EPOCH, Next::Wake(mixer, process)),
+                _ => {}
+            }
+        }
+    }
+
+    /// What one cold searcher got, in every window of the settings' length, against what the settings allow then.
+    fn count_one(&mut self, srv: usize) {
+        let (ramp, searcher) = (&self.ramp, &self.searchers[srv]);
+        let (g, mean) = (&ramp.guards, ramp.mean_work());
+        if searcher.since == 0.0 {
+            return;
+        }
+        let calls = |age: f64| g.tip_multiple * ramp.able(age) * ramp.cores as f64 * g.fall_ms / mean;
+        let mut window: VecDeque<(f64, f64)> = VecDeque::new();
+        for (at, work) in &searcher.came {
+            window.push_back((*at, *work));
+            while window.front().is_some_and(|w| w.0 < at - g.fall_ms) {
+                window.pop_front();
+            }
+            let got = window.iter().map(|w| w.1).sum::<f64>() / mean;
+            let allowed = calls((at - g.fall_ms - searcher.since).max(0.0));
+            self.played.fullest = self.played.fullest.max(got / (allowed + 2.0 * allowed.sqrt() + 2.0));
+        }
+        let ages = (0..(g.warm_ms / 100.0) as usize).map(|a| a as f64 * 100.0);
+        self.used.0 += searcher.came.iter().map(|c| c.1).sum::<f64>() / mean;
+        self.used.1 += ages.map(|age| calls(age) * 100.0 / g.fall_ms).sum::<f64>();
+    }
+
+    fn count(&mut self) {
+        (0..self.ramp.cold).for_each(|srv| self.count_one(srv));
+        self.played.refused = vec![[0; BARS]; self.ramp.kinds.len()];
+        for (mixer, ..) in &self.mixers {
+            for (sum, counts) in self.played.refused.iter_mut().zip(mixer.beliefs().refused) {
+                sum.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
+            }
+        }
+        self.played.used = self.used.0 / self.used.1.max(1.0);
+    }
+}
+
+impl Ramp {
+    /// A deployment drawn within the bounds of the operators' pages.
+    pub fn drawn(seed: u64) -> Self {
+        let mut chance = Rand64::new(u128::from(seed) + 77);
+        let mut between = |low: f64, high: f64| low + (high - low) * chance.rand_float();
+        let mixers = [2, 20, 30, 100, 300][between(0.0, 5.0) as usize];
+        let searchers =
+            if mixers >= 100 { between(40.0, 70.0) as usize } else { between(9.0, 20.0) as usize };
+        let (warm_ms, fall_ms) = (between(5000.0, 15_000.0), between(750.0, 3000.0));
+        let guards = Guards {
+            cold_from: between(0.15, 0.5),
+            warm_ms,
+            tip_multiple: between(1.5, 4.0),
+            fall_ms,
+            budget: None,
+        };
+        let count = between(2.0, 3.99) as usize;
+        let kinds = (0..count).map(|nth| {
+            let work_ms = 10.0 * between(0.0, 3.4).exp();
+            let (parts, need) = (between(1.0, 12.99) as u32, if nth == 0 { 1.0 } else { between(0.5, 1.0) });
+            let target_ms = (work_ms * between(4.0, 12.0)).max(100.0);
+            Kind { share: between(0.06, 1.0), parts, need, work_ms, target_ms, repeat: Repeat::Replayable }
+        });
+        let kinds = kinds.collect();
+        Self {
+            mixers,
+            uneven: between(1.0, 5.0),
+            searchers,
+            reach: between(2.0, 4.0) as u32,
+            cores: between(1.0, 3.99) as usize,
+            load: between(0.3, 0.62),
+            kinds,
+            cold: (searchers as f64 * between(0.1, 0.6)) as usize,
+            apart_ms: between(0.0, 300.0),
+            notice_ms: between(200.0, 4000.0),
+            guards,
+            restarts: if between(0.0, 1.0) < 0.5 { 0.1 } else { 0.0 },
+            again_ms: (between(0.0, 1.0) < 0.2).then_some(2500.0),
+            slower: if between(0.0, 1.0) < 0.2 { 1.4 } else { 1.0 },
+            stated: if between(0.0, 1.0) < 0.2 { 0.9 } else { 1.0 },
+            length_ms: 3000.0 + warm_ms + 2000.0,
+        }
+    }
+}
