--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -24,6 +24,9 @@
 const QUIET: Duration = Duration::from_millis(2600);
 /// One that stops in the middle of a line is doubted after so long.
 const STOPPED: Duration = Duration::from_millis(100);
+/// A list comes whole in so long, or others begin beside it: one that comes byte by byte would renew its time with each. What it
+/// holds back counts as told 6 s after discovery had it.
+const WHOLE: Duration = Duration::from_millis(1000);
 /// While no watch can be trusted, another begins so often: discovery that returns is heard well within a drain's grace of
 /// 250 ms, whether it answers what had been asked or only what is asked then.
 const EVERY: Duration = Duration::from_millis(100);
@@ -71,9 +74,9 @@
             std::thread::sleep(LOOK);
         };
         let Self { number, at, index } = self;
-        let (room, wires, next_id) = (Room::of(2 * LONGEST), BTreeMap::new(), 0);
-        let mut told = Telling { poll, number, at, index, room, wires, next_id, watches, tell };
-        if let Err(error) = told.run() {
+        let (room, wires, next_id, told) = (Room::of(2 * LONGEST), BTreeMap::new(), 0, 0);
+        let mut telling = Telling { poll, number, at, index, room, wires, next_id, told, watches, tell };
+        if let Err(error) = telling.run() {
             debug!("watch {number} has ended: {error:#}");
         }
     }
@@ -89,6 +92,8 @@
     /// Its connections, the eldest first: at most one that has spoken, and attempts at a better one.
     wires: BTreeMap<usize, Wire>,
     next_id: usize,
+    /// Lists told so far.
+    told: u64,
     watches: &'a Watches,
     tell: &'a Tell,
 }
@@ -143,7 +148,8 @@
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, Token(self.next_id), interest)?;
         let (buffer, text) = (Buffer::new(&self.room), Text::default());
-        Ok(Wire { stream, buffer, stage: Stage::Opening, since: now, heard: now, text, spoken: false })
+        let (stage, begun, spoken) = (Stage::Opening, None, false);
+        Ok(Wire { stream, buffer, stage, since: now, heard: now, begun, text, spoken })
     }
 
     /// Goes on with a connection on which something has happened; fails once nobody listens.
@@ -169,6 +175,7 @@
         let read = serde_json::from_slice(text).context("not JSON").and_then(|value| list(&value));
         let list = read.inspect_err(|error| warn!("discovery sent a line that can't be read: {error:#}"))?;
         self.index = Some(list.index);
+        self.told += 1;
         self.tell.say(Input::List { watch: self.number, list });
         Ok(())
     }
@@ -192,6 +199,8 @@
     since: Instant,
     /// When anything last came.
     heard: Instant,
+    /// Since when a list that is not whole has been coming.
+    begun: Option<Instant>,
     text: Text,
     /// It has told a list, or that there is nothing new.
     spoken: bool,
@@ -200,8 +209,10 @@
 impl Wire {
     /// Until when what it says is gone by and nobody else is asked.
     fn trusted_until(&self, now: Instant) -> Option<Instant> {
-        let begun = !self.buffer.bytes().is_empty() || self.text.begun();
-        let until = self.heard + if begun { STOPPED } else { QUIET };
+        let until = match self.begun {
+            Some(begun) => (self.heard + STOPPED).min(begun + WHOLE),
+            None => self.heard + QUIET,
+        };
         (self.spoken && until > now).then_some(until)
     }
 
@@ -240,7 +251,12 @@
                 Ok(0) => break,
                 Ok(_) => {
                     self.heard = Instant::now();
+                    let spoken = telling.told;
                     self.take(telling)?;
+                    let partly = !self.buffer.bytes().is_empty() || self.text.begun();
+                    // One that is whole ends its time; a further one that has come partly begins its own.
+                    let since = self.begun.filter(|_| telling.told == spoken).unwrap_or(self.heard);
+                    self.begun = partly.then_some(since);
                     ensure!(self.buffer.bytes().len() <= LONGEST, "over {LONGEST} bytes in one piece");
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -1,12 +1,13 @@
 //! The program: opens what it needs, runs the reducer on what comes in, carries out its effects, and closes.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, ensure};
 use crossbeam_channel::{Receiver, bounded};
 use pewterwharf_settings::Settings;
 use pewterwharf_terms::{Change, Start};
@@ -26,6 +27,26 @@
 use crate::searcher::{self, Link, Searchers};
 use crate::tell::{STACK, Tell, Told, spawn};
 
+/// The process before may hold the port for a while after the platform has begun the next one: it is waited for, well within the
+/// 30 s in which a mixer has to be ready, and looked at so often.
+const HELD: Duration = Duration::from_secs(20);
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Listens there, once the port is free. Asked to end meanwhile, it does.
+fn listen(at: SocketAddr, signals: &mut Signals) -> Result<TcpListener> {
+    let since = Instant::now();
+    loop {
+        match TcpListener::bind(at) {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && since.elapsed() < HELD => {
+                let ends = |signal| matches!(signal, SIGTERM | SIGINT);
+                ensure!(!signals.pending().any(ends), "asked to end while listen={at} was held by another");
+                std::thread::sleep(LOOK);
+            }
+            bound => return bound.with_context(|| format!("listen={at}")),
+        }
+    }
+}
+
 /// The address that a listener has got, where its port was left open.
 fn local(listener: &TcpListener) -> Result<SocketAddr> {
     listener.local_addr().context("the listener's address")
@@ -100,7 +121,7 @@
         let first = Watch { number: 0, at: start.discovery, index };
         let (told, counted) = (tell.clone(), watches.clone());
         spawn("discovery", STACK, move || first.run(&counted, &told))?;
-        let listener = TcpListener::bind(start.listen).with_context(|| format!("listen={}", start.listen))?;
+        let listener = listen(start.listen.into(), &mut signals)?;
         let (at, places) = (local(&listener)?, reducer.client_places());
         let (ours, room) = (Room::of(start.memory / BUFFERS), Room::of(start.memory / BUFFERS));
         let clients =
--- a/crates/mixer/tests/crossings.rs
+++ b/crates/mixer/tests/crossings.rs
@@ -172,3 +172,49 @@
     drop(asking.join());
     assert_eq!(mixer.end().0, Some(0));
 }
+
+/// Of the protocol: a client that closes its connection has gone, and what is begun over 0.1 s later for it is a fault.
+#[test]
+fn a_burst_of_clients_that_leave_at_once_gets_nothing_more_sent() {
+    // Each is sent, and none answered: copies fall due after they have left.
+    let mixer = start(&[Manner::Hangs, Manner::Hangs]);
+    for half_closed in [false, true] {
+        let clients: Vec<TcpStream> = (0..300)
+            .map(|nth| {
+                let client = mixer.connect();
+                send(&client, &scan("lookup", 2).replace("q1", &format!("q{nth}-{half_closed}")));
+                client
+            })
+            .collect();
+        if half_closed {
+            clients.iter().for_each(|client| client.shutdown(Shutdown::Write).expect("it is open"));
+        }
+        let held = half_closed.then_some(clients); // the others are closed here
+        let left = Instant::now();
+        let mut last = None;
+        while let Some(rest) = std::time::Duration::from_millis(1500).checked_sub(left.elapsed()) {
+            match mixer.heard.recv_timeout(rest) {
+                Ok(frame) if frame.starts_with("D ") => last = Some((left.elapsed(), frame)),
+                Ok(_) => {}
+                Err(_) => break,
+            }
+        }
+        // What was under way when they left is read here a little later.
+        assert!(last.as_ref().is_none_or(|(after, _)| after.as_millis() < 100), "{half_closed}: {last:?}");
+        drop(held);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_with_a_second_copy_due_gets_none() {
+    let mixer = start(&[Manner::Hangs, Manner::Hangs]);
+    let client = mixer.connect();
+    send(&client, &scan("lookup", 1));
+    assert!(mixer.next_frame().starts_with("D q1.0"));
+    // Its copy falls due in half of the target time of 500 ms.
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    drop(client);
+    assert!(mixer.next_frame().starts_with("K q1.0"), "it is given up");
+    let more = mixer.heard.recv_timeout(std::time::Duration::from_millis(900));
+    assert!(!more.as_ref().is_ok_and(|frame| frame.starts_with("D ")), "{more:?}");
+}
--- a/crates/peers/src/names.rs
+++ b/crates/peers/src/names.rs
@@ -10,8 +10,8 @@
 pub const FORMAT: u16 = 1;
 /// Longest name of a mixer or a fleet, in bytes.
 pub const LONGEST_NAME: usize = 32;
-/// Most mixers of a fleet.
-pub const MOST: usize = 512;
+/// Most mixers of a fleet: hundreds are in service, and lists grow by need.
+pub const MOST: usize = 4096;
 
 /// The first word on a link.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -14,7 +14,7 @@
     pub me: String,
     /// Where it listens for the others: an address on a network of the mixers' own.
     pub listen: SocketAddr,
-    /// 1 to 512.
+    /// 1 to 4,096.
     pub peers: Vec<FleetPeer>,
     /// For so long it is kept in mind that something was deleted, in milliseconds: 1 s to 1 h. Whoever is away for longer
     /// takes all anew.
@@ -34,7 +34,7 @@
 /// Under the first, a deletion is forgotten before a slow way has carried it; over the second it only costs memory.
 const FORGET: (f64, f64) = (1000.0, 3_600_000.0);
 /// Peers that a file may name.
-const MOST: usize = 512;
+const MOST: usize = 4096;
 /// Longest name, in bytes.
 const LONGEST: usize = 32;
 
--- a/crates/settings/src/form.rs
+++ b/crates/settings/src/form.rs
@@ -16,7 +16,7 @@
 /// Longest text, in bytes.
 pub const LONGEST: usize = 1 << 20;
 /// Most words in one list.
-pub const WIDEST: usize = 1000;
+pub const WIDEST: usize = 10_000;
 
 /// Line and column, both from one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/standins/src/bgp.rs
+++ b/crates/standins/src/bgp.rs
@@ -101,7 +101,8 @@
     pub fn until(&self, what: &str) -> (Heard, Vec<String>) {
         let mut before = Vec::new();
         loop {
-            let heard = self.next();
+            let heard = self.heard.recv_timeout(Duration::from_secs(20));
+            let heard = heard.unwrap_or_else(|_| panic!("waits for {what:?}, heard {before:?}"));
             if heard.what.starts_with(what) {
                 return (heard, before);
             }
