--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -18,7 +18,7 @@
 use crate::counters::{ByType, Counters};
 use crate::http;
 use crate::inputs::{Effect, Input, Phase};
-use held::{Client, Due, Flight, Leg, Link, Part, Scan, Searcher};
+use held::{Attempt, AttemptId, Client, Due, Link, Part, Scan, Searcher};
 
 /// After a warning, further ones are told at the debug level for so long.
 const QUIET_MS: f64 = 1000.0;
@@ -42,7 +42,7 @@
     /// The ids of requests that are open.
     asked: HashSet<String>,
     parts: HashMap<u64, Part>,
-    flights: BTreeMap<Leg, Flight>,
+    attempts: BTreeMap<AttemptId, Attempt>,
     /// By the address that the module knows them by.
     srvs: BTreeMap<SocketAddrV4, Searcher>,
     names: HashMap<String, SocketAddrV4>,
@@ -86,7 +86,7 @@
             scans: BTreeMap::new(),
             asked: HashSet::new(),
             parts: HashMap::new(),
-            flights: BTreeMap::new(),
+            attempts: BTreeMap::new(),
             srvs: BTreeMap::new(),
             names: HashMap::new(),
             links: BTreeMap::new(),
@@ -193,7 +193,7 @@
             ("scans", self.scans.len()),
             ("asked", self.asked.len()),
             ("parts", self.parts.len()),
-            ("flights", self.flights.len()),
+            ("attempts", self.attempts.len()),
             ("searchers", self.srvs.len()),
             ("names", self.names.len()),
             ("links", self.links.len()),
@@ -303,7 +303,7 @@
     fn fall_due(&mut self, now: f64, due: Due) {
         match due {
             Due::Wake => self.events.push(Event::Wake),
-            Due::TimedOut(leg) => self.time_out(now, leg),
+            Due::TimedOut(attempt_id) => self.time_out(now, attempt_id),
             Due::ProbeTimedOut { link, number } => self.time_out_probe(now, link, number),
             Due::Idle(link) => self.close_idle(now, link),
             Due::Linger(conn) => self.linger(now, conn),
@@ -317,23 +317,23 @@
     fn turns(&mut self, now: f64) {
         while !self.events.is_empty() {
             let events = std::mem::take(&mut self.events);
-            let mut calls: BTreeMap<SocketAddrV4, Vec<Leg>> = BTreeMap::new();
+            let mut calls: BTreeMap<SocketAddrV4, Vec<AttemptId>> = BTreeMap::new();
             for action in self.module.turn(now, events) {
                 self.act(now, action, &mut calls);
             }
-            for (srv, legs) in calls {
-                for call in legs.chunks(self.terms.layout.parts_per_call.max(1) as usize) {
+            for (srv, attempt_ids) in calls {
+                for call in attempt_ids.chunks(self.terms.layout.parts_per_call.max(1) as usize) {
                     self.send(now, srv, call);
                 }
             }
         }
     }
 
-    fn act(&mut self, now: f64, action: Action, calls: &mut BTreeMap<SocketAddrV4, Vec<Leg>>) {
+    fn act(&mut self, now: f64, action: Action, calls: &mut BTreeMap<SocketAddrV4, Vec<AttemptId>>) {
         match action {
             Action::Dispatch { part, searcher, patience_ms } => {
-                if let Some(leg) = self.dispatch(now, part, searcher, patience_ms) {
-                    calls.entry(searcher).or_default().push(leg);
+                if let Some(attempt_id) = self.dispatch(now, part, searcher, patience_ms) {
+                    calls.entry(searcher).or_default().push(attempt_id);
                 }
             }
             Action::Cancel { part, dispatch } => self.give_up(now, (part, dispatch), Ending::Cancelled),
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -218,7 +218,7 @@
         let work_ms = work.map(|w| w.iter().sum());
         let retry = ask.retry;
         self.events.push(Event::Scan { id, number, table_type, customer, gone_at, work_ms, retry });
-        let again_until = match self.terms.types[table_type].repeat {
+        let repeat_until = match self.terms.types[table_type].repeat {
             Repeat::Keyed { window_ms } => now + window_ms,
             _ => f64::INFINITY,
         };
@@ -229,7 +229,7 @@
             self.events.push(Event::Part { id: at, number, shard: part.shard, weight: part.weight });
             let name = format!("{}.{}", ask.id, part.shard).into();
             #[rustfmt::skip]
-            let part = Part { scan: id, name, shard: part.shard, sent: 0, may_have_run: 0, again_until, value: None };
+            let part = Part { scan: id, name, shard: part.shard, sent: 0, may_have_run: 0, repeat_until, value: None };
             self.parts.insert(at, part);
         }
         self.asked.insert(ask.id.clone());
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -9,7 +9,7 @@
 use tracing::info;
 
 /// A part and the number of its dispatch.
-pub(super) type Leg = (u64, u8);
+pub(super) type AttemptId = (u64, u8);
 
 pub(super) struct Scan {
     pub(super) conn: u64,
@@ -29,14 +29,14 @@
     /// Dispatches that went out and are not proved never to have run.
     pub(super) may_have_run: u8,
     /// Until when it may go out again though one of them has run; infinite where its effect sets no time.
-    pub(super) again_until: f64,
+    pub(super) repeat_until: f64,
     pub(super) value: Option<String>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Due {
     Wake,
-    TimedOut(Leg),
+    TimedOut(AttemptId),
     ProbeTimedOut {
         link: u64,
         number: u64,
@@ -164,7 +164,7 @@
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Awaits {
     /// The answer to a dispatch that is out.
-    Answer(Leg),
+    Answer(AttemptId),
     /// That of one that is over: it must not be taken for a later dispatch's.
     Late,
     /// A second copy of one that has come.
@@ -172,13 +172,13 @@
 }
 
 impl Awaits {
-    pub(super) fn leg(self) -> Option<Leg> {
-        if let Self::Answer(leg) = self { Some(leg) } else { None }
+    pub(super) fn attempt_id(self) -> Option<AttemptId> {
+        if let Self::Answer(attempt_id) = self { Some(attempt_id) } else { None }
     }
 }
 
 pub(super) enum Queued {
-    Call(u64, Vec<Leg>),
+    Call(u64, Vec<AttemptId>),
     Probe,
 }
 
@@ -191,7 +191,7 @@
     pub(super) over: bool,
 }
 
-pub(super) struct Flight {
+pub(super) struct Attempt {
     /// The part's name.
     pub(super) name: Rc<str>,
     pub(super) link: u64,
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -10,7 +10,7 @@
 use tracing::{debug, info};
 
 use super::Reducer;
-use super::held::{Awaits, Due, Flight, Leg, Link, LinkStanding, Probe, Queued, Searcher};
+use super::held::{Attempt, AttemptId, Awaits, Due, Link, LinkStanding, Probe, Queued, Searcher};
 use crate::frame::{self, Frame, Piece, Verdict};
 use crate::inputs::{Effect, Phase};
 
@@ -34,28 +34,30 @@
         part: u64,
         srv: SocketAddrV4,
         patience_ms: f64,
-    ) -> Option<Leg> {
+    ) -> Option<AttemptId> {
         let Some(held) = self.parts.get_mut(&part) else {
             self.warn(now, "a part that is over was dispatched");
             return None;
         };
-        let leg = (part, held.sent);
+        let attempt_id = (part, held.sent);
         held.sent = held.sent.saturating_add(1);
         self.counters.dispatches += 1;
-        self.counters.dispatches_further += u64::from(leg.1 > 0);
+        self.counters.dispatches_further += u64::from(attempt_id.1 > 0);
         let (until, name) = (now + patience_ms, held.name.clone());
-        self.flights.insert(leg, Flight { name, link: 0, call: 0, srv, sent_at: now, until, frame: None });
-        if u32::from(leg.1) >= self.terms.permits.dispatches {
-            self.end_flight(now, leg, Ending::Moot);
+        self.attempts
+            .insert(attempt_id, Attempt { name, link: 0, call: 0, srv, sent_at: now, until, frame: None });
+        if u32::from(attempt_id.1) >= self.terms.permits.dispatches {
+            self.end_attempt(now, attempt_id, Ending::Moot);
             return None;
         }
-        self.add_due(until, Due::TimedOut(leg));
-        Some(leg)
+        self.add_due(until, Due::TimedOut(attempt_id));
+        Some(attempt_id)
     }
 
     /// Sends a call on the first link with room, or on a new one.
-    pub(super) fn send(&mut self, now: f64, srv: SocketAddrV4, legs: &[Leg]) {
-        let names: Vec<&Rc<str>> = legs.iter().filter_map(|l| Some(&self.flights.get(l)?.name)).collect();
+    pub(super) fn send(&mut self, now: f64, srv: SocketAddrV4, attempt_ids: &[AttemptId]) {
+        let names: Vec<&Rc<str>> =
+            attempt_ids.iter().filter_map(|l| Some(&self.attempts.get(l)?.name)).collect();
         let links = self.links_to(srv);
         let fits = |id: &&u64| {
             self.links.get(id).is_some_and(|link| {
@@ -66,20 +68,22 @@
         };
         let link = links.iter().find(fits).copied().or_else(|| self.connect(now, srv));
         let Some(id) = link else {
-            legs.iter().for_each(|leg| self.end_flight(now, *leg, Ending::ConnectFailed));
+            attempt_ids
+                .iter()
+                .for_each(|attempt_id| self.end_attempt(now, *attempt_id, Ending::ConnectFailed));
             return;
         };
         let call = self.id();
-        for leg in legs {
-            let Some(flight) = self.flights.get_mut(leg) else { continue };
-            (flight.link, flight.call) = (id, call);
+        for attempt_id in attempt_ids {
+            let Some(attempt) = self.attempts.get_mut(attempt_id) else { continue };
+            (attempt.link, attempt.call) = (id, call);
             if let Some(link) = self.links.get_mut(&id) {
                 *link.calls.entry(call).or_default() += 1;
-                link.out.insert(flight.name.clone(), Awaits::Answer(*leg));
+                link.out.insert(attempt.name.clone(), Awaits::Answer(*attempt_id));
             }
         }
         let Some(link) = self.links.get_mut(&id) else { return };
-        link.queue.push_back(Queued::Call(call, legs.to_vec()));
+        link.queue.push_back(Queued::Call(call, attempt_ids.to_vec()));
         if link.standing == LinkStanding::Up {
             self.flush(now, id);
         }
@@ -97,30 +101,32 @@
                     probe.frame = Some(link.frames);
                     frame::probe()
                 }
-                Queued::Call(call, mut legs) => {
-                    legs.retain(|leg| {
-                        let waits = self.flights.get(leg).is_some_and(|f| f.call == call);
-                        let Some(part) = self.parts.get_mut(&leg.0).filter(|_| waits) else { return false };
+                Queued::Call(call, mut attempt_ids) => {
+                    attempt_ids.retain(|attempt_id| {
+                        let waits = self.attempts.get(attempt_id).is_some_and(|f| f.call == call);
+                        let Some(part) = self.parts.get_mut(&attempt_id.0).filter(|_| waits) else {
+                            return false;
+                        };
                         // A copy that waited for this link may not be needed any more.
                         if part.value.is_some() {
                             return false;
                         }
                         // A keyed part's window may have ended while the call waited for its link.
-                        if part.may_have_run > 0 && now >= part.again_until {
-                            past.push(*leg);
+                        if part.may_have_run > 0 && now >= part.repeat_until {
+                            past.push(*attempt_id);
                             return false;
                         }
                         part.may_have_run += 1;
                         true
                     });
                     let mut pieces = Vec::new();
-                    for leg in &legs {
-                        let part = self.parts.get(&leg.0);
+                    for attempt_id in &attempt_ids {
+                        let part = self.parts.get(&attempt_id.0);
                         let scan = part.and_then(|p| self.scans.get(&p.scan));
-                        let flight = self.flights.get_mut(leg);
-                        let (Some(flight), Some(part), Some(scan)) = (flight, part, scan) else { continue };
-                        flight.frame = Some(link.frames);
-                        let wait_ms = (flight.until - now).max(1.0) as u64;
+                        let attempt = self.attempts.get_mut(attempt_id);
+                        let (Some(attempt), Some(part), Some(scan)) = (attempt, part, scan) else { continue };
+                        attempt.frame = Some(link.frames);
+                        let wait_ms = (attempt.until - now).max(1.0) as u64;
                         pieces.push(Piece { id: &part.name, shard: part.shard, wait_ms, text: &scan.text });
                     }
                     if pieces.is_empty() {
@@ -132,40 +138,40 @@
             link.frames += 1;
             self.effects.push(Effect::Write { link: id, bytes });
         }
-        past.into_iter().for_each(|leg| self.end_flight(now, leg, Ending::Moot));
+        past.into_iter().for_each(|attempt_id| self.end_attempt(now, attempt_id, Ending::Moot));
     }
 
-    pub(super) fn time_out(&mut self, now: f64, leg: Leg) {
-        let Some(flight) = self.flights.get(&leg) else { return };
+    pub(super) fn time_out(&mut self, now: f64, attempt_id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&attempt_id) else { return };
         // What still waits for its connection was never sent.
-        let ending = if flight.frame.is_some() { Ending::TimedOut } else { Ending::Moot };
-        let (link, sent_at) = (flight.link, flight.sent_at);
-        self.give_up(now, leg, ending);
+        let ending = if attempt.frame.is_some() { Ending::TimedOut } else { Ending::Moot };
+        let (link, sent_at) = (attempt.link, attempt.sent_at);
+        self.give_up(now, attempt_id, ending);
         self.doubt(link, sent_at);
     }
 
     /// Stops waiting for a dispatch, and tells its searcher where that may be done.
-    pub(super) fn give_up(&mut self, now: f64, leg: Leg, ending: Ending) {
-        let Some(flight) = self.flights.get(&leg) else { return };
-        if flight.frame.is_some()
+    pub(super) fn give_up(&mut self, now: f64, attempt_id: AttemptId, ending: Ending) {
+        let Some(attempt) = self.attempts.get(&attempt_id) else { return };
+        if attempt.frame.is_some()
             && self.terms.permits.cancel
-            && let Some(link) = self.links.get_mut(&flight.link)
+            && let Some(link) = self.links.get_mut(&attempt.link)
             && link.standing == LinkStanding::Up
         {
             link.frames += 1;
-            let bytes = frame::give_up(&flight.name);
-            self.effects.push(Effect::Write { link: flight.link, bytes });
+            let bytes = frame::give_up(&attempt.name);
+            self.effects.push(Effect::Write { link: attempt.link, bytes });
         }
-        self.end_flight(now, leg, ending);
+        self.end_attempt(now, attempt_id, ending);
     }
 
-    fn end_flight(&mut self, now: f64, leg: Leg, ending: Ending) {
-        self.end_reported(now, leg, ending, None);
+    fn end_attempt(&mut self, now: f64, attempt_id: AttemptId, ending: Ending) {
+        self.end_reported(now, attempt_id, ending, None);
     }
 
     /// The one ending of a dispatch, with the busy share that its searcher reported.
-    fn end_reported(&mut self, now: f64, leg: Leg, ending: Ending, busy: Option<f64>) {
-        let Some(flight) = self.flights.remove(&leg) else { return };
+    fn end_reported(&mut self, now: f64, attempt_id: AttemptId, ending: Ending, busy: Option<f64>) {
+        let Some(attempt) = self.attempts.remove(&attempt_id) else { return };
         let count = match ending {
             Ending::Ok => &mut self.counters.ended_ok,
             Ending::Error => &mut self.counters.ended_error,
@@ -178,23 +184,23 @@
         };
         *count += 1;
         if let Some(part) =
-            self.parts.get_mut(&leg.0).filter(|_| flight.frame.is_some() && ending.never_ran())
+            self.parts.get_mut(&attempt_id.0).filter(|_| attempt.frame.is_some() && ending.never_ran())
         {
             part.may_have_run = part.may_have_run.saturating_sub(1);
         }
-        let took_ms = now - flight.sent_at;
-        if let Some(link) = self.links.get_mut(&flight.link) {
-            link.over(&flight.name, flight.frame.is_some());
-            if let Some(left) = link.calls.get_mut(&flight.call) {
+        let took_ms = now - attempt.sent_at;
+        if let Some(link) = self.links.get_mut(&attempt.link) {
+            link.over(&attempt.name, attempt.frame.is_some());
+            if let Some(left) = link.calls.get_mut(&attempt.call) {
                 *left -= 1;
                 if *left == 0 {
-                    link.calls.remove(&flight.call);
+                    link.calls.remove(&attempt.call);
                 }
             }
-            self.rest(now, flight.link);
+            self.rest(now, attempt.link);
         }
-        let (part, dispatch) = leg;
-        self.events.push(Event::Ended { part, dispatch, searcher: flight.srv, ending, took_ms, busy });
+        let (part, dispatch) = attempt_id;
+        self.events.push(Event::Ended { part, dispatch, searcher: attempt.srv, ending, took_ms, busy });
     }
 
     pub(super) fn frame(&mut self, now: f64, id: u64, frame: Frame) {
@@ -202,17 +208,17 @@
         (link.heard_at, link.silent) = (now, false);
         match frame {
             Frame::Part { id: name, verdict, value, busy } => match link.out.get_mut(name.as_str()) {
-                Some(held) if let Some(leg) = held.leg() => {
+                Some(held) if let Some(attempt_id) = held.attempt_id() => {
                     *held = Awaits::Copy;
                     let ending = match verdict {
                         Verdict::Ok => Ending::Ok,
                         Verdict::Error => Ending::Error,
                         Verdict::Full => Ending::Full,
                     };
-                    if let Some(part) = self.parts.get_mut(&leg.0).filter(|_| ending == Ending::Ok) {
+                    if let Some(part) = self.parts.get_mut(&attempt_id.0).filter(|_| ending == Ending::Ok) {
                         part.value.get_or_insert(value);
                     }
-                    self.end_reported(now, leg, ending, busy.filter(|_| self.terms.busy_at.is_some()));
+                    self.end_reported(now, attempt_id, ending, busy.filter(|_| self.terms.busy_at.is_some()));
                 }
                 Some(_) => self.counters.answers_stale += 1,
                 None => self.bad_frame(now, id, &format!("an answer for {name}, which never went out on it")),
@@ -396,11 +402,11 @@
             let (searcher, ending, took_ms) = (link.srv, told(probe.frame), now - probe.sent_at);
             self.events.push(Event::Probed { searcher, ending, took_ms });
         }
-        let mut legs: Vec<Leg> = link.out.into_values().filter_map(Awaits::leg).collect();
-        legs.sort_unstable();
-        for leg in legs {
-            let ending = told(self.flights.get(&leg).and_then(|f| f.frame));
-            self.end_flight(now, leg, ending);
+        let mut attempt_ids: Vec<AttemptId> = link.out.into_values().filter_map(Awaits::attempt_id).collect();
+        attempt_ids.sort_unstable();
+        for attempt_id in attempt_ids {
+            let ending = told(self.attempts.get(&attempt_id).and_then(|f| f.frame));
+            self.end_attempt(now, attempt_id, ending);
         }
     }
 
@@ -490,10 +496,10 @@
         }
         ready.iter().filter_map(|key| self.srvs.get(key)).for_each(Searcher::log_if_left);
         // What waits for a connection to one that takes nothing new is not sent.
-        let unsent = self.flights.iter().filter(|(_, f)| f.frame.is_none());
+        let unsent = self.attempts.iter().filter(|(_, f)| f.frame.is_none());
         let off = unsent.filter(|(_, f)| self.srvs.get(&f.srv).is_none_or(|s| s.life != Life::Ready));
-        for leg in off.map(|f| *f.0).collect::<Vec<_>>() {
-            self.end_flight(now, leg, Ending::Moot);
+        for attempt_id in off.map(|f| *f.0).collect::<Vec<_>>() {
+            self.end_attempt(now, attempt_id, Ending::Moot);
         }
         self.events.push(Event::List { kind, lines });
         // Who is gone and has nothing open is forgotten, as releases bring new ones.
