Mixer: one place decides what may be sent, closed or ended, and says why

Cause: whether an attempt may go out, a connection be closed or the end come was decided in some twelve places, and neither log nor counters told why. Change: reducer/rules.rs decides; the reducer asks it right before it acts. What must never be asked for is counted (violations_) and logged as an error. Counters by reason for refused sends, retries, links and clients closed; lines with the client's Req-Id; phases logged. links.rs is split by job (attempts, links, lists).

--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -52,9 +52,29 @@
     clients_dropped_for_room,
     /// They sent no whole request in time.
     clients_slow,
+    /// Clients whose connection the mixer closed, by why.
+    clients_closed_for_room,
+    clients_closed_crowded,
+    clients_closed_draining,
+    clients_closed_after_last_answer,
     accepts_failed,
     dispatches,
     dispatches_further,
+    /// Of the further ones, those sent beside one that was still out, and the others by how the one before ended.
+    hedges,
+    retries_after_none_sent,
+    retries_after_error,
+    retries_after_full,
+    retries_after_time_out,
+    retries_after_connect_failed,
+    retries_after_reset,
+    /// Attempts that were not sent, by why not at the moment of sending.
+    sends_refused_query_over,
+    sends_refused_part_answered,
+    sends_refused_may_have_run,
+    sends_refused_window_passed,
+    sends_refused_attempts_used_up,
+    sends_refused_searcher_not_ready,
     ended_ok,
     ended_error,
     ended_full,
@@ -71,6 +91,14 @@
     links_opened,
     links_failed,
     links_open,
+    /// Links by why they were closed, and those that ended by themselves.
+    links_closed_silent,
+    links_closed_doubted,
+    links_closed_for_room,
+    links_closed_moved,
+    links_closed_idle,
+    links_closed_unusable,
+    links_ended,
     lists,
     list_entries_bad,
     watches_lost,
@@ -78,6 +106,11 @@
     lists_late,
     /// Lists older than the one held: none takes a drain back.
     lists_older,
+    /// What must never happen: none, if all is well. See `src/reducer/rules.rs`.
+    violations_send,
+    violations_answer,
+    violations_deadline,
+    violations_unanswered,
     /// New configurations that were taken, and files that could not be used.
     reloads,
     reloads_failed,
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -1,9 +1,12 @@
 //! All state of a mixer and every change to it: inputs in, effects out, no I/O. It owns the scans, their
 //! dispatches, the links to searchers and the decision module, and decides nothing that the module decides.
 
+mod attempts;
 mod clients;
 mod held;
 mod links;
+mod lists;
+mod rules;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddrV4;
@@ -13,12 +16,13 @@
 use pewterwharf::report::{Beliefs, Known};
 use pewterwharf_terms::Terms;
 use pewterwharf_terms::list::List;
-use tracing::{debug, info, warn};
+use tracing::{debug, error, info, warn};
 
 use crate::counters::{ByType, Counters};
 use crate::http;
 use crate::inputs::{Effect, Input, Phase};
 use held::{Attempt, AttemptId, Client, Due, Link, Part, Scan, Searcher};
+use rules::Violation;
 
 /// After a warning, further ones are told at the debug level for so long.
 const QUIET_MS: f64 = 1000.0;
@@ -262,6 +266,42 @@
         warn!("{line}");
     }
 
+    /// Goes on to another phase of the program.
+    fn enter(&mut self, phase: Phase) {
+        self.phase = phase;
+        let (queries, clients) = (self.scans.len(), self.clients.len());
+        match phase {
+            Phase::Opening => {}
+            Phase::Ready => info!("ready"),
+            Phase::Draining { listening: true, .. } => {
+                info!("draining: {queries} queries, {clients} clients")
+            }
+            Phase::Draining { .. } => info!("not listening: {queries} queries, {clients} clients"),
+            Phase::Closed => info!("closed: {queries} queries, {clients} clients"),
+        }
+    }
+
+    /// Counts and logs what must never happen.
+    fn violated(&mut self, violation: Violation, what: &str) {
+        let count = match violation {
+            Violation::Send => &mut self.counters.violations_send,
+            Violation::Answer => &mut self.counters.violations_answer,
+            Violation::Deadline => &mut self.counters.violations_deadline,
+            Violation::Unanswered => &mut self.counters.violations_unanswered,
+        };
+        *count += 1;
+        error!("rule violated, {violation}: {what}");
+    }
+
+    /// What is still owed as the process ends.
+    fn count_unanswered(&mut self) {
+        let owed: Vec<u64> =
+            self.clients.iter().filter(|(_, client)| client.awaits_answer).map(|(conn, _)| *conn).collect();
+        for conn in owed {
+            self.violated(Violation::Unanswered, &format!("client {conn} as the process ends"));
+        }
+    }
+
     fn add_due(&mut self, at: f64, due: Due) {
         self.due.insert((at.max(0.0).to_bits(), due));
     }
@@ -276,7 +316,7 @@
             Input::ClientOpen { conn } => self.client_open(now, conn),
             Input::Asked { conn, ask, close } => self.asked(now, conn, ask, close),
             Input::Begun { conn } => self.begun(now, conn),
-            Input::ClientEnd { conn } => self.client_end(conn),
+            Input::ClientEnd { conn } => self.client_end(now, conn),
             Input::Slow { conn } => self.slow(conn),
             Input::Said { conn } => self.said(now, conn),
             Input::Sends { conn } => self.sends(conn),
--- /dev/null
+++ b/crates/mixer/src/reducer/attempts.rs
@@ -0,0 +1,282 @@
+//! The reducer's part for attempts: a part of a query on its way to a searcher, from the module's wish to its one ending.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use pewterwharf::interface::{Ending, Event};
+use tracing::debug;
+
+use super::Reducer;
+use super::held::{Attempt, AttemptId, Awaits, Due, LinkStanding, Queued};
+use super::rules::{self, SendRefusal, Violation};
+use crate::frame::{self, Frame, Piece, Verdict};
+use crate::inputs::Effect;
+
+impl Reducer {
+    pub(super) fn dispatch(
+        &mut self,
+        now: f64,
+        part: u64,
+        srv: SocketAddrV4,
+        patience_ms: f64,
+    ) -> Option<AttemptId> {
+        let Some(held) = self.parts.get_mut(&part) else {
+            self.warn(now, "a part that is over was dispatched");
+            return None;
+        };
+        let attempt_id = (part, held.sent);
+        held.sent = held.sent.saturating_add(1);
+        let (until, name, retries) = (now + patience_ms, held.name.clone(), held.last_ending);
+        self.counters.dispatches += 1;
+        if attempt_id.1 > 0 {
+            self.count_retry(&name, attempt_id.1, retries);
+        }
+        self.attempts
+            .insert(attempt_id, Attempt { name, link: 0, call: 0, srv, sent_at: now, until, frame: None });
+        if u32::from(attempt_id.1) >= self.terms.permits.dispatches {
+            self.refuse_send(now, attempt_id, SendRefusal::AttemptsUsedUp);
+            return None;
+        }
+        self.add_due(until, Due::TimedOut(attempt_id));
+        Some(attempt_id)
+    }
+
+    /// Counts a further attempt by how the part's last one ended; one that is still out makes it a hedge.
+    fn count_retry(&mut self, name: &str, number: u8, last_ending: Option<Ending>) {
+        self.counters.dispatches_further += 1;
+        let count = match last_ending {
+            None => &mut self.counters.hedges,
+            Some(Ending::Ok | Ending::Cancelled | Ending::Moot) => &mut self.counters.retries_after_none_sent,
+            Some(Ending::Error) => &mut self.counters.retries_after_error,
+            Some(Ending::Full) => &mut self.counters.retries_after_full,
+            Some(Ending::TimedOut) => &mut self.counters.retries_after_time_out,
+            Some(Ending::ConnectFailed) => &mut self.counters.retries_after_connect_failed,
+            Some(Ending::Reset) => &mut self.counters.retries_after_reset,
+        };
+        *count += 1;
+        debug!("{name}: attempt {number} after {last_ending:?}");
+    }
+
+    /// Sends a call on the first link with room, or on a new one.
+    pub(super) fn send(&mut self, now: f64, srv: SocketAddrV4, attempt_ids: &[AttemptId]) {
+        let names: Vec<&Rc<str>> =
+            attempt_ids.iter().filter_map(|l| Some(&self.attempts.get(l)?.name)).collect();
+        let links = self.links_to(srv);
+        let fits = |id: &&u64| {
+            self.links.get(id).is_some_and(|link| {
+                link.calls.len() < self.terms.calls_per_link
+                    // An answer to an earlier dispatch of a part must not be taken for this one's.
+                    && !names.iter().any(|name| link.out.get(*name).is_some_and(|o| *o != Awaits::Copy))
+            })
+        };
+        let link = links.iter().find(fits).copied().or_else(|| self.connect(now, srv));
+        let Some(id) = link else {
+            attempt_ids
+                .iter()
+                .for_each(|attempt_id| self.end_attempt(now, *attempt_id, Ending::ConnectFailed));
+            return;
+        };
+        let call = self.id();
+        for attempt_id in attempt_ids {
+            let Some(attempt) = self.attempts.get_mut(attempt_id) else { continue };
+            (attempt.link, attempt.call) = (id, call);
+            if let Some(link) = self.links.get_mut(&id) {
+                *link.calls.entry(call).or_default() += 1;
+                link.out.insert(attempt.name.clone(), Awaits::Answer(*attempt_id));
+            }
+        }
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.queue.push_back(Queued::Call(call, attempt_ids.to_vec()));
+        if link.standing == LinkStanding::Up {
+            self.flush(now, id);
+        }
+    }
+
+    /// Hands over for writing what waits for a link.
+    pub(super) fn flush(&mut self, now: f64, id: u64) {
+        while let Some(queued) = self.links.get_mut(&id).and_then(|link| link.queue.pop_front()) {
+            let bytes = match queued {
+                Queued::Probe => self.probe_frame(id),
+                Queued::Call(call, attempt_ids) => self.call_frame(now, id, call, attempt_ids),
+            };
+            if let (Some(bytes), Some(link)) = (bytes, self.links.get_mut(&id)) {
+                link.frames += 1;
+                self.effects.push(Effect::Write { link: id, bytes });
+            }
+        }
+    }
+
+    /// The frame of a call, of those attempts that may still be sent; none if none may. The others end unsent.
+    fn call_frame(&mut self, now: f64, link: u64, call: u64, attempt_ids: Vec<AttemptId>) -> Option<Vec<u8>> {
+        let waits = |id: &AttemptId| self.attempts.get(id).is_some_and(|attempt| attempt.call == call);
+        let waiting: Vec<AttemptId> = attempt_ids.into_iter().filter(waits).collect();
+        let mut sent = Vec::new();
+        for attempt_id in waiting {
+            match self.may_send(now, attempt_id) {
+                Ok(()) => {
+                    self.hand_over(now, link, attempt_id);
+                    sent.push(attempt_id);
+                }
+                Err(refusal) => self.refuse_send(now, attempt_id, refusal),
+            }
+        }
+        let piece = |id: &AttemptId| {
+            let (attempt, part) = (self.attempts.get(id)?, self.parts.get(&id.0)?);
+            let text = &self.scans.get(&part.scan)?.text;
+            let wait_ms = (attempt.until - now).max(1.0) as u64;
+            Some(Piece { id: &part.name, shard: part.shard, wait_ms, text })
+        };
+        let pieces: Vec<Piece> = sent.iter().filter_map(piece).collect();
+        (!pieces.is_empty()).then(|| frame::call(&pieces))
+    }
+
+    fn may_send(&self, now: f64, attempt_id: AttemptId) -> Result<(), SendRefusal> {
+        let attempt = self.attempts.get(&attempt_id).ok_or(SendRefusal::QueryOver)?;
+        let part = self.parts.get(&attempt_id.0);
+        let allowed = self.terms.permits.dispatches;
+        rules::may_send(part, attempt_id.1, allowed, self.srvs.get(&attempt.srv), now)
+    }
+
+    /// Notes that an attempt goes out with the next frame of a link.
+    fn hand_over(&mut self, now: f64, link: u64, attempt_id: AttemptId) {
+        let frame = self.links.get(&link).map(|link| link.frames);
+        let Some(attempt) = self.attempts.get_mut(&attempt_id) else { return };
+        attempt.frame = frame;
+        let (until, searcher) = (attempt.until, attempt.srv);
+        let Some(part) = self.parts.get_mut(&attempt_id.0) else { return };
+        part.may_have_run += 1;
+        let (name, number) = (part.name.clone(), attempt_id.1);
+        debug!("{name}: attempt {number} goes to {searcher} on link {link} with {:.0} ms", until - now);
+        let deadline_at = self.scans.get(&part.scan).map_or(until, |query| query.deadline_at);
+        if !rules::is_within_deadline(until, deadline_at) {
+            self.violated(Violation::Deadline, &name);
+        }
+    }
+
+    /// Ends an attempt that is not sent, and counts why.
+    fn refuse_send(&mut self, now: f64, attempt_id: AttemptId, refusal: SendRefusal) {
+        let count = match refusal {
+            SendRefusal::QueryOver => &mut self.counters.sends_refused_query_over,
+            SendRefusal::PartAnswered => &mut self.counters.sends_refused_part_answered,
+            SendRefusal::MayHaveRun => &mut self.counters.sends_refused_may_have_run,
+            SendRefusal::WindowPassed => &mut self.counters.sends_refused_window_passed,
+            SendRefusal::AttemptsUsedUp => &mut self.counters.sends_refused_attempts_used_up,
+            SendRefusal::SearcherNotReady => &mut self.counters.sends_refused_searcher_not_ready,
+        };
+        *count += 1;
+        let name = self.attempts.get(&attempt_id).map_or_else(|| "?".into(), |a| a.name.clone());
+        debug!("{name}: attempt {} is not sent: {refusal}", attempt_id.1);
+        if refusal.is_violation() {
+            self.violated(Violation::Send, &format!("{name}: {refusal}"));
+        }
+        // What is over is called off by the decision module.
+        if !matches!(refusal, SendRefusal::QueryOver | SendRefusal::PartAnswered) {
+            self.end_attempt(now, attempt_id, Ending::Moot);
+        }
+    }
+
+    pub(super) fn time_out(&mut self, now: f64, attempt_id: AttemptId) {
+        let Some(attempt) = self.attempts.get(&attempt_id) else { return };
+        // What still waits for its connection was never sent.
+        let ending = if attempt.frame.is_some() { Ending::TimedOut } else { Ending::Moot };
+        let (link, sent_at) = (attempt.link, attempt.sent_at);
+        self.give_up(now, attempt_id, ending);
+        self.doubt(link, sent_at);
+    }
+
+    /// Stops waiting for a dispatch, and tells its searcher where that may be done.
+    pub(super) fn give_up(&mut self, now: f64, attempt_id: AttemptId, ending: Ending) {
+        let Some(attempt) = self.attempts.get(&attempt_id) else { return };
+        if attempt.frame.is_some()
+            && self.terms.permits.cancel
+            && let Some(link) = self.links.get_mut(&attempt.link)
+            && link.standing == LinkStanding::Up
+        {
+            link.frames += 1;
+            let bytes = frame::give_up(&attempt.name);
+            self.effects.push(Effect::Write { link: attempt.link, bytes });
+        }
+        self.end_attempt(now, attempt_id, ending);
+    }
+
+    pub(super) fn end_attempt(&mut self, now: f64, attempt_id: AttemptId, ending: Ending) {
+        self.end_reported(now, attempt_id, ending, None);
+    }
+
+    /// The one ending of a dispatch, with the busy share that its searcher reported.
+    fn end_reported(&mut self, now: f64, attempt_id: AttemptId, ending: Ending, busy: Option<f64>) {
+        let Some(attempt) = self.attempts.remove(&attempt_id) else { return };
+        let count = match ending {
+            Ending::Ok => &mut self.counters.ended_ok,
+            Ending::Error => &mut self.counters.ended_error,
+            Ending::Full => &mut self.counters.ended_full,
+            Ending::TimedOut => &mut self.counters.ended_timed_out,
+            Ending::ConnectFailed => &mut self.counters.ended_connect_failed,
+            Ending::Reset => &mut self.counters.ended_reset,
+            Ending::Cancelled => &mut self.counters.ended_cancelled,
+            Ending::Moot => &mut self.counters.ended_moot,
+        };
+        *count += 1;
+        if let Some(part) = self.parts.get_mut(&attempt_id.0) {
+            part.last_ending = Some(ending);
+            if attempt.frame.is_some() && ending.never_ran() {
+                part.may_have_run = part.may_have_run.saturating_sub(1);
+            }
+        }
+        let took_ms = now - attempt.sent_at;
+        debug!("{}: attempt {} ended as {ending:?} after {took_ms:.1} ms", attempt.name, attempt_id.1);
+        if let Some(link) = self.links.get_mut(&attempt.link) {
+            link.over(&attempt.name, attempt.frame.is_some());
+            if let Some(left) = link.calls.get_mut(&attempt.call) {
+                *left -= 1;
+                if *left == 0 {
+                    link.calls.remove(&attempt.call);
+                }
+            }
+            self.rest(now, attempt.link);
+        }
+        let (part, dispatch) = attempt_id;
+        self.events.push(Event::Ended { part, dispatch, searcher: attempt.srv, ending, took_ms, busy });
+    }
+
+    pub(super) fn frame(&mut self, now: f64, id: u64, frame: Frame) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        (link.heard_at, link.silent) = (now, false);
+        match frame {
+            Frame::Part { id: name, verdict, value, busy } => match link.out.get_mut(name.as_str()) {
+                Some(held) if let Some(attempt_id) = held.attempt_id() => {
+                    *held = Awaits::Copy;
+                    let ending = match verdict {
+                        Verdict::Ok => Ending::Ok,
+                        Verdict::Error => Ending::Error,
+                        Verdict::Full => Ending::Full,
+                    };
+                    if let Some(part) = self.parts.get_mut(&attempt_id.0).filter(|_| ending == Ending::Ok) {
+                        part.value.get_or_insert(value);
+                    }
+                    self.end_reported(now, attempt_id, ending, busy.filter(|_| self.terms.busy_at.is_some()));
+                }
+                Some(_) => self.counters.answers_stale += 1,
+                None => self.bad_frame(now, id, &format!("an answer for {name}, which never went out on it")),
+            },
+            // Where probes are not allowed, their answers tell nothing.
+            Frame::Probe(None) if self.terms.permits.probe => {
+                self.bad_frame(now, id, "a probe's answer of unknown words");
+            }
+            Frame::Probe(verdict) => {
+                let Some(probe) = link.probes.pop_front() else {
+                    self.counters.answers_stale += 1;
+                    return;
+                };
+                if !probe.over {
+                    let ending = if verdict == Some(Verdict::Error) { Ending::Error } else { Ending::Ok };
+                    self.counters.probes_ok += u64::from(ending == Ending::Ok);
+                    let (searcher, took_ms) = (link.srv, now - probe.sent_at);
+                    self.events.push(Event::Probed { searcher, ending, took_ms });
+                }
+                self.rest(now, id);
+            }
+            Frame::Unusable(why) => self.bad_frame(now, id, &format!("Z: {why}")),
+        }
+    }
+}
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -1,28 +1,21 @@
 //! The reducer's part for clients: their connections, what they ask, the answers, and the end of the program.
 
 use pewterwharf::interface::{Event, Repeat};
-use tracing::{debug, info};
+use tracing::debug;
 
 use super::Reducer;
 use super::held::{Client, ClientStanding, Due, Part, Scan};
+use super::rules::{self, ClientCloseReason, Violation};
 use crate::counters::ByType;
 use crate::http::{self, Ask, ScanAsk};
 use crate::inputs::{Effect, Phase};
 
-/// While draining, new connections are served for so long: past the 0.4 s in which they may still come.
-const LISTEN_MS: f64 = 600.0;
-/// Clients get so long to close after their last answer before the program ends.
-const LINGER_MS: f64 = 300.0;
-
-/// The platform ends a mixer no sooner than its longest query timeout after it was told to, and this one where that is longer,
-/// and 0.7 s.
-const LONGEST_MS: f64 = 3000.0;
-
 /// A client that has no request open may be let go of after so long: the protocol's time. One that has begun a
 /// request must have come to its end by then.
 const QUIET_MS: f64 = 2000.0;
 /// A client asks as soon as it is connected: after so long it is one that does not, the machine's own halts aside.
 const FRESH_MS: f64 = 100.0;
+const REQUEST_TIMEOUT: u16 = 408;
 /// Requests in a row that can't be used, after which the connection ends: a mistake is told more than once.
 const FAULTS: u32 = 3;
 
@@ -72,11 +65,11 @@
             ClientStanding::New => {
                 self.counters.clients_slow += 1;
                 client.close = true;
-                self.answer(now, conn, 408, None, b"no whole request in time\n");
+                self.answer(now, conn, REQUEST_TIMEOUT, None, b"no whole request in time\n");
             }
             ClientStanding::Resting if crowded => {
                 self.counters.clients_dropped_for_room += 1;
-                self.hang_up(conn);
+                self.hang_up(now, conn, ClientCloseReason::Crowded);
             }
             _ => self.rest_client(now, conn),
         }
@@ -94,7 +87,7 @@
         };
         if let Some(conn) = free.min_by_key(|c| (rank(c.1), c.1.since.max(0.0).to_bits())).map(|c| *c.0) {
             self.counters.clients_dropped_for_room += 1;
-            self.hang_up(conn);
+            self.hang_up(now, conn, ClientCloseReason::Room);
         }
     }
 
@@ -105,27 +98,45 @@
 
     /// Hangs up on those that wait for nothing. Who has just come, or is in the midst of asking, goes last: a new connection
     /// is not closed without an answer while clients may still come.
-    fn hang_up_idle(&mut self, new_too: bool) {
-        let goes = |c: &Client| c.idle() && (new_too || c.standing == ClientStanding::Resting);
+    fn hang_up_idle(&mut self, now: f64, new_too: bool) {
+        let goes = |c: &Client| new_too || c.standing == ClientStanding::Resting;
         let idle: Vec<u64> = self.clients.iter().filter(|c| goes(c.1)).map(|c| *c.0).collect();
-        idle.into_iter().for_each(|conn| self.hang_up(conn));
+        idle.into_iter().for_each(|conn| self.hang_up(now, conn, ClientCloseReason::Draining));
     }
 
-    /// Takes no more from an idle client. What it has sent by then is still read, and answered as the last.
-    fn hang_up(&mut self, conn: u64) {
+    /// Takes no more from a client, where the rules allow it now. What it has sent by then is still read, and answered as the last.
+    fn hang_up(&mut self, now: f64, conn: u64, reason: ClientCloseReason) {
+        let draining = self.is_draining();
         let Some(client) = self.clients.get_mut(&conn) else { return };
+        if !rules::may_close_client(client, reason, draining, now) {
+            return;
+        }
         (client.hung, client.close) = (true, true);
+        debug!("client {conn} is hung up on: {reason}");
+        let count = match reason {
+            ClientCloseReason::Room => &mut self.counters.clients_closed_for_room,
+            ClientCloseReason::Crowded => &mut self.counters.clients_closed_crowded,
+            ClientCloseReason::Draining => &mut self.counters.clients_closed_draining,
+            ClientCloseReason::LastAnswerGiven => &mut self.counters.clients_closed_after_last_answer,
+        };
+        *count += 1;
         self.effects.push(Effect::HangUp { conn });
     }
 
-    pub(super) fn client_end(&mut self, conn: u64) {
+    pub(super) fn is_draining(&self) -> bool {
+        matches!(self.phase, Phase::Draining { .. } | Phase::Closed)
+    }
+
+    pub(super) fn client_end(&mut self, now: f64, conn: u64) {
         let Some(client) = self.clients.get(&conn) else { return };
         let scan = client.scan;
         self.drop_client(conn);
         if let Some(scan) = scan {
             self.counters.scans_gone += 1;
             self.count_type(scan, |of| &mut of.gone);
-            debug!("client {conn} left scan {scan}");
+            if let Some(query) = self.scans.get(&scan) {
+                debug!("query {}: client {conn} has gone after {:.1} ms", query.name, now - query.taken_at);
+            }
             self.forget(scan);
             self.events.push(Event::ClientGone { scan });
         }
@@ -140,6 +151,7 @@
         let open = |c: &&mut Client| c.standing != ClientStanding::Over && c.scan.is_none();
         let Some(client) = self.clients.get_mut(&conn).filter(open) else { return };
         client.close |= close;
+        client.awaits_answer = true;
         client.faults += 1; // unless it turns out to be none
         match ask {
             Ask::Scan(ask) => match self.known(&ask) {
@@ -202,8 +214,8 @@
         if let Some(client) = self.clients.get_mut(&conn) {
             client.faults = 0;
         }
-        let held = self.scans.len() + self.parts.len();
-        if held + 1 + ask.parts.len() > self.terms.open_cap {
+        let open = self.scans.len() + self.parts.len();
+        if !rules::may_take_query(open, ask.parts.len(), self.terms.open_cap) {
             self.counters.scans_throttled += 1;
             self.counters.by_type[table_type].throttled += 1;
             self.counters.scans_turned_away += 1;
@@ -211,16 +223,17 @@
         }
         let id = self.id();
         self.scan_number = self.scan_number.wrapping_add(1);
-        // Nobody waits for longer than agreed, whatever time is given.
-        let wait_ms = ask.wait_ms.min(self.terms.types[table_type].query_timeout_ms);
-        let (number, gone_at) = (self.scan_number, now + wait_ms);
+        let terms = &self.terms.types[table_type];
+        let (number, gone_at) =
+            (self.scan_number, rules::query_deadline(now, ask.wait_ms, terms.query_timeout_ms));
         let work: Option<Vec<f64>> = ask.parts.iter().map(|p| p.work_ms).collect();
         let work_ms = work.map(|w| w.iter().sum());
         let retry = ask.retry;
         self.events.push(Event::Scan { id, number, table_type, customer, gone_at, work_ms, retry });
         let repeat_until = match self.terms.types[table_type].repeat {
+            Repeat::Replayable => f64::INFINITY,
             Repeat::Keyed { window_ms } => now + window_ms,
-            _ => f64::INFINITY,
+            Repeat::NonReplayable => f64::NEG_INFINITY,
         };
         let mut parts = Vec::with_capacity(ask.parts.len());
         for part in &ask.parts {
@@ -228,12 +241,36 @@
             parts.push(at);
             self.events.push(Event::Part { id: at, number, shard: part.shard, weight: part.weight });
             let name = format!("{}.{}", ask.id, part.shard).into();
-            #[rustfmt::skip]
-            let part = Part { scan: id, name, shard: part.shard, sent: 0, may_have_run: 0, repeat_until, value: None };
+            let part = Part {
+                scan: id,
+                name,
+                shard: part.shard,
+                sent: 0,
+                may_have_run: 0,
+                repeat_until,
+                last_ending: None,
+                value: None,
+            };
             self.parts.insert(at, part);
         }
+        debug!(
+            "query {} of client {conn}: class {}, {} parts, {:.0} ms",
+            ask.id,
+            ask.table_type,
+            parts.len(),
+            gone_at - now
+        );
         self.asked.insert(ask.id.clone());
-        self.scans.insert(id, Scan { conn, name: ask.id, text: ask.text, table_type, parts });
+        let query = Scan {
+            conn,
+            name: ask.id,
+            text: ask.text,
+            table_type,
+            deadline_at: gone_at,
+            taken_at: now,
+            parts,
+        };
+        self.scans.insert(id, query);
         self.add_due(gone_at, Due::Overdue(id));
         if let Some(client) = self.clients.get_mut(&conn) {
             client.scan = Some(id);
@@ -249,8 +286,11 @@
         back_in_ms: Option<f64>,
         body: &[u8],
     ) {
-        let Some(conn) = self.scans.get(&scan).map(|s| s.conn) else { return };
-        debug!("scan {scan} of client {conn} is answered {status}");
+        let Some(query) = self.scans.get(&scan) else { return };
+        let conn = query.conn;
+        let reason = String::from_utf8_lossy(if status == 200 { b"served" } else { body.trim_ascii_end() });
+        let took_ms = now - query.taken_at;
+        debug!("query {} of client {conn} is answered {status} after {took_ms:.1} ms: {reason}", query.name);
         self.forget(scan);
         self.answer(now, conn, status, back_in_ms, body);
     }
@@ -273,18 +313,24 @@
     }
 
     fn answer(&mut self, now: f64, conn: u64, status: u16, back_in_ms: Option<f64>, body: &[u8]) {
+        let draining = self.is_draining();
         let Some(client) = self.clients.get_mut(&conn) else { return };
+        let awaited = std::mem::take(&mut client.awaits_answer);
         (client.scan, client.since, client.standing) = (None, now, ClientStanding::Resting);
-        client.close |= matches!(self.phase, Phase::Draining { .. } | Phase::Closed);
-        let last = client.close;
+        let last = rules::is_last_answer(client, draining);
+        client.close = last;
         let bytes = http::answer(status, back_in_ms, body, last);
         self.effects.push(Effect::Answer { conn, bytes, last });
         if last {
             client.standing = ClientStanding::Over;
-            self.add_due(now + LINGER_MS, Due::Linger(conn));
+            self.add_due(now + rules::LINGER_MS, Due::Linger(conn));
         } else {
             self.rest_client(now, conn);
         }
+        // Who has begun a request and does not end it is told so too.
+        if !awaited && status != REQUEST_TIMEOUT {
+            self.violated(Violation::Answer, &format!("client {conn}, status {status}"));
+        }
     }
 
     /// An answer is on its way for longer: its client's time to close begins once it is written.
@@ -298,7 +344,7 @@
         let Some(client) = self.clients.get_mut(&conn) else { return };
         (client.slow, client.since) = (false, now);
         if client.standing == ClientStanding::Over {
-            self.add_due(now + LINGER_MS, Due::Linger(conn));
+            self.add_due(now + rules::LINGER_MS, Due::Linger(conn));
         }
     }
 
@@ -312,12 +358,7 @@
     /// Ends the connection of a client that has had its last answer and its time to close. While draining, one that still sends
     /// has until it closes, or until the end.
     pub(super) fn linger(&mut self, now: f64, conn: u64) {
-        let draining = matches!(self.phase, Phase::Draining { .. });
-        let Some(client) = self.clients.get(&conn) else { return };
-        let stays = client.slow || (client.sends && draining);
-        if !stays && now >= client.since + LINGER_MS {
-            self.effects.push(Effect::HangUp { conn });
-        }
+        self.hang_up(now, conn, ClientCloseReason::LastAnswerGiven);
     }
 
     pub(super) fn stop(&mut self, now: f64) {
@@ -331,15 +372,15 @@
                     self.events.push(Event::ClientGone { scan });
                     self.answer_scan(now, scan, 504, None, b"the mixer ends\n");
                 }
-                self.phase = Phase::Draining { listen_until: now, listening: true, until: now + LINGER_MS };
+                self.phase =
+                    Phase::Draining { listen_until: now, listening: true, until: now + rules::LINGER_MS };
             }
             Phase::Opening | Phase::Ready => {
-                info!("draining");
                 let longest = self.terms.types.iter().map(|t| t.query_timeout_ms).fold(0.0, f64::max);
-                let until = now + longest.min(LONGEST_MS) + LISTEN_MS;
-                self.phase = Phase::Draining { listen_until: now + LISTEN_MS, listening: true, until };
-                self.add_due(now + LISTEN_MS, Due::Drained);
-                self.hang_up_idle(false);
+                let (listen_until, until) = rules::drain_times(now, longest);
+                self.enter(Phase::Draining { listen_until, listening: true, until });
+                self.add_due(listen_until, Due::Drained);
+                self.hang_up_idle(now, false);
             }
         }
     }
@@ -351,21 +392,23 @@
             return;
         }
         if listening {
-            self.phase = Phase::Draining { listen_until, listening: false, until };
+            self.enter(Phase::Draining { listen_until, listening: false, until });
             self.effects.push(Effect::StopListening);
-            self.hang_up_idle(true);
+            self.hang_up_idle(now, true);
         }
         if !self.scans.is_empty() {
             return;
         }
         let stays = |c: &Client| c.slow || c.sends;
-        let lingers = self.clients.values().map(|c| if stays(c) { until } else { c.since + LINGER_MS });
-        let lingers = lingers.fold(listen_until + LINGER_MS, f64::max);
+        let lingers =
+            self.clients.values().map(|c| if stays(c) { until } else { c.since + rules::LINGER_MS });
+        let lingers = lingers.fold(listen_until + rules::LINGER_MS, f64::max);
         // Bytes that are not yet written, who still sends, and who waits to be accepted hold the end up for as long as the platform
         // waits.
         let (lingers, over) = if self.deaf { (lingers, self.clients.is_empty()) } else { (until, false) };
         if over || lingers <= now {
-            self.phase = Phase::Closed;
+            self.enter(Phase::Closed);
+            self.count_unanswered();
         } else {
             self.add_due(lingers, Due::Drained);
         }
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-use pewterwharf::interface::Life;
+use pewterwharf::interface::{Ending, Life};
 use tracing::info;
 
 /// A part and the number of its dispatch.
@@ -17,6 +17,9 @@
     pub(super) name: String,
     pub(super) text: String,
     pub(super) table_type: usize,
+    /// When its client gives up.
+    pub(super) deadline_at: f64,
+    pub(super) taken_at: f64,
     pub(super) parts: Vec<u64>,
 }
 
@@ -28,8 +31,11 @@
     pub(super) sent: u8,
     /// Dispatches that went out and are not proved never to have run.
     pub(super) may_have_run: u8,
-    /// Until when it may go out again though one of them has run; infinite where its effect sets no time.
+    /// Until when it may go out again though one of them may have run: for ever where its effect may happen again, never
+    /// (minus infinity) where it must not.
     pub(super) repeat_until: f64,
+    /// How its latest attempt ended.
+    pub(super) last_ending: Option<Ending>,
     pub(super) value: Option<String>,
 }
 
@@ -69,6 +75,8 @@
     /// The scan it waits for.
     pub(super) scan: Option<u64>,
     pub(super) standing: ClientStanding,
+    /// It asked something, a query or a page, and has no answer yet.
+    pub(super) awaits_answer: bool,
     /// The connection ends with the answer that is owed.
     pub(super) close: bool,
     /// Told to send no more; what it had sent is still answered.
@@ -90,6 +98,7 @@
         Self {
             scan: None,
             standing: ClientStanding::New,
+            awaits_answer: false,
             close: false,
             hung: false,
             slow: false,
@@ -99,10 +108,6 @@
             faults: 0,
         }
     }
-
-    pub(super) fn idle(&self) -> bool {
-        self.scan.is_none() && self.standing != ClientStanding::Over && !self.hung
-    }
 }
 
 /// Names of ended dispatches that a link remembers: seconds of one that is in full use, the whole life of others.
