--- /dev/null
+++ b/crates/mixer/tests/soak.rs
@@ -0,0 +1,82 @@
+//! The soak test: mixers and their surroundings as processes, overlapping faults by seed, judged by invariants.
+//!
+//! Many seeds: `SOAK_SEEDS=1..40 SOAK_SECONDS=20 cargo test -p pewterwharf-mixer --test soak -- --ignored --nocapture`.
+
+use std::path::PathBuf;
+
+use pewterwharf_soak::judge::Verdict;
+use pewterwharf_soak::run::{Options, play};
+use pewterwharf_soak::trouble::Trouble;
+
+/// What leads this program to [`role`] when it is started anew.
+const ROLE: [&str; 2] = ["role", "--exact"];
+/// Violations of a run that are printed.
+const PRINTED: usize = 12;
+
+/// Not a test of anything: where the processes of a run begin.
+#[test]
+fn role() {
+    pewterwharf_soak::role::serve().expect("the role can be served");
+}
+
+fn options(name: &str, seed: u64, seconds: u64) -> Options {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_pewterwharf-mixer"));
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{name}-{}-{seed}", std::process::id()));
+    Options::new(&program, &ROLE, folder, seed, seconds)
+}
+
+/// Plays a run and prints what came of it.
+fn soak(options: &Options) -> Verdict {
+    let verdict = play(options).expect("the run can be played");
+    let Verdict { requests, served, refused, failed, crossed, attempts, troubles, restarts, .. } = &verdict;
+    println!(
+        "seed {}: {requests} requests, {served} served, {refused} refused, {failed} failed, {crossed} crossed a close; \
+         {attempts} attempts; {troubles} faults, {restarts} ends of mixers; known {}; broken {:?}",
+        options.seed,
+        verdict.known.len(),
+        verdict.by_rule()
+    );
+    for violation in verdict.violations.iter().take(PRINTED) {
+        println!("  {} at {:.0}: {}", violation.rule, violation.at, violation.what);
+    }
+    if verdict.violations.is_empty() {
+        let _ = std::fs::remove_dir_all(&options.folder); // its records are only for whoever looks a failure up
+    } else {
+        println!("  records and logs: {}", options.folder.display());
+    }
+    verdict
+}
+
+#[test]
+#[ignore = "many seeds take minutes"]
+fn many_seeds() {
+    let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..10".to_owned());
+    let (from, to) = seeds.split_once("..").expect("a range of seeds");
+    let (from, to): (u64, u64) = (from.parse().expect("a seed"), to.parse().expect("a seed"));
+    let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok()).unwrap_or(20);
+    let broken: Vec<u64> =
+        (from..=to).filter(|seed| !soak(&options("many", *seed, seconds)).violations.is_empty()).collect();
+    assert!(broken.is_empty(), "seeds that broke a promise: {broken:?}");
+}
+
+#[test]
+fn calm_run_keeps_every_promise() {
+    let calm = Options { troubles: Some(Vec::new()), ..options("calm", 1, 4) };
+    let verdict = soak(&calm);
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
+    assert!(verdict.served * 10 > verdict.requests * 8, "{} of {} served", verdict.served, verdict.requests);
+}
+
+#[test]
+fn restart_while_searchers_hang_keeps_every_promise() {
+    let troubles = vec![
+        (500, Trouble::SearcherPaused { searcher: 0, ms: 2500 }),
+        (600, Trouble::SearcherPaused { searcher: 5, ms: 2500 }),
+        (800, Trouble::MixerEnds { mixer: 0, front_ms: 300 }),
+        (900, Trouble::AgentDown { mixer: 0, ms: 600 }),
+    ];
+    let restart = Options { troubles: Some(troubles), ..options("restart", 2, 4) };
+    let verdict = soak(&restart);
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
+}
--- /dev/null
+++ b/crates/soak/src/clock.rs
@@ -0,0 +1,9 @@
+//! Milliseconds of the machine's monotonic clock, the same in all processes.
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// The time now.
+pub fn now_ms() -> f64 {
+    let time = clock_gettime(ClockId::Monotonic);
+    time.tv_sec as f64 * 1000.0 + time.tv_nsec as f64 / 1e6
+}
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,194 @@
+//! The processes of a run: started, stopped, signalled and told what to do.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, Builder};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use rustix::process::{Pid, Signal, kill_process};
+use serde::Serialize;
+
+use crate::clock::now_ms;
+use crate::role::{Role, VARIABLE};
+use crate::settings::SOCKETS;
+
+/// Ports of the runs of one process, below those that the system gives out.
+const FIRST_PORT: u16 = 10_000;
+const PORTS_OF_A_RUN: u16 = 200;
+const PLACES: u16 = 100;
+
+/// Ports that stay free while their listeners are away: the system gives none of them to connections.
+pub struct Ports(u16);
+
+impl Ports {
+    /// Ports of this process's own.
+    pub fn new() -> Self {
+        Self(FIRST_PORT + (std::process::id() as u16 % PLACES) * PORTS_OF_A_RUN)
+    }
+
+    /// The next that nobody listens on.
+    ///
+    /// # Errors
+    /// If none is left.
+    pub fn next_free(&mut self) -> Result<SocketAddr> {
+        loop {
+            self.0 = self.0.checked_add(1).context("no port is left")?;
+            let at = SocketAddr::from(([127, 0, 0, 1], self.0));
+            if TcpListener::bind(at).is_ok() {
+                return Ok(at);
+            }
+        }
+    }
+}
+
+impl Default for Ports {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Sends a signal to a process that may have ended.
+pub fn signal(child: &Child, signal: Signal) {
+    if let Some(pid) = Pid::from_raw(child.id() as i32) {
+        let _ = kill_process(pid, signal);
+    }
+}
+
+/// A process with a role, told what to do on its standard input. It is ended with this.
+pub struct Helper {
+    pub child: Child,
+}
+
+impl Helper {
+    /// Starts this very program anew in a role; `arguments` lead it there.
+    pub fn start(arguments: &[String], role: &Role) -> Result<Self> {
+        let child = Command::new(std::env::current_exe()?)
+            .args(arguments)
+            .env(VARIABLE, serde_json::to_string(role)?)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    pub fn tell(&mut self, order: &impl Serialize) {
+        let Ok(mut line) = serde_json::to_vec(order) else { return };
+        line.push(b'\n');
+        if let Some(input) = &mut self.child.stdin {
+            let _ = input.write_all(&line); // it may have been killed
+        }
+    }
+}
+
+impl Drop for Helper {
+    fn drop(&mut self) {
+        let _ = self.child.kill(); // it may have ended
+        let _ = self.child.wait();
+    }
+}
+
+/// What becomes of a mixer's log: read to a file, left unread for a while, or its pipe closed.
+#[derive(Default)]
+pub struct LogReader {
+    gone: AtomicBool,
+    /// Until when nobody reads, in whole milliseconds.
+    stalled_until: AtomicU64,
+    tail: Mutex<Vec<String>>,
+}
+
+impl LogReader {
+    pub fn go(&self) {
+        self.gone.store(true, Ordering::SeqCst);
+    }
+
+    pub fn stall(&self, ms: u64) {
+        self.stalled_until.store(now_ms() as u64 + ms, Ordering::SeqCst);
+    }
+
+    /// The counters that it has printed.
+    pub fn counters(&self) -> Vec<String> {
+        self.tail.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn read(&self, input: impl Read, mut log: File) {
+        let mut input = BufReader::new(input);
+        let mut line = String::new();
+        while !self.gone.load(Ordering::SeqCst) && input.read_line(&mut line).is_ok_and(|count| count > 0) {
+            while now_ms() < self.stalled_until.load(Ordering::SeqCst) as f64 {
+                thread::sleep(Duration::from_millis(20));
+            }
+            let _ = log.write_all(line.as_bytes()); // for whoever looks a failure up
+            if !line.contains(' ') || line.split(' ').count() == 2 {
+                self.tail.lock().unwrap_or_else(PoisonError::into_inner).push(line.trim_end().to_owned());
+            }
+            line.clear();
+        }
+    }
+}
+
+/// A process of a mixer.
+pub struct MixerProcess {
+    pub child: Child,
+    pub log: Arc<LogReader>,
+}
+
+impl MixerProcess {
+    /// Starts it as it is deployed, under its limit on descriptors.
+    pub fn start(program: &Path, config: &Path, log: PathBuf) -> Result<Self> {
+        let run = format!("ulimit -n {SOCKETS}; exec {}", program.display());
+        let level = std::env::var("SOAK_LOG").unwrap_or_else(|_| "debug".to_owned());
+        let mut child = Command::new("sh")
+            .args(["-c", &run])
+            .env("ROUTER_CONFIG", config)
+            .env("RUST_LOG", level)
+            .env_remove(VARIABLE)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+            .context("the mixer")?;
+        let (reader, file) = (Arc::new(LogReader::default()), File::create(log)?);
+        if let Some(input) = child.stderr.take() {
+            let reading = reader.clone();
+            Builder::new().spawn(move || reading.read(input, file))?;
+        }
+        Ok(Self { child, log: reader })
+    }
+
+    /// Descriptors, threads, and the most memory that it has held in kilobytes; none if it has ended.
+    pub fn resources(&self) -> Option<(u64, u64, u64)> {
+        let folder = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let status = std::fs::read_to_string(folder.join("status")).ok()?;
+        let figure = |key: &str| {
+            let line = status.lines().find(|line| line.starts_with(key))?;
+            line.split_whitespace().nth(1)?.parse().ok()
+        };
+        let descriptors = std::fs::read_dir(folder.join("fd")).ok()?.count() as u64;
+        Some((descriptors, figure("Threads:")?, figure("VmHWM:")?))
+    }
+}
+
+impl Drop for MixerProcess {
+    fn drop(&mut self) {
+        signal(&self.child, Signal::CONT);
+        let _ = self.child.kill(); // it may have ended
+        let _ = self.child.wait();
+    }
+}
+
+/// Asks a page of a mixer; its status and body.
+pub fn page(at: SocketAddr, path: &str) -> io::Result<(u16, String)> {
+    let mut stream = TcpStream::connect_timeout(&at, Duration::from_millis(300))?;
+    stream.set_read_timeout(Some(Duration::from_millis(400)))?;
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text)?;
+    let status = text.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    Ok((status, text.split_once("\r\n\r\n").map_or(String::new(), |(_, body)| body.to_owned())))
+}
--- /dev/null
+++ b/crates/soak/src/role.rs
@@ -0,0 +1,43 @@
+//! The processes that stand in for a mixer's surroundings: which one, told by the environment.
+
+use std::path::Path;
+
+use anyhow::{Result, bail};
+use serde::{Deserialize, Serialize};
+
+use crate::record::Recorder;
+use crate::{agent, clients, proxy, searcher};
+
+/// The variable that names the role of a process, as JSON.
+pub const VARIABLE: &str = "SOAK_ROLE";
+
+/// What a process is to be.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Role {
+    Searcher(searcher::Setup),
+    Proxy(proxy::Setup),
+    Agent(agent::Setup),
+    Clients(clients::Setup),
+}
+
+/// Serves the role that the environment names until its runner has gone; returns at once where it names none.
+pub fn serve() -> Result<()> {
+    let Ok(text) = std::env::var(VARIABLE) else { return Ok(()) };
+    match serde_json::from_str(&text)? {
+        Role::Searcher(setup) => searcher::serve(setup)?,
+        Role::Proxy(setup) => proxy::serve(setup)?,
+        Role::Agent(setup) => agent::serve(setup)?,
+        Role::Clients(setup) => clients::serve(setup)?,
+    }
+    // Threads that still serve end with the process.
+    std::process::exit(0)
+}
+
+/// The record of a process in a run's folder.
+pub fn recorder(folder: &str, name: &str) -> Result<Recorder> {
+    let path = Path::new(folder).join(format!("{name}.jsonl"));
+    if path.exists() {
+        bail!("{} stands already", path.display());
+    }
+    Ok(Recorder::create(&path)?)
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,555 @@
+//! One run: starts all processes, carries out the faults of its seed, ends in order, and hands its events to the judge.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use anyhow::{Context, Result, ensure};
+use rustix::process::Signal;
+
+use crate::agent;
+use crate::clients;
+use crate::clock::now_ms;
+use crate::control::{AgentOrder, ClientsOrder, Listed, Manner, Passing, ProxyOrder, SearcherOrder};
+use crate::fleet::{Helper, MixerProcess, Ports, page, signal};
+use crate::judge::{self, Verdict};
+use crate::proxy::{self, Way};
+use crate::record::{self, Event, Recorder, Status};
+use crate::role::Role;
+use crate::searcher;
+use crate::settings::{self, CELLS, LONGEST_MS};
+use crate::trouble::{self, Sizes, Trouble};
+
+/// Processes that may take each searcher's place in turn.
+const GENERATIONS: usize = 3;
+/// After a SIGTERM and the longest deadline, so long passes until SIGKILL.
+const KILLED_AFTER_MS: f64 = 700.0;
+/// In so long all is up at the beginning.
+const UP_IN_MS: f64 = 30_000.0;
+/// After the last request, so long until the run ends: the longest deadline and what is owed after it.
+const SETTLE_MS: u64 = 3500;
+const TICK: Duration = Duration::from_millis(2);
+
+/// What is played.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The mixer's program.
+    pub program: PathBuf,
+    /// What leads this program to [`crate::role::serve`] when it is started anew.
+    pub role_arguments: Vec<String>,
+    /// For records, logs and configurations; made anew.
+    pub folder: PathBuf,
+    pub seed: u64,
+    pub seconds: u64,
+    pub sizes: Sizes,
+    /// Plays these in place of those that the seed draws.
+    pub troubles: Option<Vec<(u64, Trouble)>>,
+}
+
+impl Options {
+    /// The usual sizes: 5 mixers with an agent and a process of clients each, 12 searchers, 4 proxies.
+    pub fn new(program: &Path, role_arguments: &[&str], folder: PathBuf, seed: u64, seconds: u64) -> Self {
+        Self {
+            program: program.to_owned(),
+            role_arguments: role_arguments.iter().map(|argument| (*argument).to_owned()).collect(),
+            folder,
+            seed,
+            seconds,
+            sizes: Sizes { mixers: 5, searchers: 12, proxies: 4 },
+            troubles: None,
+        }
+    }
+}
+
+/// A mixer, whichever process is it now.
+struct Mixer {
+    name: String,
+    listen: std::net::SocketAddr,
+    places: [std::net::SocketAddr; 2],
+    place: usize,
+    process: Option<MixerProcess>,
+    processes: u32,
+    /// Asked to end, and when it is killed if it has not.
+    ends_by: Option<f64>,
+    ready: bool,
+    agent: Helper,
+    clients: Helper,
+}
+
+/// The place of a searcher, whichever process and name stand there now.
+struct Searcher {
+    cell: u32,
+    ways: Vec<Way>,
+    generation: usize,
+    processes: u32,
+    process: Option<Helper>,
+    status: Status,
+    since_ms: f64,
+}
+
+impl Searcher {
+    fn way(&self) -> &Way {
+        &self.ways[self.generation]
+    }
+
+    fn listed(&self) -> Listed {
+        let (way, status) = (self.way(), self.status);
+        let (name, address) = (way.searcher.clone(), way.listen.to_string());
+        Listed { name, address, group: self.cell, status, since_ms: self.since_ms }
+    }
+}
+
+/// Something that is due later.
+#[derive(Clone, Copy, Debug)]
+enum Due {
+    Begin(Trouble),
+    FrontOff(usize),
+    StartMixer(usize),
+    Resume(usize),
+    ResumeSearcher(usize),
+    StartSearcher(usize),
+    Behave(usize),
+    RemoveSearcher(usize),
+    ReplaceSearcher(usize),
+    PassWhole(usize),
+    Hangup { mixer: usize, left: u32 },
+}
+
+struct Run<'a> {
+    options: &'a Options,
+    recorder: Recorder,
+    mixers: Vec<Mixer>,
+    searchers: Vec<Searcher>,
+    proxies: Vec<Helper>,
+    due: Vec<(f64, Due)>,
+}
+
+/// Unix time, as discovery states when a searcher began.
+#[expect(clippy::disallowed_methods, reason = "discovery's lists state Unix time")]
+fn unix_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1000.0
+}
+
+/// Plays one run and judges it.
+///
+/// # Errors
+/// If the run itself could not be played: a file, a port or a process was not to be had.
+pub fn play(options: &Options) -> Result<Verdict> {
+    if options.folder.exists() {
+        std::fs::remove_dir_all(&options.folder)?;
+    }
+    std::fs::create_dir_all(&options.folder)?;
+    let mut run = Run::start(options)?;
+    run.wait_until_ready()?;
+    let begun = now_ms();
+    let troubles = match &options.troubles {
+        Some(troubles) => troubles.clone(),
+        None => trouble::draw(options.seed, options.seconds * 1000, options.sizes),
+    };
+    run.due.extend(troubles.into_iter().map(|(at, trouble)| (begun + at as f64, Due::Begin(trouble))));
+    let end = begun + options.seconds as f64 * 1000.0;
+    while now_ms() < end {
+        run.turn()?;
+        std::thread::sleep(TICK);
+    }
+    run.settle()?;
+    run.take_stock();
+    drop(run);
+    let mut events = record::read_all(&options.folder)?;
+    events.sort_by(|one, other| judge::time(one).total_cmp(&judge::time(other)));
+    Ok(judge::judge(&events))
+}
+
+impl<'a> Run<'a> {
+    fn start(options: &'a Options) -> Result<Self> {
+        let mut ports = Ports::new();
+        let folder = options.folder.to_string_lossy().into_owned();
+        let searchers = (0..options.sizes.searchers)
+            .map(|n| searcher_place(n, &mut ports))
+            .collect::<Result<Vec<_>>>()?;
+        let mut proxies = Vec::new();
+        for number in 0..options.sizes.proxies {
+            let of_it = searchers.iter().enumerate().filter(|(n, _)| n % options.sizes.proxies == number);
+            let ways = of_it.flat_map(|(_, searcher)| searcher.ways.clone()).collect();
+            let setup = proxy::Setup { folder: folder.clone(), number, ways };
+            proxies.push(Helper::start(&options.role_arguments, &Role::Proxy(setup))?);
+        }
+        let mut mixers = Vec::new();
+        for number in 0..options.sizes.mixers {
+            let listen = ports.next_free()?;
+            let places = [ports.next_free()?, ports.next_free()?];
+            let agent = agent::Setup { folder: folder.clone(), mixer: number, places };
+            let seed = options.seed * 100 + number as u64;
+            let clients = clients::Setup { folder: folder.clone(), mixer: number, address: listen, seed };
+            mixers.push(Mixer {
+                name: format!("m{number}"),
+                listen,
+                places,
+                place: 0,
+                process: None,
+                processes: 0,
+                ends_by: None,
+                ready: false,
+                agent: Helper::start(&options.role_arguments, &Role::Agent(agent))?,
+                clients: Helper::start(&options.role_arguments, &Role::Clients(clients))?,
+            });
+        }
+        let recorder = Recorder::create(&options.folder.join("runner.jsonl"))?;
+        let mut run = Self { options, recorder, mixers, searchers, proxies, due: Vec::new() };
+        for searcher in 0..run.searchers.len() {
+            run.start_searcher(searcher)?;
+        }
+        let all: Vec<Listed> = run.searchers.iter().map(Searcher::listed).collect();
+        run.tell_agents(&all);
+        for mixer in 0..run.mixers.len() {
+            run.start_mixer(mixer)?;
+        }
+        Ok(run)
+    }
+
+    fn wait_until_ready(&mut self) -> Result<()> {
+        let begun = now_ms();
+        while self.mixers.iter().any(|mixer| !mixer.ready) {
+            ensure!(now_ms() - begun < UP_IN_MS, "not all mixers came up");
+            self.turn()?;
+            std::thread::sleep(TICK);
+        }
+        Ok(())
+    }
+
+    /// Does what is due, and looks at each mixer.
+    fn turn(&mut self) -> Result<()> {
+        let now = now_ms();
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.due).into_iter().partition(|due| due.0 <= now);
+        self.due = later;
+        for (_, due) in due {
+            self.carry_out(due)?;
+        }
+        (0..self.mixers.len()).try_for_each(|mixer| self.look_at(mixer))
+    }
+
+    /// Notes that a mixer is ready or has ended, kills one that takes too long over its end, and starts the next process.
+    fn look_at(&mut self, number: usize) -> Result<()> {
+        let now = now_ms();
+        let mixer = &mut self.mixers[number];
+        let Some(process) = &mut mixer.process else { return Ok(()) };
+        if let Some(status) = process.child.try_wait()? {
+            let (status, expected) = (status.code(), mixer.ends_by.is_some());
+            self.recorder.record(&Event::Exited { at: now, mixer: number, status, expected });
+            // The log's last lines may still be on their way.
+            std::thread::sleep(Duration::from_millis(10));
+            let counters = process.log.counters();
+            record_counters(&self.recorder, number, &counters);
+            (mixer.process, mixer.ends_by, mixer.ready) = (None, None, false);
+            mixer.clients.tell(&ClientsOrder::Front(false));
+            self.due.push((now + 50.0, Due::StartMixer(number)));
+            return Ok(());
+        }
+        if mixer.ends_by.is_some_and(|by| by <= now) {
+            self.recorder.record(&Event::Signalled {
+                at: now,
+                mixer: number,
+                signal: "KILL after TERM".to_owned(),
+            });
+            signal(&process.child, Signal::KILL);
+            mixer.ends_by = Some(f64::INFINITY);
+            return Ok(());
+        }
+        if !mixer.ready
+            && mixer.ends_by.is_none()
+            && page(mixer.listen, "/-/ready").is_ok_and(|(status, _)| status == 200)
+        {
+            mixer.ready = true;
+            self.recorder.record(&Event::Ready { at: now_ms(), mixer: number });
+            mixer.clients.tell(&ClientsOrder::Front(true));
+        }
+        Ok(())
+    }
+
+    fn start_mixer(&mut self, number: usize) -> Result<()> {
+        self.write_config(number)?;
+        let mixer = &mut self.mixers[number];
+        mixer.processes += 1;
+        let folder = &self.options.folder;
+        let log = folder.join(format!("{}-{}.log", mixer.name, mixer.processes));
+        self.recorder.record(&Event::Started { at: now_ms(), mixer: number });
+        mixer.process = Some(MixerProcess::start(
+            &self.options.program,
+            &folder.join(format!("{}.json", mixer.name)),
+            log,
+        )?);
+        (mixer.ready, mixer.ends_by) = (false, None);
+        Ok(())
+    }
+
+    /// Writes a mixer's configuration as the platform does, whole or not at all.
+    fn write_config(&self, number: usize) -> Result<()> {
+        let mixer = &self.mixers[number];
+        let up: Vec<Listed> =
+            self.searchers.iter().map(Searcher::listed).filter(|s| s.status != Status::Removed).collect();
+        let known = agent::list(0, true, &up.iter().collect::<Vec<_>>());
+        let seed = self.options.seed * 1000 + u64::from(mixer.processes);
+        let config = settings::config(
+            &mixer.name,
+            mixer.listen,
+            mixer.places[mixer.place],
+            seed,
+            self.mixers.len(),
+            &known,
+        );
+        let path = self.options.folder.join(format!("{}.json", mixer.name));
+        let new = path.with_extension("new");
+        std::fs::write(&new, config.to_string()).context("a configuration")?;
+        std::fs::rename(new, path)?;
+        Ok(())
+    }
+
+    fn start_searcher(&mut self, number: usize) -> Result<()> {
+        let searcher = &mut self.searchers[number];
+        searcher.processes += 1;
+        let way = searcher.way().clone();
+        let setup = searcher::Setup {
+            folder: self.options.folder.to_string_lossy().into_owned(),
+            name: way.searcher,
+            process: searcher.processes,
+            listen: way.target,
+            seed: self.options.seed * 10_000 + number as u64 * 10 + u64::from(searcher.processes),
+        };
+        searcher.process = Some(Helper::start(&self.options.role_arguments, &Role::Searcher(setup))?);
+        Ok(())
+    }
+
+    fn tell_agents(&mut self, changed: &[Listed]) {
+        for mixer in &mut self.mixers {
+            mixer.agent.tell(&AgentOrder::Change(changed.to_vec()));
+        }
+    }
+
+    fn later(&mut self, ms: u64, due: Due) {
+        self.due.push((now_ms() + ms as f64, due));
+    }
+
+    fn signal_mixer(&mut self, number: usize, kind: Signal, name: &str) {
+        if let Some(process) = &self.mixers[number].process {
+            self.recorder.record(&Event::Signalled { at: now_ms(), mixer: number, signal: name.to_owned() });
+            signal(&process.child, kind);
+        }
+    }
+
+    fn carry_out(&mut self, due: Due) -> Result<()> {
+        match due {
+            Due::Begin(trouble) => self.begin(trouble)?,
+            Due::FrontOff(mixer) => self.mixers[mixer].clients.tell(&ClientsOrder::Front(false)),
+            Due::StartMixer(mixer) => self.start_mixer(mixer)?,
+            Due::Resume(mixer) => self.signal_mixer(mixer, Signal::CONT, "CONT"),
+            Due::ResumeSearcher(searcher) => {
+                if let Some(process) = &self.searchers[searcher].process {
+                    signal(&process.child, Signal::CONT);
+                }
+            }
+            Due::StartSearcher(number) => {
+                self.start_searcher(number)?;
+                self.searchers[number].since_ms = unix_ms();
+                let listed = self.searchers[number].listed();
+                self.tell_agents(&[listed]);
+            }
+            Due::Behave(searcher) => self.searcher_does(searcher, Manner::Answers),
+            Due::RemoveSearcher(number) => {
+                self.searchers[number].status = Status::Removed;
+                let listed = self.searchers[number].listed();
+                self.tell_agents(&[listed]);
+                self.later(600, Due::ReplaceSearcher(number));
+            }
+            Due::ReplaceSearcher(number) => {
+                let searcher = &mut self.searchers[number];
+                searcher.process = None;
+                searcher.generation += 1;
+                (searcher.status, searcher.since_ms) = (Status::Up, unix_ms());
+                self.start_searcher(number)?;
+                let listed = self.searchers[number].listed();
+                self.tell_agents(&[listed]);
+            }
+            Due::PassWhole(proxy) => self.proxies[proxy].tell(&ProxyOrder::Passing(Passing::Whole)),
+            Due::Hangup { mixer, left } => {
+                self.signal_mixer(mixer, Signal::HUP, "HUP");
+                if left > 1 {
+                    self.later(20, Due::Hangup { mixer, left: left - 1 });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn searcher_does(&mut self, number: usize, manner: Manner) {
+        if let Some(process) = &mut self.searchers[number].process {
+            process.tell(&SearcherOrder::Manner(manner));
+        }
+    }
+
+    fn begin(&mut self, trouble: Trouble) -> Result<()> {
+        let now = now_ms();
+        let lasts = |ms: u64| now + ms as f64;
+        let note = |until: f64| Event::Trouble { at: now, until, what: format!("{trouble:?}") };
+        match trouble {
+            Trouble::MixerEnds { mixer, front_ms } => {
+                if self.mixers[mixer].process.is_none() || self.mixers[mixer].ends_by.is_some() {
+                    return Ok(());
+                }
+                self.recorder.record(&note(now));
+                self.signal_mixer(mixer, Signal::TERM, "TERM");
+                self.mixers[mixer].ends_by = Some(now + LONGEST_MS + KILLED_AFTER_MS);
+                self.later(front_ms, Due::FrontOff(mixer));
+            }
+            Trouble::MixerKilled { mixer } => {
+                if self.mixers[mixer].ends_by.is_some() {
+                    return Ok(());
+                }
+                self.recorder.record(&note(now));
+                self.signal_mixer(mixer, Signal::KILL, "KILL");
+                self.mixers[mixer].ends_by = Some(f64::INFINITY);
+            }
+            Trouble::MixerPaused { mixer, ms } => {
+                self.recorder.record(&note(lasts(ms)));
+                self.signal_mixer(mixer, Signal::STOP, "STOP");
+                self.later(ms, Due::Resume(mixer));
+            }
+            Trouble::MixerReloads { mixer, signals } => {
+                self.recorder.record(&note(now));
+                let place = 1 - self.mixers[mixer].place;
+                self.mixers[mixer].place = place;
+                self.write_config(mixer)?;
+                self.mixers[mixer].agent.tell(&AgentOrder::Move);
+                self.carry_out(Due::Hangup { mixer, left: signals })?;
+            }
+            Trouble::MixerReports { mixer } => {
+                self.recorder.record(&note(now));
+                self.signal_mixer(mixer, Signal::USR1, "USR1");
+            }
+            Trouble::LogReaderGone { mixer } => {
+                self.recorder.record(&note(f64::MAX));
+                self.mixers[mixer].process.iter().for_each(|process| process.log.go());
+            }
+            Trouble::LogReaderStalls { mixer, ms } => {
+                self.recorder.record(&note(lasts(ms)));
+                self.mixers[mixer].process.iter().for_each(|process| process.log.stall(ms));
+            }
+            Trouble::SearcherPaused { searcher, ms } => {
+                self.recorder.record(&note(lasts(ms)));
+                if let Some(process) = &self.searchers[searcher].process {
+                    signal(&process.child, Signal::STOP);
+                }
+                self.later(ms, Due::ResumeSearcher(searcher));
+            }
+            Trouble::SearcherRestarts { searcher, ms } => {
+                if self.searchers[searcher].status != Status::Up || self.searchers[searcher].process.is_none()
+                {
+                    return Ok(());
+                }
+                self.recorder.record(&note(lasts(ms)));
+                self.searchers[searcher].process = None;
+                self.later(ms, Due::StartSearcher(searcher));
+            }
+            Trouble::SearcherDoes { searcher, manner, ms } => {
+                self.recorder.record(&note(lasts(ms)));
+                self.searcher_does(searcher, manner);
+                self.later(ms, Due::Behave(searcher));
+            }
+            Trouble::SearcherReplaced { searcher, drains_ms } => {
+                let place = &mut self.searchers[searcher];
+                if place.status != Status::Up
+                    || place.generation + 1 >= GENERATIONS
+                    || place.process.is_none()
+                {
+                    return Ok(());
+                }
+                place.status = Status::Draining;
+                self.recorder.record(&note(lasts(drains_ms)));
+                let listed = self.searchers[searcher].listed();
+                self.tell_agents(&[listed]);
+                self.later(drains_ms, Due::RemoveSearcher(searcher));
+            }
+            Trouble::ProxyPasses { proxy, passing, ms } => {
+                self.recorder.record(&note(lasts(ms)));
+                self.proxies[proxy].tell(&ProxyOrder::Passing(passing));
+                self.later(ms, Due::PassWhole(proxy));
+            }
+            Trouble::AgentSilent { mixer, ms } => {
+                self.recorder.record(&note(lasts(ms)));
+                self.mixers[mixer].agent.tell(&AgentOrder::Silent(ms));
+            }
+            Trouble::AgentDown { mixer, ms } => {
+                self.recorder.record(&note(lasts(ms)));
+                self.mixers[mixer].agent.tell(&AgentOrder::Down(ms));
+            }
+            Trouble::AgentResets { mixer } => {
+                self.recorder.record(&note(now));
+                self.mixers[mixer].agent.tell(&AgentOrder::Reset);
+            }
+            Trouble::AgentSlow { mixer, ms } => {
+                self.recorder.record(&note(lasts(ms)));
+                self.mixers[mixer].agent.tell(&AgentOrder::Slow(ms));
+            }
+            Trouble::ClientsLeave { mixer } => {
+                self.recorder.record(&note(now));
+                self.mixers[mixer].clients.tell(&ClientsOrder::LeaveAll);
+            }
+            Trouble::ClientsBurst { mixer, count } => {
+                self.recorder.record(&note(now));
+                self.mixers[mixer].clients.tell(&ClientsOrder::Burst(count));
+            }
+            Trouble::ClientsCrowd { mixer, count, ms } => {
+                self.recorder.record(&note(lasts(ms)));
+                self.mixers[mixer].clients.tell(&ClientsOrder::Crowd(count, ms));
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets all that was asked come to its end.
+    fn settle(&mut self) -> Result<()> {
+        let ms = SETTLE_MS;
+        self.mixers.iter_mut().for_each(|mixer| mixer.clients.tell(&ClientsOrder::Finish));
+        let end = now_ms() + ms as f64;
+        while now_ms() < end {
+            self.turn()?;
+            std::thread::sleep(TICK);
+        }
+        Ok(())
+    }
+
+    /// Records what the mixers hold, and their counters.
+    fn take_stock(&mut self) {
+        for (number, mixer) in self.mixers.iter().enumerate() {
+            let Some(process) = &mixer.process else { continue };
+            if let Some((descriptors, threads, peak_kb)) = process.resources() {
+                let at = now_ms();
+                self.recorder.record(&Event::Resources { at, mixer: number, descriptors, threads, peak_kb });
+            }
+            if let Ok((200, text)) = page(mixer.listen, "/-/counters") {
+                let lines: Vec<String> = text.lines().map(str::to_owned).collect();
+                record_counters(&self.recorder, number, &lines);
+            }
+        }
+    }
+}
+
+fn record_counters(recorder: &Recorder, mixer: usize, lines: &[String]) {
+    for line in lines {
+        let Some((name, value)) = line.rsplit_once(' ') else { continue };
+        if let Ok(value) = value.parse() {
+            recorder.record(&Event::Counter { at: now_ms(), mixer, name: name.to_owned(), value });
+        }
+    }
+}
+
+/// The place of a searcher, with the names and addresses of those that may stand there in turn.
+fn searcher_place(number: usize, ports: &mut Ports) -> Result<Searcher> {
+    let cell = number as u32 % CELLS;
+    let way = |generation: usize| {
+        let (listen, target) = (ports.next_free()?, ports.next_free()?);
+        let searcher = format!("s{number}{}", ["a", "b", "c"][generation % GENERATIONS]);
+        Ok(Way { listen, target, searcher, cell })
+    };
+    let ways = (0..GENERATIONS).map(way).collect::<Result<_>>()?;
+    Ok(Searcher { cell, ways, generation: 0, processes: 0, process: None, status: Status::Up, since_ms: 0.0 })
+}
