Mixer: a line end behind a request is not the beginning of another

Cause: Conn::read told Begun for any byte, so that a client that ended its request with CRLF and rested was answered 408 with Connection: close after 2 s; an answer that crossed its next request was taken for that one's. Change: only other than white space begins a request (Conn::has_begun, used for hanging up as well).

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -299,10 +299,15 @@
             return self.leaves && self.out.is_empty();
         }
         let owing = self.shared.owing.load(Ordering::SeqCst);
-        let begun = self.over.is_none() && !self.buffer.bytes().iter().all(u8::is_ascii_whitespace);
+        let begun = self.over.is_none() && self.has_begun();
         self.hung && !owing && self.asked.is_none() && !begun && self.out.is_empty()
     }
 
+    /// Whether a request has begun to come: line ends between requests are none of one.
+    fn has_begun(&self) -> bool {
+        !self.buffer.bytes().iter().all(u8::is_ascii_whitespace)
+    }
+
     /// Reads all that has come, also ahead of an answer that is owed, and tells of a request whose turn it is; false at
     /// the connection's end. A request is told of only once nothing more is there to read: guards against sending on
     /// for a client that had left while it waited to be accepted, or for its turn.
@@ -333,7 +338,7 @@
                     if self.ask(conn, tell) {
                         continue;
                     }
-                    if !waits && !self.buffer.bytes().is_empty() && !self.begun {
+                    if !waits && self.has_begun() && !self.begun {
                         self.begun = true;
                         tell.say(Input::Begun { conn });
                     }
