KNOWN-RED: a log that cannot be written ends or blocks the mixer

Cause: counters are written by eprint!, which panics when the write fails; log lines are written by whichever thread logs, the service included, which blocks while nobody reads. Change: none yet; the test with a full disk, a reader that has gone and one that stands still is listed.

--- a/crates/mixer/tests/faults.rs
+++ b/crates/mixer/tests/faults.rs
@@ -1,7 +1,9 @@
 //! Faults that the hunt before production found, each forced by itself: see `docs/incidents/`.
 
 use std::io::{ErrorKind, Read, Write};
-use std::time::Duration;
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, ChildStderr};
+use std::time::{Duration, Instant};
 
 use pewterwharf_standins::Manner;
 
@@ -23,3 +25,77 @@
     write!(client, "{}", scan("entry", 1).replace("q1", "q2")).expect("it takes bytes");
     assert!(answer(&client).starts_with("HTTP/1.1 200 OK"));
 }
+
+/// What standard error leads to while a mixer serves.
+enum Log {
+    FullDisk,
+    ReaderGone,
+    NobodyReads,
+}
+
+/// Starts a mixer that logs each connection, with this log.
+fn start_logging_to(
+    log: &Log,
+) -> (std::process::Child, std::net::SocketAddr, Option<std::process::ChildStderr>) {
+    let (says, _heard) = std::sync::mpsc::channel();
+    let searcher = port();
+    let searchers = [(searcher.local_addr().expect("an address"), "up")];
+    pewterwharf_standins::searcher(searcher, Manner::Answers, says);
+    let discovery = port();
+    let at = discovery.local_addr().expect("an address").to_string();
+    let lists = pewterwharf_standins::Lists::default();
+    lists.serve(discovery);
+    lists.tell(pewterwharf_standins::list(1, true, &searchers));
+    let listen = port().local_addr().expect("an address");
+    let redirect = if matches!(log, Log::FullDisk) { "exec 2>/dev/full" } else { "true" };
+    let mut command = command(redirect, &at, EXAMPLE);
+    command.env("ROUTER_LISTEN", listen.to_string()).env("RUST_LOG", "debug");
+    let mut child = command.spawn().expect("the mixer starts");
+    let error = child.stderr.take().filter(|_| matches!(log, Log::NobodyReads));
+    (Running(child), listen, error)
+}
+
+/// A process that a test which fails leaves none of.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill(); // it may have ended
+        let _ = self.0.wait();
+    }
+}
+
+/// Asks until the mixer has come up.
+fn connect_when_up(listen: SocketAddr) -> TcpStream {
+    let since = Instant::now();
+    loop {
+        if let Ok(mut stream) = TcpStream::connect(listen) {
+            write!(stream, "GET /-/ready HTTP/1.1\r\n\r\n").expect("it takes bytes");
+            if answer(&stream).starts_with("HTTP/1.1 200 OK") {
+                return stream;
+            }
+        }
+        assert!(since.elapsed() < CEILING, "it does not come up");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn log_that_cannot_be_written_stops_nothing() {
+    for log in [Log::FullDisk, Log::ReaderGone, Log::NobodyReads] {
+        let (mut running, listen, _unread) = start_logging_to(&log);
+        let client = connect_when_up(listen);
+        client.set_read_timeout(Some(CEILING)).expect("a time-out");
+        // More than a pipe holds.
+        for number in 0..400 {
+            if number % 100 == 50 {
+                signal(&running.0, "USR1");
+            }
+            write!(&client, "{}", scan("entry", 1).replace("q1", &format!("q{number}")))
+                .expect("it takes bytes");
+            assert!(answer(&client).starts_with("HTTP/1.1 200 OK"), "request {number}");
+        }
+        signal(&running.0, "TERM");
+        assert_eq!(running.0.wait().expect("it ends").code(), Some(0));
+    }
+}
