--- a/crates/mixer/tests/faults.rs
+++ b/crates/mixer/tests/faults.rs
@@ -34,9 +34,7 @@
 }
 
 /// Starts a mixer that logs each connection, with this log.
-fn start_logging_to(
-    log: &Log,
-) -> (std::process::Child, std::net::SocketAddr, Option<std::process::ChildStderr>) {
+fn start_logging_to(log: &Log) -> (Running, SocketAddr, Option<ChildStderr>) {
     let (says, _heard) = std::sync::mpsc::channel();
     let searcher = port();
     let searchers = [(searcher.local_addr().expect("an address"), "up")];
