Mixer: one thread writes the log, and a log that cannot be written stops nothing

Cause: eprint! of the counters (SIGUSR1, the end) panics the service when standard error cannot be written; a reader that stands still blocks whoever logs, the service included. Change: log.rs has a bounded queue and a thread that writes; failed writes lose their text, a full queue drops it and counts it (log_texts_dropped beside the counters); the end waits 0.2 s at most for what waits.

--- a/crates/mixer/src/main.rs
+++ b/crates/mixer/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, Result, anyhow};
+use pewterwharf_mixer::log;
 use pewterwharf_mixer::service::{self, Again, Service};
 use pewterwharf_settings::Settings;
 use pewterwharf_terms::{Change, Start};
@@ -42,10 +43,11 @@
 
 /// Lines go to standard error; `RUST_LOG` names the level, or targets with theirs, and `RUST_LOG_FORM=json` makes each
 /// line an object.
-fn log() {
+fn start_log() {
+    log::start();
     let asked = said("RUST_LOG").and_then(|asked| asked.parse::<Targets>().ok());
     let targets = asked.unwrap_or_else(|| Targets::new().with_default(LevelFilter::WARN));
-    let lines = tracing_subscriber::fmt::layer().with_writer(std::io::stderr).with_ansi(false);
+    let lines = tracing_subscriber::fmt::layer().with_writer(log::Lines).with_ansi(false);
     let lines = match said("RUST_LOG_FORM").as_deref() {
         Some("json") => lines.json().boxed(),
         _ => lines.boxed(),
@@ -54,12 +56,11 @@
 }
 
 fn main() -> ExitCode {
-    log();
-    match run() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            tracing::error!("{error:#}");
-            ExitCode::FAILURE
-        }
+    start_log();
+    let ended = run();
+    if let Err(error) = &ended {
+        tracing::error!("{error:#}");
     }
+    log::flush();
+    if ended.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -23,6 +23,7 @@
 use crate::discovery::{self, Watch, Watches};
 use crate::inputs::{Effect, Input, Phase};
 use crate::line::{Line, Orders};
+use crate::log;
 use crate::reducer::Reducer;
 use crate::searcher::{self, Link, Searchers};
 use crate::tell::{STACK, Tell, Told, spawn};
@@ -86,6 +87,11 @@
     pub settings: fn() -> Result<Settings>,
 }
 
+/// Prints the counters of the reducer, and others.
+fn print_counters(counters: &str, others: &str) {
+    log::print(&format!("{counters}log_texts_dropped {}\n{others}", log::dropped()));
+}
+
 /// Catches the signals that a mixer goes by.
 pub fn signals() -> Result<Signals> {
     Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).context("signals")
@@ -198,7 +204,7 @@
         let counts = self.announcing.counts() + &self.copies.counts();
         self.announcing.end();
         self.copies.leave();
-        eprint!("{}{counts}", self.reducer.counters());
+        print_counters(&self.reducer.counters().to_string(), &counts);
         Ok(())
     }
 
@@ -288,7 +294,7 @@
                 }
             }
             Effect::Heard { watch } => self.watches.heard.store(watch, Ordering::Release),
-            Effect::Print(text) => eprint!("{text}{}{}", self.announcing.counts(), self.copies.counts()),
+            Effect::Print(text) => print_counters(&text, &(self.announcing.counts() + &self.copies.counts())),
         }
     }
 }
