Mixer: while it drains, what was read behind a request is answered before the close

Cause: is_last_answer held for every answer of a draining mixer and of a client that was hung up on, also while the reader held further requests of it. Change: the reader tells once that more was read behind the open request (Input::SentBehind); such an answer does not end the connection, the one to the last request does. The client's own Connection: close and three unusable requests in a row still end it. Left: a request that is read in the very moment in which the answer before it is given as the last.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -48,6 +48,8 @@
     more: bool,
     /// A request that has come whole and is told of once it is known whether its client is still there.
     asked: Option<(Ask, bool)>,
+    /// It was told that more was read behind the request that is open.
+    told_behind: bool,
     /// It ends once all that has come is told of.
     hung: bool,
     /// It ends now that its last answer was given, whatever still comes.
@@ -193,6 +195,7 @@
             sends: false,
             more: false,
             asked: None,
+            told_behind: false,
             hung: false,
             leaves: false,
             out: Vec::new(),
@@ -333,7 +336,7 @@
                 continue; // who answers has to know that more waits
             }
             match self.buffer.fill(&mut &self.shared.stream) {
-                Ok(1..) => {}
+                Ok(1..) => self.tell_behind(conn, tell),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     if self.ask(conn, tell) {
                         continue;
@@ -423,7 +426,18 @@
     fn ask(&mut self, conn: u64, tell: &Tell) -> bool {
         let Some((ask, close)) = self.asked.take() else { return false };
         self.shared.owing.store(true, Ordering::SeqCst);
+        self.told_behind = false;
         tell.say(Input::Asked { conn, ask, close });
+        self.tell_behind(conn, tell);
         true
     }
+
+    /// Tells once that more was read behind the request that is open: its answer must not end the connection.
+    fn tell_behind(&mut self, conn: u64, tell: &Tell) {
+        let open = self.asked.is_none() && self.shared.owing.load(Ordering::SeqCst);
+        if open && self.over.is_none() && self.has_begun() && !self.told_behind {
+            self.told_behind = true;
+            tell.say(Input::SentBehind { conn });
+        }
+    }
 }
--- a/crates/mixer/src/inputs.rs
+++ b/crates/mixer/src/inputs.rs
@@ -21,6 +21,10 @@
         ask: Ask,
         close: bool,
     },
+    /// More was read behind the request that is open.
+    SentBehind {
+        conn: u64,
+    },
     /// A request has begun to come and is not whole.
     Begun {
         conn: u64,
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -316,6 +316,7 @@
             Input::ClientOpen { conn } => self.client_open(now, conn),
             Input::Asked { conn, ask, close } => self.asked(now, conn, ask, close),
             Input::Begun { conn } => self.begun(now, conn),
+            Input::SentBehind { conn } => self.sent_behind(conn),
             Input::ClientEnd { conn } => self.client_end(now, conn),
             Input::Slow { conn } => self.slow(conn),
             Input::Said { conn } => self.said(now, conn),
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -38,6 +38,12 @@
         }
     }
 
+    pub(super) fn sent_behind(&mut self, conn: u64) {
+        if let Some(client) = self.clients.get_mut(&conn) {
+            client.sent_behind = true;
+        }
+    }
+
     /// Sets the time at which a client that asks nothing is looked at.
     fn rest_client(&mut self, now: f64, conn: u64) {
         if let Some(client) = self.clients.get_mut(&conn).filter(|c| !c.watched) {
@@ -111,7 +117,7 @@
         if !rules::may_close_client(client, reason, draining, now) {
             return;
         }
-        (client.hung, client.close) = (true, true);
+        client.hung = true;
         debug!("client {conn} is hung up on: {reason}");
         let count = match reason {
             ClientCloseReason::Room => &mut self.counters.clients_closed_for_room,
@@ -151,6 +157,7 @@
         let open = |c: &&mut Client| c.standing != ClientStanding::Over && c.scan.is_none();
         let Some(client) = self.clients.get_mut(&conn).filter(open) else { return };
         client.close |= close;
+        client.sent_behind = false;
         client.awaits_answer = true;
         client.faults += 1; // unless it turns out to be none
         match ask {
@@ -318,7 +325,6 @@
         let awaited = std::mem::take(&mut client.awaits_answer);
         (client.scan, client.since, client.standing) = (None, now, ClientStanding::Resting);
         let last = rules::is_last_answer(client, draining);
-        client.close = last;
         let bytes = http::answer(status, back_in_ms, body, last);
         self.effects.push(Effect::Answer { conn, bytes, last });
         if last {
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -77,8 +77,10 @@
     pub(super) standing: ClientStanding,
     /// It asked something, a query or a page, and has no answer yet.
     pub(super) awaits_answer: bool,
-    /// The connection ends with the answer that is owed.
+    /// The connection ends with the answer that is owed, whatever was sent behind its request.
     pub(super) close: bool,
+    /// More was read behind the request that is open.
+    pub(super) sent_behind: bool,
     /// Told to send no more; what it had sent is still answered.
     pub(super) hung: bool,
     /// It has not taken its answer whole yet.
@@ -100,6 +102,7 @@
             standing: ClientStanding::New,
             awaits_answer: false,
             close: false,
+            sent_behind: false,
             hung: false,
             slow: false,
             sends: false,
--- a/crates/mixer/src/reducer/rules.rs
+++ b/crates/mixer/src/reducer/rules.rs
@@ -125,9 +125,10 @@
     }
 }
 
-/// Whether an answer to a client ends its connection.
+/// Whether an answer to a client ends its connection. While draining, or once hung up on, one whose further requests were read
+/// already has them answered first.
 pub(super) fn is_last_answer(client: &Client, draining: bool) -> bool {
-    client.close || draining
+    client.close || (draining || client.hung) && !client.sent_behind
 }
 
 /// When the end of a mixer asked to end at `now` begins and is over at the latest: until when new connections are served, and by
