Mixer: while it drains, no query is open beyond the end of the process

Change: rules::query_deadline holds a query of a draining mixer to the drain's end; queries taken before SIGTERM with a later deadline (classes over 3 s) are answered by then as well.

--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -129,6 +129,14 @@
         self.effects.push(Effect::HangUp { conn });
     }
 
+    /// By when all has to be answered, once the mixer drains.
+    fn ends_at(&self) -> Option<f64> {
+        match self.phase {
+            Phase::Draining { until, .. } => Some(until),
+            _ => None,
+        }
+    }
+
     pub(super) fn is_draining(&self) -> bool {
         matches!(self.phase, Phase::Draining { .. } | Phase::Closed)
     }
@@ -231,8 +239,10 @@
         let id = self.id();
         self.scan_number = self.scan_number.wrapping_add(1);
         let terms = &self.terms.types[table_type];
-        let (number, gone_at) =
-            (self.scan_number, rules::query_deadline(now, ask.wait_ms, terms.query_timeout_ms));
+        let (number, gone_at) = (
+            self.scan_number,
+            rules::query_deadline(now, ask.wait_ms, terms.query_timeout_ms, self.ends_at()),
+        );
         let work: Option<Vec<f64>> = ask.parts.iter().map(|p| p.work_ms).collect();
         let work_ms = work.map(|w| w.iter().sum());
         let retry = ask.retry;
@@ -386,11 +396,19 @@
                 let (listen_until, until) = rules::drain_times(now, longest);
                 self.enter(Phase::Draining { listen_until, listening: true, until });
                 self.add_due(listen_until, Due::Drained);
+                self.end_queries_by(until);
                 self.hang_up_idle(now, false);
             }
         }
     }
 
+    /// Has queries whose deadline is later answered by then.
+    fn end_queries_by(&mut self, until: f64) {
+        let later = self.scans.iter().filter(|(_, query)| query.deadline_at > until);
+        let later: Vec<u64> = later.map(|(id, _)| *id).collect();
+        later.into_iter().for_each(|id| self.add_due(until, Due::Overdue(id)));
+    }
+
     /// Ends the program once new connections come no more and all that was taken is answered.
     pub(super) fn end_drain(&mut self, now: f64) {
         let Phase::Draining { listen_until, listening, until } = self.phase else { return };
--- a/crates/mixer/src/reducer/rules.rs
+++ b/crates/mixer/src/reducer/rules.rs
@@ -137,9 +137,11 @@
     (now + LISTEN_MS, now + longest_query_timeout_ms.min(LONGEST_MS) + LISTEN_MS)
 }
 
-/// When a query's client gives up: nobody waits for longer than agreed, whatever time is given.
-pub(super) fn query_deadline(now: f64, wait_ms: f64, query_timeout_ms: f64) -> f64 {
-    now + wait_ms.min(query_timeout_ms)
+/// When a query is answered at the latest: nobody waits for longer than agreed, whatever time is given, nor beyond the end of a
+/// mixer that drains.
+pub(super) fn query_deadline(now: f64, wait_ms: f64, query_timeout_ms: f64, ends_at: Option<f64>) -> f64 {
+    let deadline_at = now + wait_ms.min(query_timeout_ms);
+    ends_at.map_or(deadline_at, |ends_at| deadline_at.min(ends_at))
 }
 
 /// Whether a query of so many parts finds room beside what is open.
