KNOWN-RED: attempts go on for a client that left with kilobytes behind its request

Cause: the reader stops at 4 KiB read ahead; whether it has stopped is looked at before the read, and the end of the connection came with that same event, so that no other follows. The same where the room of all buffers is used up. Change: none yet; the test is listed.

--- a/crates/mixer/tests/faults.rs
+++ b/crates/mixer/tests/faults.rs
@@ -134,3 +134,22 @@
     (&client).read_exact(&mut status).expect("an answer before the mixer is killed");
     assert!(status.starts_with(b"HTTP/1.1 50"), "{}", String::from_utf8_lossy(&status));
 }
+
+#[test]
+fn client_that_sends_kilobytes_behind_its_request_and_leaves_gets_no_retry() {
+    let mixer = start(&[Manner::Hangs, Manner::Hangs]);
+    let client = mixer.connect();
+    let request = scan("lookup", 1).replace("Deadline-Ms: 1000", "Deadline-Ms: 2000");
+    // Stopped, the mixer finds the request, what stands behind it and the end all at once.
+    mixer.signal("STOP");
+    write!(&client, "{request}{}", "GET /-/healthy HTTP/1.1\r\n\r\n".repeat(1000)).expect("it takes bytes");
+    client.shutdown(std::net::Shutdown::Write).expect("it can be shut");
+    let left = Instant::now();
+    mixer.signal("CONT");
+    while left.elapsed() < Duration::from_millis(1800) {
+        let frame = mixer.heard.recv_timeout(Duration::from_millis(100));
+        let late = left.elapsed() > Duration::from_millis(200)
+            && frame.is_ok_and(|frame| frame.starts_with("D q1."));
+        assert!(!late, "an attempt begins {:?} after the client left", left.elapsed());
+    }
+}
