Mixer: the end of a client is seen behind bytes that are not read for now

Change: a connection keeps that its client has ended its side and that reading was held back (4 KiB ahead, or no room); where both hold it ends at once, whichever came first.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -46,6 +46,10 @@
     sends: bool,
     /// There may be more to pass over in another turn.
     more: bool,
+    /// Reading has stopped before all that came was read, until the answer that is owed is given.
+    held_back: bool,
+    /// The client has ended its side, which shows behind all that it sent.
+    peer_ended: bool,
     /// A request that has come whole and is told of once it is known whether its client is still there.
     asked: Option<(Ask, bool)>,
     /// It was told that more was read behind the request that is open.
@@ -117,12 +121,10 @@
                         if event.is_writable() {
                             self.flush(conn as u64);
                         }
-                        // Where no more can be read its end shows by this alone.
-                        let full = self.conns.get(&(conn as u64)).is_some_and(|c| c.full());
-                        match full && (event.is_read_closed() || event.is_error()) {
-                            true => self.end(conn as u64),
-                            false => self.read(conn as u64),
+                        if event.is_read_closed() || event.is_error() {
+                            self.peer_ended(conn as u64);
                         }
+                        self.read(conn as u64);
                     }
                 }
             }
@@ -194,6 +196,8 @@
             over: None,
             sends: false,
             more: false,
+            held_back: false,
+            peer_ended: false,
             asked: None,
             told_behind: false,
             hung: false,
@@ -268,9 +272,18 @@
         }
     }
 
+    /// Notes that a client sends no more: its end may stand behind bytes that are not read for now.
+    fn peer_ended(&mut self, conn: u64) {
+        if let Some(held) = self.conns.get_mut(&conn) {
+            held.peer_ended = true;
+        }
+    }
+
     fn read(&mut self, conn: u64) {
         let Some(held) = self.conns.get_mut(&conn) else { return };
-        if !held.read(conn, &self.tell) || held.leaves() {
+        let reads_on = held.read(conn, &self.tell);
+        let gone = held.peer_ended && held.held_back;
+        if !reads_on || gone || held.leaves() {
             self.end(conn);
         } else if std::mem::take(&mut held.more) {
             self.orders.resume(conn);
@@ -290,11 +303,6 @@
 const AHEAD: usize = 4096;
 
 impl Conn {
-    /// Whether no more is read for now.
-    fn full(&self) -> bool {
-        self.shared.owing.load(Ordering::SeqCst) && self.buffer.bytes().len() >= AHEAD
-    }
-
     /// Whether it was hung up on and nothing of it is left: no request, no answer, and none that has begun to come. Once the last
     /// answer is given the client has its time to read it and to close.
     fn leaves(&self) -> bool {
@@ -315,6 +323,7 @@
     /// the connection's end. A request is told of only once nothing more is there to read: guards against sending on
     /// for a client that had left while it waited to be accepted, or for its turn.
     fn read(&mut self, conn: u64, tell: &Tell) -> bool {
+        self.held_back = false;
         loop {
             if self.over.is_none() && self.shared.over.load(Ordering::SeqCst) {
                 self.pass_over(usize::MAX);
@@ -331,6 +340,7 @@
             }
             if waits && self.buffer.bytes().len() >= AHEAD {
                 if !self.ask(conn, tell) {
+                    self.held_back = true;
                     return true;
                 }
                 continue; // who answers has to know that more waits
@@ -352,6 +362,7 @@
                         continue;
                     }
                     if waits {
+                        self.held_back = true;
                         return true;
                     }
                     let ask = Ask::Unusable(503, "no room for so long a request".to_owned());
