Mixer: signals that come while the port is held are heard once it listens

Change: listen() hands back the signals that it met; the signals' thread takes them first. Measured: the new place is asked (test failed before); the tests of starts pass.

--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -33,17 +33,22 @@
 const HELD: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Listens there, once the port is free. Asked to end meanwhile, it does.
-fn listen(at: SocketAddr, signals: &mut Signals) -> Result<TcpListener> {
+/// Listens there, once the port is free, and says which signals came meanwhile. Asked to end, it does.
+fn listen(at: SocketAddr, signals: &mut Signals) -> Result<(TcpListener, Vec<i32>)> {
     let since = Instant::now();
+    let mut missed = Vec::new();
     loop {
         match TcpListener::bind(at) {
             Err(error) if error.kind() == ErrorKind::AddrInUse && since.elapsed() < HELD => {
-                let ends = |signal| matches!(signal, SIGTERM | SIGINT);
-                ensure!(!signals.pending().any(ends), "asked to end while listen={at} was held by another");
+                missed.extend(signals.pending());
+                let ends = |signal: &i32| matches!(*signal, SIGTERM | SIGINT);
+                ensure!(!missed.iter().any(ends), "asked to end while listen={at} was held by another");
                 std::thread::sleep(LOOK);
             }
-            bound => return bound.with_context(|| format!("listen={at}")),
+            bound => {
+                let listener = bound.with_context(|| format!("listen={at}"))?;
+                return Ok((listener, missed));
+            }
         }
     }
 }
@@ -127,7 +132,7 @@
         let first = Watch { number: 0, at: start.discovery, index };
         let (told, counted) = (tell.clone(), watches.clone());
         spawn("discovery", STACK, move || first.run(&counted, &told))?;
-        let listener = listen(start.listen.into(), &mut signals)?;
+        let (listener, missed) = listen(start.listen.into(), &mut signals)?;
         let (at, places) = (local(&listener)?, reducer.client_places());
         let (ours, room) = (Room::of(start.memory / BUFFERS), Room::of(start.memory / BUFFERS));
         let clients =
@@ -148,7 +153,7 @@
         info!("{} listens on {at}", start.name);
         let told = tell.clone();
         spawn("signals", STACK, move || {
-            for signal in signals.forever() {
+            for signal in missed.into_iter().chain(signals.forever()) {
                 told.say(match signal {
                     SIGUSR1 => Input::Report,
                     SIGHUP => {
