KNOWN-RED: a call that waits for its link goes to where its searcher was

Cause: entry() closes the idle links of a searcher that moves; one that is still coming up keeps its queue and is flushed to the old address. Change: none yet; the test is listed.

--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -722,3 +722,19 @@
     assert_eq!(sizes[0], sizes[3]);
     assert_snapshot!(format!("{:?}", sizes[3]));
 }
+
+#[test]
+fn call_that_waits_for_a_link_is_not_sent_to_where_its_searcher_was() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "once", "q1", 1);
+    let link = rig.last_link();
+    let mut moved = entry(1, Life::Ready, 0.0);
+    moved.addr.set_port(81);
+    rig.list(false, vec![moved]);
+    rig.tell(Input::LinkUp { link });
+    // Whoever listens at the old address now may hold other shards.
+    assert!(!rig.trace.contains(&format!("link {link}: Dq1.0")), "{}", rig.trace);
+    let further = rig.last_link();
+    rig.tell(Input::LinkUp { link: further });
+    assert!(rig.trace.contains(&format!("link {further}: Dq1.0")), "{}", rig.trace);
+}
