Mixer: a call is sent only on a link that leads to where its searcher is

Change: rules::may_send holds the link's address against the searcher's; refused calls end unsent (sends_refused_searcher_moved) and go out on a new link.

--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -75,6 +75,7 @@
     sends_refused_window_passed,
     sends_refused_attempts_used_up,
     sends_refused_searcher_not_ready,
+    sends_refused_searcher_moved,
     ended_ok,
     ended_error,
     ended_full,
--- a/crates/mixer/src/reducer/attempts.rs
+++ b/crates/mixer/src/reducer/attempts.rs
@@ -112,7 +112,7 @@
         let waiting: Vec<AttemptId> = attempt_ids.into_iter().filter(waits).collect();
         let mut sent = Vec::new();
         for attempt_id in waiting {
-            match self.may_send(now, attempt_id) {
+            match self.may_send(now, link, attempt_id) {
                 Ok(()) => {
                     self.hand_over(now, link, attempt_id);
                     sent.push(attempt_id);
@@ -130,11 +130,11 @@
         (!pieces.is_empty()).then(|| frame::call(&pieces))
     }
 
-    fn may_send(&self, now: f64, attempt_id: AttemptId) -> Result<(), SendRefusal> {
+    fn may_send(&self, now: f64, link: u64, attempt_id: AttemptId) -> Result<(), SendRefusal> {
         let attempt = self.attempts.get(&attempt_id).ok_or(SendRefusal::QueryOver)?;
-        let part = self.parts.get(&attempt_id.0);
-        let allowed = self.terms.permits.dispatches;
-        rules::may_send(part, attempt_id.1, allowed, self.srvs.get(&attempt.srv), now)
+        let link = self.links.get(&link).ok_or(SendRefusal::SearcherNotReady)?;
+        let (part, searcher) = (self.parts.get(&attempt_id.0), self.srvs.get(&attempt.srv));
+        rules::may_send(part, attempt_id.1, self.terms.permits.dispatches, searcher, link, now)
     }
 
     /// Notes that an attempt goes out with the next frame of a link.
@@ -162,6 +162,7 @@
             SendRefusal::WindowPassed => &mut self.counters.sends_refused_window_passed,
             SendRefusal::AttemptsUsedUp => &mut self.counters.sends_refused_attempts_used_up,
             SendRefusal::SearcherNotReady => &mut self.counters.sends_refused_searcher_not_ready,
+            SendRefusal::SearcherMoved => &mut self.counters.sends_refused_searcher_moved,
         };
         *count += 1;
         let name = self.attempts.get(&attempt_id).map_or_else(|| "?".into(), |a| a.name.clone());
--- a/crates/mixer/src/reducer/rules.rs
+++ b/crates/mixer/src/reducer/rules.rs
@@ -35,6 +35,8 @@
     AttemptsUsedUp,
     /// The searcher drains or is gone.
     SearcherNotReady,
+    /// The link leads to where the searcher was.
+    SearcherMoved,
 }
 
 impl fmt::Display for SendRefusal {
@@ -46,6 +48,7 @@
             Self::WindowPassed => "the window for repeats is over",
             Self::AttemptsUsedUp => "no further attempt is allowed",
             Self::SearcherNotReady => "the searcher takes nothing new",
+            Self::SearcherMoved => "the searcher has moved",
         })
     }
 }
@@ -57,12 +60,13 @@
     }
 }
 
-/// Whether the attempt with this number of a part may be sent to a searcher now, its first byte as well as the rest.
+/// Whether the attempt with this number of a part may be sent to a searcher on a link now, its first byte as well as the rest.
 pub(super) fn may_send(
     part: Option<&Part>,
     number: u8,
     allowed: u32,
     searcher: Option<&Searcher>,
+    link: &Link,
     now: f64,
 ) -> Result<(), SendRefusal> {
     let part = part.ok_or(SendRefusal::QueryOver)?;
@@ -78,8 +82,9 @@
     if part.may_have_run > 0 && now >= part.repeat_until {
         return Err(SendRefusal::WindowPassed);
     }
-    if searcher.is_none_or(|s| s.life != Life::Ready) {
-        return Err(SendRefusal::SearcherNotReady);
+    let searcher = searcher.filter(|s| s.life == Life::Ready).ok_or(SendRefusal::SearcherNotReady)?;
+    if searcher.addr != link.addr {
+        return Err(SendRefusal::SearcherMoved);
     }
     Ok(())
 }
