--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -219,7 +219,9 @@
             inputs.into_iter().map(|(at, input)| (self.rank(&input), at, input)).collect();
         ranked.sort_by_key(|i| i.0); // stable: within a rank the order of their coming
         for (_, at, input) in ranked {
-            self.take(at.min(now), input);
+            // What waits for a link goes out now, however long ago the link came up.
+            let at = if matches!(input, Input::LinkUp { .. }) { now } else { at.min(now) };
+            self.take(at, input);
         }
         let mut overdue = Vec::new();
         while self.due.first().is_some_and(|d| f64::from_bits(d.0) <= now)
