Mixer: a client whose end is known has nothing asked for it

Change: once the event says that a client has ended its side, an open query ends at once and nothing further of it is taken up (what it sent is read and passed over, so that its last answer is not reset); a connection just accepted with over 4 KiB looks once more before it tells; orders to read on come after what has happened on connections.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -44,11 +44,11 @@
     over: Option<usize>,
     /// It was told of that more came after the last answer.
     sends: bool,
-    /// There may be more to pass over in another turn.
+    /// There may be more to read in another turn.
     more: bool,
-    /// Reading has stopped before all that came was read, until the answer that is owed is given.
-    held_back: bool,
-    /// The client has ended its side, which shows behind all that it sent.
+    /// Just accepted: whether it has ended already shows in the next turn.
+    fresh: bool,
+    /// The client has ended its side: it has gone, whatever it sent before.
     peer_ended: bool,
     /// A request that has come whole and is told of once it is known whether its client is still there.
     asked: Option<(Ask, bool)>,
@@ -113,10 +113,11 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 other => other?,
             }
+            let mut ordered = false;
             for event in &events {
                 match event.token() {
                     LISTENER => self.accept(),
-                    ORDERS => self.obey(),
+                    ORDERS => ordered = true,
                     Token(conn) => {
                         if event.is_writable() {
                             self.flush(conn as u64);
@@ -128,6 +129,10 @@
                     }
                 }
             }
+            // After what has happened on connections: an order to read on tells of no request whose client has gone.
+            if ordered {
+                self.obey();
+            }
             let paused = self.pause.is_some_and(|until| until <= Instant::now());
             if paused {
                 self.pause = None;
@@ -196,7 +201,7 @@
             over: None,
             sends: false,
             more: false,
-            held_back: false,
+            fresh: true,
             peer_ended: false,
             asked: None,
             told_behind: false,
@@ -272,7 +277,6 @@
         }
     }
 
-    /// Notes that a client sends no more: its end may stand behind bytes that are not read for now.
     fn peer_ended(&mut self, conn: u64) {
         if let Some(held) = self.conns.get_mut(&conn) {
             held.peer_ended = true;
@@ -281,9 +285,7 @@
 
     fn read(&mut self, conn: u64) {
         let Some(held) = self.conns.get_mut(&conn) else { return };
-        let reads_on = held.read(conn, &self.tell);
-        let gone = held.peer_ended && held.held_back;
-        if !reads_on || gone || held.leaves() {
+        if !held.read(conn, &self.tell) || held.leaves() {
             self.end(conn);
         } else if std::mem::take(&mut held.more) {
             self.orders.resume(conn);
@@ -323,7 +325,15 @@
     /// the connection's end. A request is told of only once nothing more is there to read: guards against sending on
     /// for a client that had left while it waited to be accepted, or for its turn.
     fn read(&mut self, conn: u64, tell: &Tell) -> bool {
-        self.held_back = false;
+        let fresh = std::mem::take(&mut self.fresh);
+        if self.peer_ended {
+            if self.shared.owing.load(Ordering::SeqCst) {
+                return false;
+            }
+            // What it sent is read all the same: a close over unread bytes would reset what it may still read.
+            self.asked = None;
+            self.pass_over(usize::MAX);
+        }
         loop {
             if self.over.is_none() && self.shared.over.load(Ordering::SeqCst) {
                 self.pass_over(usize::MAX);
@@ -339,8 +349,11 @@
                 continue;
             }
             if waits && self.buffer.bytes().len() >= AHEAD {
+                if fresh {
+                    self.more = true;
+                    return true;
+                }
                 if !self.ask(conn, tell) {
-                    self.held_back = true;
                     return true;
                 }
                 continue; // who answers has to know that more waits
@@ -362,7 +375,6 @@
                         continue;
                     }
                     if waits {
-                        self.held_back = true;
                         return true;
                     }
                     let ask = Ask::Unusable(503, "no room for so long a request".to_owned());
