Soak: tests of the judge, and the restart while searchers hang is back

Cause: the judge's checks had no test of their own; the run of a restart left its file while it found faults. Change: five tests over events made by hand; the run as it was written.

--- a/crates/mixer/tests/soak.rs
+++ b/crates/mixer/tests/soak.rs
@@ -6,6 +6,7 @@
 
 use pewterwharf_soak::judge::Verdict;
 use pewterwharf_soak::run::{Options, play};
+use pewterwharf_soak::trouble::Trouble;
 
 /// What leads this program to [`role`] when it is started anew.
 const ROLE: [&str; 2] = ["role", "--exact"];
@@ -66,3 +67,15 @@
     assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
     assert!(verdict.served * 10 > verdict.requests * 8, "{} of {} served", verdict.served, verdict.requests);
 }
+#[test]
+fn restart_while_searchers_hang_keeps_every_promise() {
+    let troubles = vec![
+        (500, Trouble::SearcherPaused { searcher: 0, ms: 2500 }),
+        (600, Trouble::SearcherPaused { searcher: 5, ms: 2500 }),
+        (800, Trouble::MixerEnds { mixer: 0, front_ms: 300 }),
+        (900, Trouble::AgentDown { mixer: 0, ms: 600 }),
+    ];
+    let restart = Options { troubles: Some(troubles), ..options("restart", 2, 4) };
+    let verdict = soak(&restart);
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
+}
--- /dev/null
+++ b/crates/soak/tests/judge.rs
@@ -0,0 +1,122 @@
+//! Each check of the judge finds what it is for, and nothing in a run that is well.
+
+use pewterwharf_soak::judge::{Verdict, judge};
+use pewterwharf_soak::record::{ConnectionEnd, Event, Status};
+
+const ID: &str = "m0-000001";
+const PART: &str = "m0-000001.3";
+
+fn sent(class: &str) -> Event {
+    sent_behind(ID, class, None)
+}
+
+fn sent_behind(id: &str, class: &str, behind: Option<&str>) -> Event {
+    let (id, class, behind) = (id.to_owned(), class.to_owned(), behind.map(str::to_owned));
+    Event::Sent { at: 1000.0, id, mixer: 0, class, deadline_ms: 500.0, fresh: true, behind }
+}
+
+fn answered(at: f64, status: u16) -> Event {
+    Event::Answered { at, id: ID.to_owned(), status, exact: status == 200, weight: 1.0, sound: true }
+}
+
+fn attempt(at: f64, told_ms: f64) -> Event {
+    let (part, searcher) = (PART.to_owned(), "s0a".to_owned());
+    Event::Attempt { at, whole_at: at, part, searcher, told_ms, holds: true }
+}
+
+fn ran(at: f64) -> Event {
+    Event::Ran { at, part: PART.to_owned(), searcher: "s0a".to_owned() }
+}
+
+fn ended(id: &str, at: f64) -> Event {
+    Event::ConnectionEnded { at, id: id.to_owned(), how: ConnectionEnd::Closed, partly: false }
+}
+
+fn rules(events: &[Event]) -> Vec<&'static str> {
+    let Verdict { violations, .. } = judge(events);
+    violations.into_iter().map(|violation| violation.rule).collect()
+}
+
+#[test]
+fn request_that_is_served_in_time_breaks_nothing() {
+    let events = [sent("entry"), attempt(1001.0, 480.0), ran(1010.0), answered(1020.0, 200)];
+    assert!(rules(&events).is_empty());
+}
+
+#[test]
+fn lost_and_late_answers_are_found() {
+    assert_eq!(rules(&[sent("lookup"), answered(2300.0, 503)]), ["L1"], "late");
+    assert_eq!(rules(&[sent("lookup"), Event::Silent { at: 3000.0, id: ID.to_owned() }]), ["L1"], "silent");
+    assert_eq!(rules(&[sent("lookup"), ended(ID, 1100.0)]), ["L2"], "a new connection");
+    assert_eq!(rules(&[sent("lookup"), attempt(1001.0, 480.0), ended(ID, 1100.0)]), ["L2"], "forwarded");
+    let behind = "m0-000002";
+    let events = [
+        sent("lookup"),
+        sent_behind(behind, "lookup", Some(ID)),
+        answered(1010.0, 200),
+        ended(behind, 1100.0),
+    ];
+    assert_eq!(rules(&events), ["L2"], "read behind another");
+    let killed = Event::Signalled { at: 1050.0, mixer: 0, signal: "KILL".to_owned() };
+    assert!(rules(&[sent("lookup"), killed, ended(ID, 1100.0)]).is_empty(), "killed by the run");
+    let killed = Event::Signalled { at: 1050.0, mixer: 0, signal: "KILL after TERM".to_owned() };
+    assert_eq!(
+        rules(&[sent("lookup"), killed, ended(ID, 1100.0)]),
+        ["L2"],
+        "open as it was killed in the end"
+    );
+}
+
+#[test]
+fn attempts_at_the_wrong_time_or_place_are_found() {
+    let closed = Event::ClientClosed { at: 1100.0, id: ID.to_owned() };
+    assert_eq!(rules(&[sent("lookup"), closed, attempt(1400.0, 50.0)]), ["L3"]);
+    let drains = vec![("s0a".to_owned(), Status::Draining)];
+    let held = Event::Held { at: 500.0, mixer: 0, index: 7, searchers: drains };
+    let told = Event::Told { at: 510.0, mixer: 0, index: 7 };
+    assert_eq!(rules(&[held.clone(), told, sent("lookup"), attempt(1001.0, 480.0)]), ["R1"], "told");
+    assert!(rules(&[held, sent("lookup"), attempt(1001.0, 480.0)]).is_empty(), "not told within 6 s");
+    let fresh = Event::Sent {
+        at: 1000.0,
+        id: ID.to_owned(),
+        mixer: 0,
+        class: "lookup".to_owned(),
+        deadline_ms: 500.0,
+        fresh: false,
+        behind: None,
+    };
+    assert_eq!(rules(&[fresh, attempt(1200.0, 600.0)]), ["T1"]);
+    let stray = Event::Attempt {
+        at: 1001.0,
+        whole_at: 1001.0,
+        part: PART.to_owned(),
+        searcher: "s0a".to_owned(),
+        told_ms: 400.0,
+        holds: false,
+    };
+    assert_eq!(rules(&[sent("lookup"), stray]), ["R4"]);
+}
+
+#[test]
+fn effects_that_happen_twice_are_found() {
+    let twice = [attempt(1001.0, 480.0), ran(1010.0), attempt(1600.0, 300.0), ran(1610.0)];
+    let of = |class: &str| rules(&[vec![sent(class)], twice.to_vec()].concat());
+    assert_eq!(of("entry"), ["D1"]);
+    assert_eq!(of("order"), ["D1"], "past its window");
+    assert!(of("lookup").is_empty());
+    assert_eq!(rules(&[sent("entry"), ran(1010.0), answered(1020.0, 503)]), ["A1"]);
+}
+
+#[test]
+fn what_a_mixer_itself_does_wrong_is_found() {
+    let crash = Event::Exited { at: 1000.0, mixer: 0, status: Some(101), expected: false };
+    let counter = Event::Counter { at: 1000.0, mixer: 0, name: "violations_send".to_owned(), value: 1 };
+    let held = Event::Resources { at: 1000.0, mixer: 0, descriptors: 300, threads: 6, peak_kb: 9000 };
+    let stopped = Event::Abandoned { at: 9000.0, mixer: 0, ended_after_ms: None };
+    let unasked = Event::Unasked { at: 1000.0, mixer: 0, line: "HTTP/1.1 408 Request Timeout".to_owned() };
+    for (event, rule) in [(crash, "S1"), (counter, "S1"), (held, "S3"), (stopped, "C1"), (unasked, "C1")] {
+        assert_eq!(rules(&[event]), [rule]);
+    }
+    let late = [Event::Started { at: 0.0, mixer: 0 }, Event::Ready { at: 11_000.0, mixer: 0 }];
+    assert_eq!(rules(&late), ["S2"]);
+}
