Soak: one run at a time in a process, and drains told while a mixer stands still

Cause: three tests of one process took the same ports; two of three runs of the file failed for it (not all mixers came up, parts that nobody requested). Change: a lock around a run; a third run with twelve drains told during pauses of 0.7 s.

--- a/crates/mixer/tests/soak.rs
+++ b/crates/mixer/tests/soak.rs
@@ -79,3 +79,21 @@
     let verdict = soak(&restart);
     assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
 }
+
+#[test]
+fn drains_while_a_mixer_stands_still_keep_every_promise() {
+    let mut troubles = Vec::new();
+    for round in 0..3 {
+        let at = 500 + 1500 * round;
+        let (mixer, searcher) = (round as usize, 4 * round as usize);
+        troubles.push((at, Trouble::MixerPaused { mixer, ms: 700 }));
+        for nth in 0..4 {
+            let searcher = (searcher + nth) % 12;
+            troubles
+                .push((at + 60 + 30 * nth as u64, Trouble::SearcherReplaced { searcher, drains_ms: 1200 }));
+        }
+    }
+    let drains = Options { troubles: Some(troubles), ..options("drains", 3, 6) };
+    let verdict = soak(&drains);
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One run: starts all processes, carries out the faults of its seed, ends in order, and hands its events to the judge.
 
 use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use anyhow::{Context, Result, ensure};
@@ -29,6 +30,8 @@
 const SETTLE_MS: u64 = 3500;
 const TICK: Duration = Duration::from_millis(2);
 
+static ALONE: Mutex<()> = Mutex::new(());
+
 /// What is played.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -134,6 +137,8 @@
 /// # Errors
 /// If the run itself could not be played: a file, a port or a process was not to be had.
 pub fn play(options: &Options) -> Result<Verdict> {
+    // One at a time in a process: they share its ports, and each wants the machine.
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
     if options.folder.exists() {
         std::fs::remove_dir_all(&options.folder)?;
     }
