Soak: hand-overs, where a process starts while the one before still ends

Cause: runs started the next process only after the exit, so that a held port, a reload and an old process that still serves never met.

--- a/crates/mixer/tests/faults.rs
+++ b/crates/mixer/tests/faults.rs
@@ -100,7 +100,7 @@
 
 #[test]
 fn requests_read_behind_another_are_answered_though_the_mixer_drains() {
-    let mut mixer = start(&[Manner::Works(200)]);
+    let mixer = start(&[Manner::Works(200)]);
     let client = mixer.connect();
     let named = |id: &str| scan("entry", 1).replace("q1", id);
     write!(&client, "{}{}{}", named("q1"), named("q2"), named("q3")).expect("it takes bytes");
--- a/crates/mixer/tests/soak.rs
+++ b/crates/mixer/tests/soak.rs
@@ -97,3 +97,18 @@
     let verdict = soak(&drains);
     assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
 }
+
+#[test]
+fn hand_over_with_a_reload_keeps_every_promise() {
+    let troubles = vec![
+        (500, Trouble::AgentSilent { mixer: 1, ms: 1500 }),
+        (700, Trouble::MixerHandsOver { mixer: 1, after_ms: 300 }),
+        (1100, Trouble::MixerReloads { mixer: 1, signals: 3 }),
+        (1200, Trouble::SearcherReplaced { searcher: 3, drains_ms: 800 }),
+        (2400, Trouble::MixerHandsOver { mixer: 2, after_ms: 600 }),
+        (2500, Trouble::SearcherPaused { searcher: 2, ms: 1500 }),
+    ];
+    let hand_over = Options { troubles: Some(troubles), ..options("hand-over", 4, 6) };
+    let verdict = soak(&hand_over);
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -70,6 +70,8 @@
     places: [std::net::SocketAddr; 2],
     place: usize,
     process: Option<MixerProcess>,
+    /// A process that ends beside the one that has taken over, and when it is killed.
+    before: Option<(MixerProcess, f64)>,
     processes: u32,
     /// Asked to end, and when it is killed if it has not.
     ends_by: Option<f64>,
@@ -107,6 +109,7 @@
     Begin(Trouble),
     FrontOff(usize),
     StartMixer(usize),
+    TakeOver(usize),
     Resume(usize),
     ResumeSearcher(usize),
     StartSearcher(usize),
@@ -191,6 +194,7 @@
                 places,
                 place: 0,
                 process: None,
+                before: None,
                 processes: 0,
                 ends_by: None,
                 ready: false,
@@ -236,6 +240,7 @@
     /// Notes that a mixer is ready or has ended, kills one that takes too long over its end, and starts the next process.
     fn look_at(&mut self, number: usize) -> Result<()> {
         let now = now_ms();
+        self.look_at_the_one_before(number)?;
         let mixer = &mut self.mixers[number];
         let Some(process) = &mut mixer.process else { return Ok(()) };
         if let Some(status) = process.child.try_wait()? {
@@ -271,6 +276,39 @@
         Ok(())
     }
 
+    /// The same for a process whose successor runs already.
+    fn look_at_the_one_before(&mut self, number: usize) -> Result<()> {
+        let now = now_ms();
+        let Some((process, ends_by)) = &mut self.mixers[number].before else { return Ok(()) };
+        if let Some(status) = process.child.try_wait()? {
+            let status = status.code();
+            self.recorder.record(&Event::Exited { at: now, mixer: number, status, expected: true });
+            std::thread::sleep(Duration::from_millis(10));
+            record_counters(&self.recorder, number, &process.log.counters());
+            self.mixers[number].before = None;
+        } else if *ends_by <= now {
+            self.recorder.record(&Event::Signalled {
+                at: now,
+                mixer: number,
+                signal: "KILL after TERM".to_owned(),
+            });
+            signal(&process.child, Signal::KILL);
+            *ends_by = f64::INFINITY;
+        }
+        Ok(())
+    }
+
+    /// Starts the next process of a mixer beside the one that ends.
+    fn take_over(&mut self, number: usize) -> Result<()> {
+        let mixer = &mut self.mixers[number];
+        mixer.clients.tell(&ClientsOrder::Front(false));
+        if let (Some(process), Some(ends_by)) = (mixer.process.take(), mixer.ends_by) {
+            mixer.before = Some((process, ends_by));
+            self.start_mixer(number)?;
+        }
+        Ok(())
+    }
+
     fn start_mixer(&mut self, number: usize) -> Result<()> {
         self.write_config(number)?;
         let mixer = &mut self.mixers[number];
@@ -345,7 +383,9 @@
         match due {
             Due::Begin(trouble) => self.begin(trouble)?,
             Due::FrontOff(mixer) => self.mixers[mixer].clients.tell(&ClientsOrder::Front(false)),
+            Due::StartMixer(mixer) if self.mixers[mixer].process.is_some() => {}
             Due::StartMixer(mixer) => self.start_mixer(mixer)?,
+            Due::TakeOver(mixer) => self.take_over(mixer)?,
             Due::Resume(mixer) => self.signal_mixer(mixer, Signal::CONT, "CONT"),
             Due::ResumeSearcher(searcher) => {
                 if let Some(process) = &self.searchers[searcher].process {
@@ -391,13 +431,19 @@
         }
     }
 
+    /// Whether a mixer runs that has not been asked to end, and none ends beside it.
+    fn may_end(&self, number: usize) -> bool {
+        let mixer = &self.mixers[number];
+        mixer.process.is_some() && mixer.ends_by.is_none() && mixer.before.is_none()
+    }
+
     fn begin(&mut self, trouble: Trouble) -> Result<()> {
         let now = now_ms();
         let lasts = |ms: u64| now + ms as f64;
         let note = |until: f64| Event::Trouble { at: now, until, what: format!("{trouble:?}") };
         match trouble {
             Trouble::MixerEnds { mixer, front_ms } => {
-                if self.mixers[mixer].process.is_none() || self.mixers[mixer].ends_by.is_some() {
+                if !self.may_end(mixer) {
                     return Ok(());
                 }
                 self.recorder.record(&note(now));
@@ -405,8 +451,17 @@
                 self.mixers[mixer].ends_by = Some(now + LONGEST_MS + KILLED_AFTER_MS);
                 self.later(front_ms, Due::FrontOff(mixer));
             }
+            Trouble::MixerHandsOver { mixer, after_ms } => {
+                if !self.may_end(mixer) {
+                    return Ok(());
+                }
+                self.recorder.record(&note(now));
+                self.signal_mixer(mixer, Signal::TERM, "TERM");
+                self.mixers[mixer].ends_by = Some(now + LONGEST_MS + KILLED_AFTER_MS);
+                self.later(after_ms, Due::TakeOver(mixer));
+            }
             Trouble::MixerKilled { mixer } => {
-                if self.mixers[mixer].ends_by.is_some() {
+                if !self.may_end(mixer) {
                     return Ok(());
                 }
                 self.recorder.record(&note(now));
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -12,6 +12,11 @@
         mixer: usize,
         front_ms: u64,
     },
+    /// As the one before, with the new process started so long after the SIGTERM, whether the old one has ended or not.
+    MixerHandsOver {
+        mixer: usize,
+        after_ms: u64,
+    },
     /// SIGKILL, then a new process.
     MixerKilled {
         mixer: usize,
@@ -138,7 +143,8 @@
     ];
     let passings = [Passing::Stalled, Passing::Chopped, Passing::Cut, Passing::Refuses];
     match below(26) {
-        0..4 => Trouble::MixerEnds { mixer, front_ms: 200 + below(200) },
+        0..3 => Trouble::MixerEnds { mixer, front_ms: 200 + below(200) },
+        3 => Trouble::MixerHandsOver { mixer, after_ms: 300 + below(700) },
         4 => Trouble::MixerKilled { mixer },
         5 | 6 => Trouble::MixerPaused { mixer, ms: 50 + below(100) },
         7 => Trouble::MixerPaused { mixer, ms: 300 + below(500) },
