Mixer: what was read behind a request is told before it, and answered for a bounded time

Change: the reader tells of what is behind first; while draining it is answered for half of the drain's time, for a client that was hung up on for 1 s.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -450,8 +450,9 @@
         let Some((ask, close)) = self.asked.take() else { return false };
         self.shared.owing.store(true, Ordering::SeqCst);
         self.told_behind = false;
-        tell.say(Input::Asked { conn, ask, close });
+        // First, as it may be answered at once.
         self.tell_behind(conn, tell);
+        tell.say(Input::Asked { conn, ask, close });
         true
     }
 
--- a/crates/mixer/src/inputs.rs
+++ b/crates/mixer/src/inputs.rs
@@ -21,7 +21,7 @@
         ask: Ask,
         close: bool,
     },
-    /// More was read behind the request that is open.
+    /// More was read behind the request that is open, or told of next.
     SentBehind {
         conn: u64,
     },
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -118,6 +118,7 @@
             return;
         }
         client.hung = true;
+        client.hung_until.get_or_insert(rules::serves_behind_until(now));
         debug!("client {conn} is hung up on: {reason}");
         let count = match reason {
             ClientCloseReason::Room => &mut self.counters.clients_closed_for_room,
@@ -165,7 +166,6 @@
         let open = |c: &&mut Client| c.standing != ClientStanding::Over && c.scan.is_none();
         let Some(client) = self.clients.get_mut(&conn).filter(open) else { return };
         client.close |= close;
-        client.sent_behind = false;
         client.awaits_answer = true;
         client.faults += 1; // unless it turns out to be none
         match ask {
@@ -330,11 +330,18 @@
     }
 
     fn answer(&mut self, now: f64, conn: u64, status: u16, back_in_ms: Option<f64>, body: &[u8]) {
-        let draining = self.is_draining();
+        let drain_serves_until = match self.phase {
+            Phase::Draining { listen_until, until, .. } => {
+                Some(rules::drain_serves_behind_until(listen_until, until))
+            }
+            Phase::Closed => Some(now),
+            Phase::Opening | Phase::Ready => None,
+        };
         let Some(client) = self.clients.get_mut(&conn) else { return };
         let awaited = std::mem::take(&mut client.awaits_answer);
+        let last = rules::is_last_answer(client, drain_serves_until, now);
+        client.sent_behind = false;
         (client.scan, client.since, client.standing) = (None, now, ClientStanding::Resting);
-        let last = rules::is_last_answer(client, draining);
         let bytes = http::answer(status, back_in_ms, body, last);
         self.effects.push(Effect::Answer { conn, bytes, last });
         if last {
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -79,10 +79,12 @@
     pub(super) awaits_answer: bool,
     /// The connection ends with the answer that is owed, whatever was sent behind its request.
     pub(super) close: bool,
-    /// More was read behind the request that is open.
+    /// More was read behind the request whose answer comes next.
     pub(super) sent_behind: bool,
     /// Told to send no more; what it had sent is still answered.
     pub(super) hung: bool,
+    /// Then, until when what was read behind its request is answered.
+    pub(super) hung_until: Option<f64>,
     /// It has not taken its answer whole yet.
     pub(super) slow: bool,
     /// It still sent after its last answer: ending over bytes that are not read would reset it before it has read that.
@@ -104,6 +106,7 @@
             close: false,
             sent_behind: false,
             hung: false,
+            hung_until: None,
             slow: false,
             sends: false,
             since: now,
--- a/crates/mixer/src/reducer/rules.rs
+++ b/crates/mixer/src/reducer/rules.rs
@@ -130,10 +130,29 @@
     }
 }
 
-/// Whether an answer to a client ends its connection. While draining, or once hung up on, one whose further requests were read
-/// already has them answered first.
-pub(super) fn is_last_answer(client: &Client, draining: bool) -> bool {
-    client.close || (draining || client.hung) && !client.sent_behind
+/// Once hung up on, a client has what was read behind its request answered for so long: several slow ones, and no flood for ever.
+const BEHIND_MS: f64 = 1000.0;
+
+/// Until when a client that is hung up on at `now` has what was read behind its request answered.
+pub(super) fn serves_behind_until(now: f64) -> f64 {
+    now + BEHIND_MS
+}
+
+/// The same for the clients of a draining mixer: half of the time up to its end; the rest is for them to read it.
+pub(super) fn drain_serves_behind_until(listen_until: f64, until: f64) -> f64 {
+    let began = listen_until - LISTEN_MS;
+    began + (until - began) / 2.0
+}
+
+/// Whether an answer to a client ends its connection. While draining (then until when what was read behind is answered is given),
+/// or once hung up on, one whose further requests were read already has them answered first, for a while.
+pub(super) fn is_last_answer(client: &Client, drain_serves_until: Option<f64>, now: f64) -> bool {
+    let serves_until = match (drain_serves_until, client.hung_until) {
+        (Some(drain), Some(hung)) => drain.min(hung),
+        (Some(until), None) | (None, Some(until)) => until,
+        (None, None) => return client.close,
+    };
+    client.close || !client.sent_behind || now >= serves_until
 }
 
 /// When the end of a mixer asked to end at `now` begins and is over at the latest: until when new connections are served, and by
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -10,7 +10,7 @@
 use std::thread::{self, Builder};
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, bail};
 use rustix::process::{Pid, Signal, kill_process};
 use serde::Serialize;
 
@@ -23,13 +23,27 @@
 const PORTS_OF_A_RUN: u16 = 200;
 const PLACES: u16 = 100;
 
-/// Ports that stay free while their listeners are away: the system gives none of them to connections.
-pub struct Ports(u16);
+/// Ports that stay free while their listeners are away: the system gives none of them to connections, and no other run takes them.
+pub struct Ports {
+    next: u16,
+    /// Holds the first port of the range, as a sign to other runs.
+    _reserved: TcpListener,
+}
 
 impl Ports {
-    /// Ports of this process's own.
-    pub fn new() -> Self {
-        Self(FIRST_PORT + (std::process::id() as u16 % PLACES) * PORTS_OF_A_RUN)
+    /// A range that no other run holds.
+    ///
+    /// # Errors
+    /// If all are held.
+    pub fn reserve() -> Result<Self> {
+        let from = std::process::id() % u32::from(PLACES);
+        let places = (0..u32::from(PLACES)).map(|n| ((from + n) % u32::from(PLACES)) as u16);
+        for first in places.map(|place| FIRST_PORT + place * PORTS_OF_A_RUN) {
+            if let Ok(reserved) = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], first))) {
+                return Ok(Self { next: first, _reserved: reserved });
+            }
+        }
+        bail!("other runs hold all ports")
     }
 
     /// The next that nobody listens on.
@@ -38,8 +52,8 @@
     /// If none is left.
     pub fn next_free(&mut self) -> Result<SocketAddr> {
         loop {
-            self.0 = self.0.checked_add(1).context("no port is left")?;
-            let at = SocketAddr::from(([127, 0, 0, 1], self.0));
+            self.next = self.next.checked_add(1).context("no port is left")?;
+            let at = SocketAddr::from(([127, 0, 0, 1], self.next));
             if TcpListener::bind(at).is_ok() {
                 return Ok(at);
             }
@@ -47,12 +61,6 @@
     }
 }
 
-impl Default for Ports {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// Sends a signal to a process that may have ended.
 pub fn signal(child: &Child, signal: Signal) {
     if let Some(pid) = Pid::from_raw(child.id() as i32) {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -126,6 +126,8 @@
     mixers: Vec<Mixer>,
     searchers: Vec<Searcher>,
     proxies: Vec<Helper>,
+    /// Held for as long as the run.
+    _ports: Ports,
     due: Vec<(f64, Due)>,
 }
 
@@ -169,7 +171,7 @@
 
 impl<'a> Run<'a> {
     fn start(options: &'a Options) -> Result<Self> {
-        let mut ports = Ports::new();
+        let mut ports = Ports::reserve()?;
         let folder = options.folder.to_string_lossy().into_owned();
         let searchers = (0..options.sizes.searchers)
             .map(|n| searcher_place(n, &mut ports))
@@ -203,7 +205,7 @@
             });
         }
         let recorder = Recorder::create(&options.folder.join("runner.jsonl"))?;
-        let mut run = Self { options, recorder, mixers, searchers, proxies, due: Vec::new() };
+        let mut run = Self { options, recorder, mixers, searchers, proxies, _ports: ports, due: Vec::new() };
         for searcher in 0..run.searchers.len() {
             run.start_searcher(searcher)?;
         }
