Mixer: a configuration that is still being written at SIGHUP is read until it is whole

Change: signals.rs, split from service.rs, reads a file that cannot be read, or is not JSON, again every 50 ms for 1.5 s, unless it is asked to end; one that is whole and wrong is told at once.

--- a/crates/mixer/src/lib.rs
+++ b/crates/mixer/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod reducer;
 pub mod searcher;
 pub mod service;
+pub mod signals;
 pub mod tell;
--- a/crates/mixer/src/main.rs
+++ b/crates/mixer/src/main.rs
@@ -4,7 +4,8 @@
 
 use anyhow::{Context, Result, anyhow};
 use pewterwharf_mixer::log;
-use pewterwharf_mixer::service::{self, Again, Service};
+use pewterwharf_mixer::service::Service;
+use pewterwharf_mixer::signals::{self, Again};
 use pewterwharf_settings::Settings;
 use pewterwharf_terms::{Change, Start};
 use tracing::level_filters::LevelFilter;
@@ -34,7 +35,7 @@
 }
 
 fn run() -> Result<()> {
-    let signals = service::signals()?;
+    let signals = signals::signals()?;
     let (path, text) = file()?;
     let mut start = Start::read(&text, said).with_context(|| format!("in {path}"))?;
     start.hold_to(&std::fs::read_to_string("/proc/self/limits").unwrap_or_default());
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -10,8 +10,7 @@
 use anyhow::{Context, Result, ensure};
 use crossbeam_channel::{Receiver, bounded};
 use pewterwharf_settings::Settings;
-use pewterwharf_terms::{Change, Start};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
+use pewterwharf_terms::Start;
 use signal_hook::iterator::Signals;
 use tracing::{info, warn};
 
@@ -26,6 +25,7 @@
 use crate::log;
 use crate::reducer::Reducer;
 use crate::searcher::{self, Link, Searchers};
+use crate::signals::{Again, Hearing, is_end};
 use crate::tell::{STACK, Tell, Told, spawn};
 
 /// The process before may hold the port for a while after the platform has begun the next one: it is waited for, well within the
@@ -41,8 +41,10 @@
         match TcpListener::bind(at) {
             Err(error) if error.kind() == ErrorKind::AddrInUse && since.elapsed() < HELD => {
                 missed.extend(signals.pending());
-                let ends = |signal: &i32| matches!(*signal, SIGTERM | SIGINT);
-                ensure!(!missed.iter().any(ends), "asked to end while listen={at} was held by another");
+                ensure!(
+                    !missed.iter().any(|signal| is_end(*signal)),
+                    "asked to end while listen={at} was held by another"
+                );
                 std::thread::sleep(LOOK);
             }
             bound => {
@@ -83,25 +85,11 @@
     copies: Copies,
 }
 
-/// Reads files anew, for a mixer that runs.
-#[derive(Clone, Copy)]
-pub struct Again {
-    /// The platform's, of a mixer that was started on this one.
-    pub start: fn(&Start) -> Result<Change>,
-    /// The operator's own.
-    pub settings: fn() -> Result<Settings>,
-}
-
 /// Prints the counters of the reducer, and others.
 fn print_counters(counters: &str, others: &str) {
     log::print(&format!("{counters}log_texts_dropped {}\n{others}", log::dropped()));
 }
 
-/// Catches the signals that a mixer goes by.
-pub fn signals() -> Result<Signals> {
-    Signals::new([SIGTERM, SIGINT, SIGUSR1, SIGHUP]).context("signals")
-}
-
 impl Service {
     /// Opens what it needs; the signals it goes by must be caught before, so that none ends it meanwhile.
     pub fn open(mut start: Start, settings: &Settings, mut signals: Signals, again: Again) -> Result<Self> {
@@ -151,21 +139,8 @@
             }
         })?;
         info!("{} listens on {at}", start.name);
-        let told = tell.clone();
-        spawn("signals", STACK, move || {
-            for signal in missed.into_iter().chain(signals.forever()) {
-                told.say(match signal {
-                    SIGUSR1 => Input::Report,
-                    SIGHUP => {
-                        let settings = (again.settings)().map(Box::new);
-                        let settings = Told::Settings(settings.map_err(|error| format!("{error:#}")));
-                        let _ = told.to.send(settings); // or the program has ended
-                        Input::Reloaded((again.start)(&start).map_err(|error| format!("{error:#}")))
-                    }
-                    _ => Input::Stop,
-                });
-            }
-        })?;
+        let hearing = Hearing::new(signals, missed, start, again, tell.clone());
+        spawn("signals", STACK, move || hearing.run())?;
         let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
         Ok(Self {
             clock,
