--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -12,7 +12,7 @@
 use pewterwharf_settings::Settings;
 use pewterwharf_terms::Start;
 use signal_hook::iterator::Signals;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::announcing::Announcing;
 use crate::buffer::Room;
@@ -68,6 +68,13 @@
 /// Inputs that are taken together in one turn at most, so that no burst holds up what is due.
 const TOGETHER: usize = 256;
 
+/// A turn that comes so much later than it was due finds that the process stood still. Attempts may begin for 100 ms after their
+/// client has gone.
+const STOOD_STILL_MS: f64 = 80.0;
+/// The threads that read stood still as well: before anything is sent by the time it is now, what they have to tell is heard for
+/// so long.
+const CATCH_UP: Duration = Duration::from_millis(10);
+
 /// A mixer. Its phase is the reducer's: [`Phase::Opening`] until a list is held, `Ready`, `Draining`, `Closed`.
 pub struct Service {
     clock: Clock,
@@ -160,6 +167,7 @@
 
     /// Runs until it is asked to end and all is answered.
     pub fn run(mut self) -> Result<()> {
+        let mut last_turn = self.clock.now();
         while self.reducer.phase() != Phase::Closed {
             let mut inputs = std::mem::take(&mut self.met);
             let due = if inputs.is_empty() { self.reducer.next_due() } else { Some(0.0) };
@@ -170,6 +178,10 @@
             if let Ok(told) = self.heard.recv_timeout(wait) {
                 self.hear(told, &mut inputs);
             }
+            if self.clock.now() - last_turn > wait.as_secs_f64() * 1000.0 + STOOD_STILL_MS {
+                self.catch_up(&mut inputs);
+            }
+            last_turn = self.clock.now();
             while inputs.len() < TOGETHER
                 && let Ok(told) = self.heard.try_recv()
             {
@@ -188,6 +200,15 @@
         Ok(())
     }
 
+    /// Hears what was told while the process stood still.
+    fn catch_up(&mut self, inputs: &mut Vec<(f64, Input)>) {
+        debug!("the process stood still: what came meanwhile is heard first");
+        let until = Instant::now() + CATCH_UP;
+        while let Ok(told) = self.heard.recv_deadline(until) {
+            self.hear(told, inputs);
+        }
+    }
+
     fn hear(&mut self, told: Told, inputs: &mut Vec<(f64, Input)>) {
         match told {
             Told::Client(at, conn, line) => {
