--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -303,8 +303,10 @@
     /// Starts the next process of a mixer beside the one that ends.
     fn take_over(&mut self, number: usize) -> Result<()> {
         let mixer = &mut self.mixers[number];
+        // It may have ended by itself, and its successor have been started, before.
+        let Some(ends_by) = mixer.ends_by else { return Ok(()) };
         mixer.clients.tell(&ClientsOrder::Front(false));
-        if let (Some(process), Some(ends_by)) = (mixer.process.take(), mixer.ends_by) {
+        if let Some(process) = mixer.process.take() {
             mixer.before = Some((process, ends_by));
             self.start_mixer(number)?;
         }
