--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -112,6 +112,8 @@
     violations_answer,
     violations_deadline,
     violations_unanswered,
+    /// Turns that came late as the process itself stood still.
+    pauses,
     /// New configurations that were taken, and files that could not be used.
     reloads,
     reloads_failed,
--- a/crates/mixer/src/inputs.rs
+++ b/crates/mixer/src/inputs.rs
@@ -69,6 +69,8 @@
     /// The configuration was read anew; why it can't be used.
     Reloaded(Result<Change, String>),
     WatchLost,
+    /// The process stood still for a while.
+    StoodStill,
     /// What is heeded of the words of other mixers.
     Heard(Vec<Event>),
     /// Asked to end.
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -337,6 +337,7 @@
             Input::List { watch, list } => self.watched(now, watch, list),
             Input::Reloaded(change) => self.reloaded(now, change),
             Input::WatchLost => self.counters.watches_lost += 1,
+            Input::StoodStill => self.counters.pauses += 1,
             Input::Heard(events) => self.events.extend(events),
             Input::Stop => self.stop(now),
             Input::Report => self.effects.push(Effect::Print(self.counters().to_string())),
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -203,6 +203,7 @@
     /// Hears what was told while the process stood still.
     fn catch_up(&mut self, inputs: &mut Vec<(f64, Input)>) {
         debug!("the process stood still: what came meanwhile is heard first");
+        inputs.push((self.clock.now(), Input::StoodStill));
         let until = Instant::now() + CATCH_UP;
         while let Ok(told) = self.heard.recv_deadline(until) {
             self.hear(told, inputs);
