Mixer: half of a drain over, what was read behind a request is refused, not discarded

Change: rules::is_refused_before_others: from then on a query that stands before others of its client is answered 503 at once (scans_refused_at_end), 16 of a client at most, so that a flood still ends.

--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -32,6 +32,8 @@
     scans_throttled,
     /// Of the throttled, those turned away before the module, as the mixer held its full number.
     scans_turned_away,
+    /// Of the throttled, those that were sent behind others on a connection that was to close.
+    scans_refused_at_end,
     /// Of the throttled, those refused by the module's door, by what their first part met: no searcher that is up; none that
     /// has room, those that are up being cold; what its searcher is believed to take; a part of ours that waits there; the limit on calls out there.
     door_nobody_up,
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -130,6 +130,17 @@
         self.effects.push(Effect::HangUp { conn });
     }
 
+    /// Until when what was sent behind requests is served, once the mixer drains.
+    fn drain_serves_until(&self, now: f64) -> Option<f64> {
+        match self.phase {
+            Phase::Opening | Phase::Ready => None,
+            Phase::Draining { listen_until, until, .. } => {
+                Some(rules::drain_serves_behind_until(listen_until, until))
+            }
+            Phase::Closed => Some(now),
+        }
+    }
+
     /// By when all has to be answered, once the mixer drains.
     fn ends_at(&self) -> Option<f64> {
         match self.phase {
@@ -230,6 +241,14 @@
             client.faults = 0;
         }
         let open = self.scans.len() + self.parts.len();
+        let drain_serves_until = self.drain_serves_until(now);
+        let refused = |client: &Client| rules::is_refused_before_others(client, drain_serves_until, now);
+        if self.clients.get(&conn).is_some_and(refused) {
+            self.counters.scans_throttled += 1;
+            self.counters.by_type[table_type].throttled += 1;
+            self.counters.scans_refused_at_end += 1;
+            return self.answer(now, conn, 503, self.terms.permits.back_in_ms, b"closing\n");
+        }
         if !rules::may_take_query(open, ask.parts.len(), self.terms.open_cap) {
             self.counters.scans_throttled += 1;
             self.counters.by_type[table_type].throttled += 1;
@@ -330,16 +349,11 @@
     }
 
     fn answer(&mut self, now: f64, conn: u64, status: u16, back_in_ms: Option<f64>, body: &[u8]) {
-        let drain_serves_until = match self.phase {
-            Phase::Draining { listen_until, until, .. } => {
-                Some(rules::drain_serves_behind_until(listen_until, until))
-            }
-            Phase::Closed => Some(now),
-            Phase::Opening | Phase::Ready => None,
-        };
+        let drain_serves_until = self.drain_serves_until(now);
         let Some(client) = self.clients.get_mut(&conn) else { return };
         let awaited = std::mem::take(&mut client.awaits_answer);
         let last = rules::is_last_answer(client, drain_serves_until, now);
+        client.refused_behind += u32::from(rules::is_refused_before_others(client, drain_serves_until, now));
         client.sent_behind = false;
         (client.scan, client.since, client.standing) = (None, now, ClientStanding::Resting);
         let bytes = http::answer(status, back_in_ms, body, last);
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -85,6 +85,8 @@
     pub(super) hung: bool,
     /// Then, until when what was read behind its request is answered.
     pub(super) hung_until: Option<f64>,
+    /// Its requests that were answered after that time, or the drain's.
+    pub(super) refused_behind: u32,
     /// It has not taken its answer whole yet.
     pub(super) slow: bool,
     /// It still sent after its last answer: ending over bytes that are not read would reset it before it has read that.
@@ -107,6 +109,7 @@
             sent_behind: false,
             hung: false,
             hung_until: None,
+            refused_behind: 0,
             slow: false,
             sends: false,
             since: now,
--- a/crates/mixer/src/reducer/rules.rs
+++ b/crates/mixer/src/reducer/rules.rs
@@ -144,15 +144,25 @@
     began + (until - began) / 2.0
 }
 
-/// Whether an answer to a client ends its connection. While draining (then until when what was read behind is answered is given),
-/// or once hung up on, one whose further requests were read already has them answered first, for a while.
+/// Requests of a client that are refused after that, so that what was read is answered, and no flood is.
+const REFUSED_BEHIND: u32 = 16;
+
+/// Until when what a client sent behind its request is answered as usual, while the mixer drains or once it was hung up on.
+pub(super) fn serves_until(client: &Client, drain_serves_until: Option<f64>) -> Option<f64> {
+    drain_serves_until.into_iter().chain(client.hung_until).reduce(f64::min)
+}
+
+/// Whether an answer to a client ends its connection. While draining (then until when what was read behind is served is given), or
+/// once hung up on, one whose further requests were read already has them answered first: served for a while, then some refused.
 pub(super) fn is_last_answer(client: &Client, drain_serves_until: Option<f64>, now: f64) -> bool {
-    let serves_until = match (drain_serves_until, client.hung_until) {
-        (Some(drain), Some(hung)) => drain.min(hung),
-        (Some(until), None) | (None, Some(until)) => until,
-        (None, None) => return client.close,
-    };
-    client.close || !client.sent_behind || now >= serves_until
+    let Some(until) = serves_until(client, drain_serves_until) else { return client.close };
+    let over = now >= until && client.refused_behind >= REFUSED_BEHIND;
+    client.close || !client.sent_behind || over
+}
+
+/// Whether a query is refused as it stands before others of a client whose time to have them served is over.
+pub(super) fn is_refused_before_others(client: &Client, drain_serves_until: Option<f64>, now: f64) -> bool {
+    client.sent_behind && serves_until(client, drain_serves_until).is_some_and(|until| now >= until)
 }
 
 /// When the end of a mixer asked to end at `now` begins and is over at the latest: until when new connections are served, and by
