--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -8,7 +8,8 @@
 
 use anyhow::{Context, Result, anyhow, bail, ensure};
 use clap::Args;
-use pewterwharf_mixer::service::{self, Again, Service};
+use pewterwharf_mixer::service::Service;
+use pewterwharf_mixer::signals::{self, Again};
 use pewterwharf_settings::Settings;
 use pewterwharf_standins::bgp::{Manner as PeerManner, Peer};
 use pewterwharf_standins::{self as standins, Lists, Manner};
@@ -187,7 +188,7 @@
     lists.tell(standins::list(1, true, &searchers));
     println!("{} searchers, {} of them hang; discovery at {discovery_at}", asked.searchers, asked.hung);
 
-    let signals = service::signals()?;
+    let signals = signals::signals()?;
     // A port that is free now; the mixer takes it a moment later.
     let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
     let start = Start::read(&start(discovery_at, listen), |_| None)?;
