--- a/crates/mixer/tests/soak.rs
+++ b/crates/mixer/tests/soak.rs
@@ -1,9 +1,10 @@
 //! The soak test: mixers and their surroundings as processes, overlapping faults by seed, judged by invariants.
 //!
-//! Many seeds: `SOAK_SEEDS=1..40 SOAK_SECONDS=20 cargo test -p pewterwharf-mixer --test soak -- --ignored --nocapture`.
+//! Many seeds (with `SOAK_SHIM=1` under failing system calls): `SOAK_SEEDS=1..40 SOAK_SECONDS=20 cargo test -p pewterwharf-mixer --test soak -- --ignored --nocapture`.
 
 use std::path::PathBuf;
 
+use pewterwharf_soak::fleet::build_shim;
 use pewterwharf_soak::judge::Verdict;
 use pewterwharf_soak::run::{Options, play};
 use pewterwharf_soak::trouble::Trouble;
@@ -55,8 +56,14 @@
     let (from, to) = seeds.split_once("..").expect("a range of seeds");
     let (from, to): (u64, u64) = (from.parse().expect("a seed"), to.parse().expect("a seed"));
     let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok()).unwrap_or(20);
-    let broken: Vec<u64> =
-        (from..=to).filter(|seed| !soak(&options("many", *seed, seconds)).violations.is_empty()).collect();
+    let temporary = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let shim =
+        std::env::var_os("SOAK_SHIM").map(|_| build_shim(&temporary).expect("the library can be built"));
+    let breaks = |seed: &u64| {
+        let options = Options { shim: shim.clone(), ..options("many", *seed, seconds) };
+        !soak(&options).violations.is_empty()
+    };
+    let broken: Vec<u64> = (from..=to).filter(breaks).collect();
     assert!(broken.is_empty(), "seeds that broke a promise: {broken:?}");
 }
 
@@ -112,3 +119,19 @@
     let verdict = soak(&hand_over);
     assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
 }
+
+#[test]
+fn failing_system_calls_beside_a_restart_keep_every_promise() {
+    let library = build_shim(&PathBuf::from(env!("CARGO_TARGET_TMPDIR"))).expect("the library can be built");
+    let troubles = vec![
+        (500, Trouble::MixerEnds { mixer: 0, front_ms: 250 }),
+        (600, Trouble::SearcherPaused { searcher: 1, ms: 1200 }),
+        (1500, Trouble::ClientsLeave { mixer: 2 }),
+        (1600, Trouble::MixerReloads { mixer: 2, signals: 2 }),
+        (1700, Trouble::SearcherReplaced { searcher: 4, drains_ms: 600 }),
+    ];
+    let failing = Options { troubles: Some(troubles), shim: Some(library), ..options("failing", 5, 4) };
+    let verdict = soak(&failing);
+    assert!(verdict.accepts_failed > 0, "the library was loaded");
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -140,6 +140,25 @@
     }
 }
 
+/// Builds the library that makes system calls fail, with the compiler that links this program.
+///
+/// # Errors
+/// If there is none, or it fails.
+pub fn build_shim(folder: &Path) -> Result<PathBuf> {
+    let source = concat!(env!("CARGO_MANIFEST_DIR"), "/shim/faults.c");
+    let library = folder.join(format!("faults-{}.so", std::process::id()));
+    let status = Command::new("cc")
+        .args(["-shared", "-fPIC", "-O1", "-o"])
+        .arg(&library)
+        .args([source, "-ldl"])
+        .status()
+        .context("cc")?;
+    if !status.success() {
+        bail!("cc ended with {status}");
+    }
+    Ok(library)
+}
+
 /// A process of a mixer.
 pub struct MixerProcess {
     pub child: Child,
@@ -148,7 +167,7 @@
 
 impl MixerProcess {
     /// Starts it as it is deployed, under its limit on descriptors.
-    pub fn start(program: &Path, config: &Path, log: PathBuf) -> Result<Self> {
+    pub fn start(program: &Path, config: &Path, log: PathBuf, shim: Option<&Path>) -> Result<Self> {
         let run = format!("ulimit -n {SOCKETS}; exec {}", program.display());
         let level = std::env::var("SOAK_LOG").unwrap_or_else(|_| "debug".to_owned());
         let mut child = Command::new("sh")
@@ -156,6 +175,7 @@
             .env("ROUTER_CONFIG", config)
             .env("RUST_LOG", level)
             .env_remove(VARIABLE)
+            .envs(shim.map(|shim| ("LD_PRELOAD", shim)))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -56,6 +56,8 @@
     pub attempts: usize,
     pub troubles: usize,
     pub restarts: usize,
+    /// Accepts that failed, by the mixers' own counters.
+    pub accepts_failed: u64,
 }
 
 impl Verdict {
@@ -422,6 +424,7 @@
             (!well).then(|| ("S1", format!("m{mixer}: exit status {status:?}, asked to end: {expected}")))
         }
         Event::Counter { mixer, name, value, .. } => {
+            verdict.accepts_failed += if name == "accepts_failed" { *value } else { 0 };
             let violated = name.starts_with("violations_") && *value > 0;
             violated.then(|| ("S1", format!("m{mixer}: {name} is {value}")))
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -46,6 +46,8 @@
     pub sizes: Sizes,
     /// Plays these in place of those that the seed draws.
     pub troubles: Option<Vec<(u64, Trouble)>>,
+    /// A library that is loaded before each mixer, and makes its system calls fail.
+    pub shim: Option<PathBuf>,
 }
 
 impl Options {
@@ -59,6 +61,7 @@
             seconds,
             sizes: Sizes { mixers: 5, searchers: 12, proxies: 4 },
             troubles: None,
+            shim: None,
         }
     }
 }
@@ -324,6 +327,7 @@
             &self.options.program,
             &folder.join(format!("{}.json", mixer.name)),
             log,
+            self.options.shim.as_deref(),
         )?);
         (mixer.ready, mixer.ends_by) = (false, None);
         Ok(())
