KNOWN-RED: after a stop between two writes of a step, calls go out for clients that left

The library notes each call at its send, so that what a searcher reads, and when, does not matter. build_library builds either of the two.

--- a/crates/mixer/tests/rig/mod.rs
+++ b/crates/mixer/tests/rig/mod.rs
@@ -38,6 +38,11 @@
 
 /// `settings`: the operator's own file.
 pub fn start_with(config: &str, settings: Option<&Path>, manners: &[Manner]) -> Mixer {
+    start_after("true", config, settings, manners)
+}
+
+/// `before`: what the shell that starts it does first.
+pub fn start_after(before: &str, config: &str, settings: Option<&Path>, manners: &[Manner]) -> Mixer {
     let (says, heard) = mpsc::channel();
     let searchers = manners.iter().map(|manner| {
         let listener = port();
@@ -51,7 +56,9 @@
     let lists = standins::Lists::default();
     lists.serve(listener);
     lists.tell(standins::list(1, true, &searchers));
-    let (child, mut log, addr) = launch_with(discovery, config, settings);
+    let child =
+        command(before, &discovery, config).envs(settings.map(|path| ("PEWTERWHARF_SETTINGS", path))).spawn();
+    let (child, mut log, addr) = listens(child.expect("the mixer starts"));
     wait(&mut log, "ready");
     Mixer { child, log, addr, lists, heard, searchers }
 }
@@ -60,17 +67,7 @@
 
 /// Starts the program, and waits until it listens.
 pub fn launch(discovery: String, config: &str) -> (Child, BufReader<ChildStderr>, SocketAddr) {
-    launch_with(discovery, config, None)
-}
-
-pub fn launch_with(
-    discovery: String,
-    config: &str,
-    settings: Option<&Path>,
-) -> (Child, BufReader<ChildStderr>, SocketAddr) {
-    let child =
-        command("true", &discovery, config).envs(settings.map(|path| ("PEWTERWHARF_SETTINGS", path))).spawn();
-    listens(child.expect("the mixer starts"))
+    listens(command("true", &discovery, config).spawn().expect("the mixer starts"))
 }
 
 /// The program, started by a shell that has done this before: a limit of the system is set so.
--- a/crates/mixer/tests/soak.rs
+++ b/crates/mixer/tests/soak.rs
@@ -4,7 +4,7 @@
 
 use std::path::PathBuf;
 
-use pewterwharf_soak::fleet::build_shim;
+use pewterwharf_soak::fleet::{Library, build_library};
 use pewterwharf_soak::judge::Verdict;
 use pewterwharf_soak::run::{Options, play};
 use pewterwharf_soak::trouble::Trouble;
@@ -57,8 +57,8 @@
     let (from, to): (u64, u64) = (from.parse().expect("a seed"), to.parse().expect("a seed"));
     let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok()).unwrap_or(20);
     let temporary = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let shim =
-        std::env::var_os("SOAK_SHIM").map(|_| build_shim(&temporary).expect("the library can be built"));
+    let shim = std::env::var_os("SOAK_SHIM")
+        .map(|_| build_library(Library::Faults, &temporary).expect("the library can be built"));
     let breaks = |seed: &u64| {
         let options = Options { shim: shim.clone(), ..options("many", *seed, seconds) };
         !soak(&options).violations.is_empty()
@@ -122,7 +122,8 @@
 
 #[test]
 fn failing_system_calls_beside_a_restart_keep_every_promise() {
-    let library = build_shim(&PathBuf::from(env!("CARGO_TARGET_TMPDIR"))).expect("the library can be built");
+    let library = build_library(Library::Faults, &PathBuf::from(env!("CARGO_TARGET_TMPDIR")))
+        .expect("the library can be built");
     let troubles = vec![
         (500, Trouble::MixerEnds { mixer: 0, front_ms: 250 }),
         (600, Trouble::SearcherPaused { searcher: 1, ms: 1200 }),
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -140,23 +140,40 @@
     }
 }
 
-/// Builds the library that makes system calls fail, with the compiler that links this program.
+/// A library that is loaded before a mixer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Library {
+    /// Makes system calls on sockets fail, be interrupted or come short.
+    Faults,
+    /// Notes when calls to searchers are written; can narrow their buffers, and stop the process between two of them.
+    Sends,
+}
+
+/// Builds one of the libraries, with the compiler that links this program.
 ///
 /// # Errors
 /// If there is none, or it fails.
-pub fn build_shim(folder: &Path) -> Result<PathBuf> {
-    let source = concat!(env!("CARGO_MANIFEST_DIR"), "/shim/faults.c");
-    let library = folder.join(format!("faults-{}.so", std::process::id()));
+pub fn build_library(library: Library, folder: &Path) -> Result<PathBuf> {
+    let (name, source) = match library {
+        Library::Faults => ("faults", concat!(env!("CARGO_MANIFEST_DIR"), "/shim/faults.c")),
+        Library::Sends => ("sends", concat!(env!("CARGO_MANIFEST_DIR"), "/shim/sends.c")),
+    };
+    static BUILDING: Mutex<()> = Mutex::new(());
+    let _alone = BUILDING.lock().unwrap_or_else(PoisonError::into_inner);
+    let built = folder.join(format!("{name}-{}.so", std::process::id()));
+    if built.exists() {
+        return Ok(built);
+    }
     let status = Command::new("cc")
         .args(["-shared", "-fPIC", "-O1", "-o"])
-        .arg(&library)
+        .arg(&built)
         .args([source, "-ldl"])
         .status()
         .context("cc")?;
     if !status.success() {
         bail!("cc ended with {status}");
     }
-    Ok(library)
+    Ok(built)
 }
 
 /// A process of a mixer.
