Mixer: a call is worked out right before its first byte, and its client is asked for there

Seen by callers: attempts begin 0.5 to 2.5 s after the client has closed, and after the query was ended by the mixer itself.

Cause: a check made at the decision, not at the act. Reducer::step checked and encoded all frames of up to 256 inputs; the service wrote them one by one. A stop of the process, or a slow write, between two of them sent the others on what was known before it: client, deadline told, drain, window.

Change: the reducer keeps what waits for each link and gives a frame only when the service is about to write it (Reducer::next_frame, reducer/frames.rs), by the time of then. Right there the client's socket is asked for its end (poll for POLLRDHUP through rustix, no unsafe; unread bytes do not hide it), once in 2 ms. What is over is refused (sends_refused_client_left, sends_refused_time_is_up). The service writes for 5 ms at most before it hears others, and looks for a pause between any two writes (outbox.rs); after one it hears what came first. Answers to clients no longer stand behind such writes.

Evidence: writes.rs stops the process itself after the first of eight calls. Before: 7 of 7 sent for a client that left, 7 with a deadline passed, 7 to searchers that drain. After: none, all three tests pass.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -191,8 +191,14 @@
             waits: AtomicBool::new(false),
             over: AtomicBool::new(false),
         });
-        let line =
-            Line { conn, shared: shared.clone(), orders: self.orders.clone(), slow: false, over: false };
+        let line = Line {
+            conn,
+            shared: shared.clone(),
+            orders: self.orders.clone(),
+            slow: false,
+            over: false,
+            stood_at: f64::NEG_INFINITY,
+        };
         let held = Conn {
             shared,
             buffer: Buffer::new(&self.room),
--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -72,6 +72,8 @@
     retries_after_reset,
     /// Attempts that were not sent, by why not at the moment of sending.
     sends_refused_query_over,
+    sends_refused_client_left,
+    sends_refused_time_is_up,
     sends_refused_part_answered,
     sends_refused_may_have_run,
     sends_refused_window_passed,
--- a/crates/mixer/src/inputs.rs
+++ b/crates/mixer/src/inputs.rs
@@ -99,9 +99,9 @@
         link: u64,
         addr: SocketAddrV4,
     },
-    Write {
+    /// Something waits to be written on a link: [`crate::reducer::Reducer::next_frame`].
+    Send {
         link: u64,
-        bytes: Vec<u8>,
     },
     CloseLink {
         link: u64,
--- a/crates/mixer/src/lib.rs
+++ b/crates/mixer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod inputs;
 pub mod line;
 pub mod log;
+pub mod outbox;
 pub mod reducer;
 pub mod searcher;
 pub mod service;
--- a/crates/mixer/src/line.rs
+++ b/crates/mixer/src/line.rs
@@ -8,6 +8,12 @@
 use crossbeam_channel::Sender;
 use mio::Waker;
 use mio::net::TcpStream;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::Errno;
+
+/// A client that was there a moment ago is not asked for again: far less than the 100 ms in which attempts may begin for one that
+/// has left.
+const ASKED_AGAIN_MS: f64 = 2.0;
 
 /// What the service and the reading thread share of a connection.
 pub(crate) struct Shared {
@@ -36,6 +42,18 @@
         Ok(written)
     }
 
+    /// Whether the other side has closed or reset the connection; unread bytes before that do not hide it.
+    pub fn has_ended(&self) -> bool {
+        loop {
+            let mut ends = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+            match poll(&mut ends, Some(&Timespec::default())) {
+                Ok(found) => return found > 0,
+                Err(Errno::INTR) => {}
+                Err(_) => return false, // then the reading thread tells
+            }
+        }
+    }
+
     /// An answer was written whole.
     pub fn said(&self, last: bool) {
         if last {
@@ -97,9 +115,20 @@
     pub(crate) slow: bool,
     /// It was given its last answer.
     pub(crate) over: bool,
+    /// When its connection was last seen to stand, in milliseconds of the service's clock.
+    pub(crate) stood_at: f64,
 }
 
 impl Line {
+    /// Whether the system knows that the client has closed its side, whatever the reading thread has come to.
+    pub fn has_left(&mut self, now: f64) -> bool {
+        if now < self.stood_at + ASKED_AGAIN_MS {
+            return false;
+        }
+        self.stood_at = now;
+        self.shared.has_ended()
+    }
+
     /// Gives an answer; false if its rest is left to the reading thread, which tells when it is written.
     pub fn say(&mut self, mut bytes: Vec<u8>, last: bool) -> bool {
         self.over |= last;
--- /dev/null
+++ b/crates/mixer/src/outbox.rs
@@ -0,0 +1,75 @@
+//! What a turn of the service goes by when it writes to searchers: which links have something to write, for how long it may go on
+//! before others are heard, and whether the process stood still meanwhile.
+
+use std::collections::{HashSet, VecDeque};
+
+/// Writing goes on for so long before inputs are heard again: what is sent is decided on what was known a moment ago.
+const SLICE_MS: f64 = 5.0;
+/// A look at the clock that comes so much later than it was due finds that the process stood still. Attempts may begin for 100 ms
+/// after their client has gone.
+const STOOD_STILL_MS: f64 = 80.0;
+
+/// Links that have something to write, each once, in the order of their asking.
+#[derive(Default)]
+pub struct Outbox {
+    links: VecDeque<u64>,
+    held: HashSet<u64>,
+}
+
+impl Outbox {
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
+    }
+
+    /// Adds a link behind the others, unless it is there.
+    pub fn add(&mut self, link: u64) {
+        if self.held.insert(link) {
+            self.links.push_back(link);
+        }
+    }
+
+    /// The link that has waited longest; it stays until it is [`removed`](Self::remove_first).
+    pub fn first(&self) -> Option<u64> {
+        self.links.front().copied()
+    }
+
+    pub fn remove_first(&mut self) {
+        if let Some(link) = self.links.pop_front() {
+            self.held.remove(&link);
+        }
+    }
+}
+
+/// Notices that the process stood still between two looks at the clock. Times are milliseconds.
+pub struct PauseWatch {
+    looked_at: f64,
+}
+
+impl PauseWatch {
+    pub fn new(now: f64) -> Self {
+        Self { looked_at: now }
+    }
+
+    /// Whether this look comes far later than one that was due after `wait_ms`.
+    pub fn stood_still(&mut self, now: f64, wait_ms: f64) -> bool {
+        let late_ms = now - self.looked_at - wait_ms;
+        self.looked_at = now;
+        late_ms > STOOD_STILL_MS
+    }
+}
+
+/// The time that a turn has for writing.
+pub struct Slice {
+    began_at: f64,
+}
+
+impl Slice {
+    pub fn new(now: f64) -> Self {
+        Self { began_at: now }
+    }
+
+    /// Whether others are to be heard before more is written.
+    pub fn is_over(&self, now: f64) -> bool {
+        now - self.began_at >= SLICE_MS
+    }
+}
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod clients;
+mod frames;
 mod held;
 mod links;
 mod lists;
@@ -157,6 +158,9 @@
 
     /// When it wants to be called at the latest.
     pub fn next_due(&self) -> Option<f64> {
+        if !self.events.is_empty() {
+            return Some(0.0); // of frames that were not sent since
+        }
         self.due.first().map(|d| f64::from_bits(d.0))
     }
 
--- a/crates/mixer/src/reducer/attempts.rs
+++ b/crates/mixer/src/reducer/attempts.rs
@@ -7,10 +7,9 @@
 use tracing::debug;
 
 use super::Reducer;
-use super::held::{Attempt, AttemptId, Awaits, Due, LinkStanding, Queued};
-use super::rules::{self, SendRefusal, Violation};
-use crate::frame::{self, Frame, Piece, Verdict};
-use crate::inputs::Effect;
+use super::held::{Attempt, AttemptId, Awaits, Due, Queued};
+use super::rules::SendRefusal;
+use crate::frame::{Frame, Verdict};
 
 impl Reducer {
     pub(super) fn dispatch(
@@ -85,95 +84,7 @@
                 link.out.insert(attempt.name.clone(), Awaits::Answer(*attempt_id));
             }
         }
-        let Some(link) = self.links.get_mut(&id) else { return };
-        link.queue.push_back(Queued::Call(call, attempt_ids.to_vec()));
-        if link.standing == LinkStanding::Up {
-            self.flush(now, id);
-        }
-    }
-
-    /// Hands over for writing what waits for a link.
-    pub(super) fn flush(&mut self, now: f64, id: u64) {
-        while let Some(queued) = self.links.get_mut(&id).and_then(|link| link.queue.pop_front()) {
-            let bytes = match queued {
-                Queued::Probe => self.probe_frame(id),
-                Queued::Call(call, attempt_ids) => self.call_frame(now, id, call, attempt_ids),
-            };
-            if let (Some(bytes), Some(link)) = (bytes, self.links.get_mut(&id)) {
-                link.frames += 1;
-                self.effects.push(Effect::Write { link: id, bytes });
-            }
-        }
-    }
-
-    /// The frame of a call, of those attempts that may still be sent; none if none may. The others end unsent.
-    fn call_frame(&mut self, now: f64, link: u64, call: u64, attempt_ids: Vec<AttemptId>) -> Option<Vec<u8>> {
-        let waits = |id: &AttemptId| self.attempts.get(id).is_some_and(|attempt| attempt.call == call);
-        let waiting: Vec<AttemptId> = attempt_ids.into_iter().filter(waits).collect();
-        let mut sent = Vec::new();
-        for attempt_id in waiting {
-            match self.may_send(now, link, attempt_id) {
-                Ok(()) => {
-                    self.hand_over(now, link, attempt_id);
-                    sent.push(attempt_id);
-                }
-                Err(refusal) => self.refuse_send(now, attempt_id, refusal),
-            }
-        }
-        let piece = |id: &AttemptId| {
-            let (attempt, part) = (self.attempts.get(id)?, self.parts.get(&id.0)?);
-            let text = &self.scans.get(&part.scan)?.text;
-            let wait_ms = (attempt.until - now).max(1.0) as u64;
-            Some(Piece { id: &part.name, shard: part.shard, wait_ms, text })
-        };
-        let pieces: Vec<Piece> = sent.iter().filter_map(piece).collect();
-        (!pieces.is_empty()).then(|| frame::call(&pieces))
-    }
-
-    fn may_send(&self, now: f64, link: u64, attempt_id: AttemptId) -> Result<(), SendRefusal> {
-        let attempt = self.attempts.get(&attempt_id).ok_or(SendRefusal::QueryOver)?;
-        let link = self.links.get(&link).ok_or(SendRefusal::SearcherNotReady)?;
-        let (part, searcher) = (self.parts.get(&attempt_id.0), self.srvs.get(&attempt.srv));
-        rules::may_send(part, attempt_id.1, self.terms.permits.dispatches, searcher, link, now)
-    }
-
-    /// Notes that an attempt goes out with the next frame of a link.
-    fn hand_over(&mut self, now: f64, link: u64, attempt_id: AttemptId) {
-        let frame = self.links.get(&link).map(|link| link.frames);
-        let Some(attempt) = self.attempts.get_mut(&attempt_id) else { return };
-        attempt.frame = frame;
-        let (until, searcher) = (attempt.until, attempt.srv);
-        let Some(part) = self.parts.get_mut(&attempt_id.0) else { return };
-        part.may_have_run += 1;
-        let (name, number) = (part.name.clone(), attempt_id.1);
-        debug!("{name}: attempt {number} goes to {searcher} on link {link} with {:.0} ms", until - now);
-        let deadline_at = self.scans.get(&part.scan).map_or(until, |query| query.deadline_at);
-        if !rules::is_within_deadline(until, deadline_at) {
-            self.violated(Violation::Deadline, &name);
-        }
-    }
-
-    /// Ends an attempt that is not sent, and counts why.
-    fn refuse_send(&mut self, now: f64, attempt_id: AttemptId, refusal: SendRefusal) {
-        let count = match refusal {
-            SendRefusal::QueryOver => &mut self.counters.sends_refused_query_over,
-            SendRefusal::PartAnswered => &mut self.counters.sends_refused_part_answered,
-            SendRefusal::MayHaveRun => &mut self.counters.sends_refused_may_have_run,
-            SendRefusal::WindowPassed => &mut self.counters.sends_refused_window_passed,
-            SendRefusal::AttemptsUsedUp => &mut self.counters.sends_refused_attempts_used_up,
-            SendRefusal::SearcherNotReady => &mut self.counters.sends_refused_searcher_not_ready,
-            SendRefusal::SearcherMoved => &mut self.counters.sends_refused_searcher_moved,
-        };
-        *count += 1;
-        let name = self.attempts.get(&attempt_id).map_or_else(|| "?".into(), |a| a.name.clone());
-        debug!("{name}: attempt {} is not sent: {refusal}", attempt_id.1);
-        if refusal.is_violation() {
-            self.violated(Violation::Send, &format!("{name}: {refusal}"));
-        }
-        // What is over is called off by the decision module.
-        if !matches!(refusal, SendRefusal::QueryOver | SendRefusal::PartAnswered) {
-            self.end_attempt(now, attempt_id, Ending::Moot);
-        }
+        self.enqueue(id, Queued::Call(call, attempt_ids.to_vec()));
     }
 
     pub(super) fn time_out(&mut self, now: f64, attempt_id: AttemptId) {
@@ -188,14 +99,9 @@
     /// Stops waiting for a dispatch, and tells its searcher where that may be done.
     pub(super) fn give_up(&mut self, now: f64, attempt_id: AttemptId, ending: Ending) {
         let Some(attempt) = self.attempts.get(&attempt_id) else { return };
-        if attempt.frame.is_some()
-            && self.terms.permits.cancel
-            && let Some(link) = self.links.get_mut(&attempt.link)
-            && link.standing == LinkStanding::Up
-        {
-            link.frames += 1;
-            let bytes = frame::give_up(&attempt.name);
-            self.effects.push(Effect::Write { link: attempt.link, bytes });
+        if attempt.frame.is_some() && self.terms.permits.cancel {
+            let (link, name) = (attempt.link, attempt.name.clone());
+            self.enqueue(link, Queued::GiveUp(name));
         }
         self.end_attempt(now, attempt_id, ending);
     }
--- /dev/null
+++ b/crates/mixer/src/reducer/frames.rs
@@ -0,0 +1,155 @@
+//! The reducer's part for frames: what goes out on a link next, worked out right before its first byte and not before. Until then
+//! whatever waits can be withdrawn, and is told the time that is left at the write.
+
+use pewterwharf::interface::Ending;
+use tracing::debug;
+
+use super::Reducer;
+use super::held::{AttemptId, LinkStanding, Queued};
+use super::rules::{self, SendRefusal, Violation};
+use crate::frame::{self, Piece};
+use crate::inputs::Effect;
+
+impl Reducer {
+    /// Has something wait for its write on a link.
+    pub(super) fn enqueue(&mut self, id: u64, queued: Queued) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        match queued {
+            // Before what is new: it frees its searcher.
+            Queued::GiveUp(name) => link.give_ups.push_back(name),
+            queued => link.queue.push_back(queued),
+        }
+        if link.standing == LinkStanding::Up {
+            self.effects.push(Effect::Send { link: id });
+        }
+    }
+
+    /// The frame that is to be written next on a link, of what may be sent now; none if nothing waits for it. Before a link is closed
+    /// it tells only what is given up.
+    /// `has_left` tells whether a client's connection is known to have ended, whatever was told of it so far.
+    ///
+    /// Its first byte has to go out at once: it tells the time that is left at `now`.
+    pub fn next_frame(
+        &mut self,
+        now: f64,
+        id: u64,
+        has_left: &mut dyn FnMut(u64) -> bool,
+    ) -> Option<Vec<u8>> {
+        loop {
+            let link = self.links.get_mut(&id)?;
+            let queued = match link.standing {
+                LinkStanding::Opening => None,
+                LinkStanding::Up => link.next_queued(),
+                LinkStanding::Closing => link.next_give_up(),
+            };
+            let bytes = match queued? {
+                Queued::Probe => self.probe_frame(id),
+                Queued::GiveUp(name) => Some(frame::give_up(&name)),
+                Queued::Call(call, attempt_ids) => self.call_frame(now, id, call, attempt_ids, has_left),
+            };
+            if let (Some(bytes), Some(link)) = (bytes, self.links.get_mut(&id)) {
+                link.frames += 1;
+                return Some(bytes);
+            }
+        }
+    }
+
+    /// The frame of a call, of those attempts that may still be sent; none if none may. The others end unsent.
+    fn call_frame(
+        &mut self,
+        now: f64,
+        link: u64,
+        call: u64,
+        attempt_ids: Vec<AttemptId>,
+        has_left: &mut dyn FnMut(u64) -> bool,
+    ) -> Option<Vec<u8>> {
+        let waits = |id: &AttemptId| self.attempts.get(id).is_some_and(|attempt| attempt.call == call);
+        let waiting: Vec<AttemptId> = attempt_ids.into_iter().filter(waits).collect();
+        let mut sent = Vec::new();
+        for attempt_id in waiting {
+            match self.may_send(now, link, attempt_id, has_left) {
+                Ok(()) => {
+                    self.hand_over(now, link, attempt_id);
+                    sent.push(attempt_id);
+                }
+                Err(refusal) => self.refuse_send(now, attempt_id, refusal),
+            }
+        }
+        let piece = |id: &AttemptId| {
+            let (attempt, part) = (self.attempts.get(id)?, self.parts.get(&id.0)?);
+            let text = &self.scans.get(&part.scan)?.text;
+            let wait_ms = (attempt.until - now).max(1.0) as u64;
+            Some(Piece { id: &part.name, shard: part.shard, wait_ms, text })
+        };
+        let pieces: Vec<Piece> = sent.iter().filter_map(piece).collect();
+        (!pieces.is_empty()).then(|| frame::call(&pieces))
+    }
+
+    fn may_send(
+        &self,
+        now: f64,
+        link: u64,
+        attempt_id: AttemptId,
+        has_left: &mut dyn FnMut(u64) -> bool,
+    ) -> Result<(), SendRefusal> {
+        let attempt = self.attempts.get(&attempt_id).ok_or(SendRefusal::QueryOver)?;
+        let link = self.links.get(&link).ok_or(SendRefusal::SearcherNotReady)?;
+        let part = self.parts.get(&attempt_id.0).ok_or(SendRefusal::QueryOver)?;
+        let query = self.scans.get(&part.scan).ok_or(SendRefusal::QueryOver)?;
+        let searcher = self.srvs.get(&attempt.srv);
+        rules::may_send(
+            part,
+            attempt_id.1,
+            attempt.until,
+            self.terms.permits.dispatches,
+            searcher,
+            link,
+            now,
+        )?;
+        if has_left(query.conn) { Err(SendRefusal::ClientLeft) } else { Ok(()) }
+    }
+
+    /// Notes that an attempt goes out with the next frame of a link.
+    fn hand_over(&mut self, now: f64, link: u64, attempt_id: AttemptId) {
+        let frame = self.links.get(&link).map(|link| link.frames);
+        let Some(attempt) = self.attempts.get_mut(&attempt_id) else { return };
+        attempt.frame = frame;
+        let (until, searcher, decided_at) = (attempt.until, attempt.srv, attempt.sent_at);
+        let Some(part) = self.parts.get_mut(&attempt_id.0) else { return };
+        part.may_have_run += 1;
+        let (name, number) = (part.name.clone(), attempt_id.1);
+        debug!(
+            "{name}: attempt {number} goes to {searcher} on link {link} with {:.0} ms, {:.1} ms after it was decided",
+            until - now,
+            now - decided_at
+        );
+        let deadline_at = self.scans.get(&part.scan).map_or(until, |query| query.deadline_at);
+        if !rules::is_within_deadline(until, deadline_at) {
+            self.violated(Violation::Deadline, &name);
+        }
+    }
+
+    /// Ends an attempt that is not sent, and counts why.
+    pub(super) fn refuse_send(&mut self, now: f64, attempt_id: AttemptId, refusal: SendRefusal) {
+        let count = match refusal {
+            SendRefusal::QueryOver => &mut self.counters.sends_refused_query_over,
+            SendRefusal::ClientLeft => &mut self.counters.sends_refused_client_left,
+            SendRefusal::TimeIsUp => &mut self.counters.sends_refused_time_is_up,
+            SendRefusal::PartAnswered => &mut self.counters.sends_refused_part_answered,
+            SendRefusal::MayHaveRun => &mut self.counters.sends_refused_may_have_run,
+            SendRefusal::WindowPassed => &mut self.counters.sends_refused_window_passed,
+            SendRefusal::AttemptsUsedUp => &mut self.counters.sends_refused_attempts_used_up,
+            SendRefusal::SearcherNotReady => &mut self.counters.sends_refused_searcher_not_ready,
+            SendRefusal::SearcherMoved => &mut self.counters.sends_refused_searcher_moved,
+        };
+        *count += 1;
+        let name = self.attempts.get(&attempt_id).map_or_else(|| "?".into(), |a| a.name.clone());
+        debug!("{name}: attempt {} is not sent: {refusal}", attempt_id.1);
+        if refusal.is_violation() {
+            self.violated(Violation::Send, &format!("{name}: {refusal}"));
+        }
+        if !refusal.is_called_off() {
+            self.end_attempt(now, attempt_id, Ending::Moot);
+        }
+    }
+}
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -154,9 +154,11 @@
     /// Where it leads: the searcher may have moved since.
     pub(super) addr: SocketAddrV4,
     pub(super) standing: LinkStanding,
-    /// Calls and probes that wait for the connection.
+    /// Calls and probes that wait to be written.
     pub(super) queue: VecDeque<Queued>,
-    /// Frames handed over for writing.
+    /// Names of attempts that are to be given up, which go before those.
+    pub(super) give_ups: VecDeque<Rc<str>>,
+    /// Frames whose writing has begun.
     pub(super) frames: u64,
     /// Calls out, and how many parts of each.
     pub(super) calls: BTreeMap<u64, usize>,
@@ -194,12 +196,13 @@
 pub(super) enum Queued {
     Call(u64, Vec<AttemptId>),
     Probe,
+    GiveUp(Rc<str>),
 }
 
 pub(super) struct Probe {
     pub(super) number: u64,
     pub(super) sent_at: f64,
-    /// The number of its frame, once handed over.
+    /// The number of its frame, once that has begun.
     pub(super) frame: Option<u64>,
     /// Its ending was told.
     pub(super) over: bool,
@@ -213,11 +216,20 @@
     pub(super) srv: SocketAddrV4,
     pub(super) sent_at: f64,
     pub(super) until: f64,
-    /// The number of its frame, once handed over.
+    /// The number of its frame, once that has begun.
     pub(super) frame: Option<u64>,
 }
 
 impl Link {
+    /// Takes what is to be written next.
+    pub(super) fn next_queued(&mut self) -> Option<Queued> {
+        self.next_give_up().or_else(|| self.queue.pop_front())
+    }
+
+    pub(super) fn next_give_up(&mut self) -> Option<Queued> {
+        self.give_ups.pop_front().map(Queued::GiveUp)
+    }
+
     pub(super) fn idle(&self) -> bool {
         self.standing == LinkStanding::Up && self.calls.is_empty() && self.probes.is_empty()
     }
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -35,10 +35,7 @@
         self.add_due(now + self.terms.connect_timeout_ms, Due::ProbeTimedOut { link: id, number });
         let Some(link) = self.links.get_mut(&id) else { return };
         link.probes.push_back(Probe { number, sent_at: now, frame: None, over: false });
-        link.queue.push_back(Queued::Probe);
-        if link.standing == LinkStanding::Up {
-            self.flush(now, id);
-        }
+        self.enqueue(id, Queued::Probe);
     }
 
     pub(super) fn time_out_probe(&mut self, now: f64, link: u64, number: u64) {
@@ -88,6 +85,7 @@
             addr,
             standing: LinkStanding::Opening,
             queue: VecDeque::new(),
+            give_ups: VecDeque::new(),
             frames: 0,
             calls: BTreeMap::new(),
             out: HashMap::new(),
@@ -110,7 +108,8 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         if link.standing == LinkStanding::Opening {
             (link.standing, link.heard_at) = (LinkStanding::Up, now);
-            self.flush(now, id);
+            let waiting = link.queue.len();
+            self.effects.extend((0..waiting).map(|_| Effect::Send { link: id }));
             self.rest(now, id);
         }
     }
--- a/crates/mixer/src/reducer/rules.rs
+++ b/crates/mixer/src/reducer/rules.rs
@@ -25,6 +25,10 @@
 pub(super) enum SendRefusal {
     /// Its query was answered, or its client has gone.
     QueryOver,
+    /// Its client's connection has ended, though nobody has told so yet.
+    ClientLeft,
+    /// What it would be waited for is over.
+    TimeIsUp,
     /// The part's answer has come from another attempt.
     PartAnswered,
     /// An earlier attempt may have run and the class allows none after it.
@@ -43,6 +47,8 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str(match self {
             Self::QueryOver => "its query is over",
+            Self::ClientLeft => "its client has left",
+            Self::TimeIsUp => "its time is up",
             Self::PartAnswered => "the part is answered",
             Self::MayHaveRun => "an earlier attempt may have run",
             Self::WindowPassed => "the window for repeats is over",
@@ -58,24 +64,33 @@
     pub(super) fn is_violation(self) -> bool {
         matches!(self, Self::MayHaveRun)
     }
+
+    /// Whether the decision module calls the attempt off by itself.
+    pub(super) fn is_called_off(self) -> bool {
+        matches!(self, Self::QueryOver | Self::ClientLeft | Self::PartAnswered)
+    }
 }
 
-/// Whether the attempt with this number of a part may be sent to a searcher on a link now, its first byte as well as the rest.
+/// Whether the attempt with this number of a part, waited for until then, may be sent to a searcher on a link now, its first byte as
+/// well as the rest.
 pub(super) fn may_send(
-    part: Option<&Part>,
+    part: &Part,
     number: u8,
+    until: f64,
     allowed: u32,
     searcher: Option<&Searcher>,
     link: &Link,
     now: f64,
 ) -> Result<(), SendRefusal> {
-    let part = part.ok_or(SendRefusal::QueryOver)?;
     if u32::from(number) >= allowed {
         return Err(SendRefusal::AttemptsUsedUp);
     }
     if part.value.is_some() {
         return Err(SendRefusal::PartAnswered);
     }
+    if now >= until {
+        return Err(SendRefusal::TimeIsUp);
+    }
     if part.may_have_run > 0 && part.repeat_until == f64::NEG_INFINITY {
         return Err(SendRefusal::MayHaveRun);
     }
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -23,6 +23,7 @@
 use crate::inputs::{Effect, Input, Phase};
 use crate::line::{Line, Orders};
 use crate::log;
+use crate::outbox::{Outbox, PauseWatch, Slice};
 use crate::reducer::Reducer;
 use crate::searcher::{self, Link, Searchers};
 use crate::signals::{Again, Hearing, is_end};
@@ -68,9 +69,6 @@
 /// Inputs that are taken together in one turn at most, so that no burst holds up what is due.
 const TOGETHER: usize = 256;
 
-/// A turn that comes so much later than it was due finds that the process stood still. Attempts may begin for 100 ms after their
-/// client has gone.
-const STOOD_STILL_MS: f64 = 80.0;
 /// The threads that read stood still as well: before anything is sent by the time it is now, what they have to tell is heard for
 /// so long.
 const CATCH_UP: Duration = Duration::from_millis(10);
@@ -88,6 +86,10 @@
     watches: Arc<Watches>,
     /// What the service itself has met and the reducer is still to hear.
     met: Vec<(f64, Input)>,
+    outbox: Outbox,
+    pauses: PauseWatch,
+    /// The process stood still since inputs were last heard.
+    stood_still: bool,
     announcing: Announcing,
     copies: Copies,
 }
@@ -160,6 +162,9 @@
             searchers,
             watches,
             met,
+            outbox: Outbox::default(),
+            pauses: PauseWatch::new(clock.now()),
+            stood_still: false,
             announcing,
             copies,
         })
@@ -167,28 +172,18 @@
 
     /// Runs until it is asked to end and all is answered.
     pub fn run(mut self) -> Result<()> {
-        let mut last_turn = self.clock.now();
         while self.reducer.phase() != Phase::Closed {
-            let mut inputs = std::mem::take(&mut self.met);
-            let due = if inputs.is_empty() { self.reducer.next_due() } else { Some(0.0) };
-            let report = Some(self.announcing.due()).filter(|at| at.is_finite());
-            let look = Some(self.copies.due()).filter(|at| at.is_finite());
-            let due = due.into_iter().chain(report).chain(look).reduce(f64::min);
-            let wait = due.map_or(Duration::MAX, |at| self.clock.until(at));
-            if let Ok(told) = self.heard.recv_timeout(wait) {
-                self.hear(told, &mut inputs);
-            }
-            if self.clock.now() - last_turn > wait.as_secs_f64() * 1000.0 + STOOD_STILL_MS {
-                self.catch_up(&mut inputs);
-            }
-            last_turn = self.clock.now();
-            while inputs.len() < TOGETHER
-                && let Ok(told) = self.heard.try_recv()
-            {
-                self.hear(told, &mut inputs);
-            }
-            let effects = self.reducer.step(self.clock.now(), inputs);
+            let (inputs, caught_up) = self.hear_all();
+            let heard_at = self.clock.now();
+            let effects = self.reducer.step(heard_at, inputs);
             effects.into_iter().for_each(|effect| self.carry_out(effect));
+            let paused = self.pauses.stood_still(self.clock.now(), 0.0);
+            // Not twice in a row: a machine that takes so long over each step sends all the same.
+            if paused && !caught_up {
+                self.stood_still = true;
+            } else {
+                self.write_waiting();
+            }
             let now = self.clock.now();
             self.announcing.report(now, &self.watches, &self.reducer);
             self.copies.look(now, &self.reducer);
@@ -200,6 +195,65 @@
         Ok(())
     }
 
+    /// How long there is nothing to do, if nothing is told.
+    fn rests_for(&self) -> Duration {
+        if !self.met.is_empty() || !self.outbox.is_empty() || self.stood_still {
+            return Duration::ZERO;
+        }
+        let report = Some(self.announcing.due()).filter(|at| at.is_finite());
+        let look = Some(self.copies.due()).filter(|at| at.is_finite());
+        let due = self.reducer.next_due().into_iter().chain(report).chain(look).reduce(f64::min);
+        due.map_or(Duration::MAX, |at| self.clock.until(at))
+    }
+
+    /// Waits until something is told or due, and takes all that was; whether what came while the process stood still is among it.
+    fn hear_all(&mut self) -> (Vec<(f64, Input)>, bool) {
+        let wait = self.rests_for();
+        let mut inputs = std::mem::take(&mut self.met);
+        if let Ok(told) = self.heard.recv_timeout(wait) {
+            self.hear(told, &mut inputs);
+        }
+        let paused = self.pauses.stood_still(self.clock.now(), wait.as_secs_f64() * 1000.0);
+        let catches_up = std::mem::take(&mut self.stood_still) || paused;
+        if catches_up {
+            self.catch_up(&mut inputs);
+        }
+        while inputs.len() < TOGETHER
+            && let Ok(told) = self.heard.try_recv()
+        {
+            self.hear(told, &mut inputs);
+        }
+        (inputs, catches_up)
+    }
+
+    /// Writes what waits for links, as long as what was heard last still counts.
+    fn write_waiting(&mut self) {
+        let slice = Slice::new(self.clock.now());
+        while let Some(link) = self.outbox.first() {
+            let now = self.clock.now();
+            if self.pauses.stood_still(now, 0.0) {
+                self.stood_still = true;
+                return;
+            }
+            if slice.is_over(now) {
+                return;
+            }
+            if !self.write_next(now, link) {
+                self.outbox.remove_first();
+            }
+        }
+    }
+
+    /// Writes the next frame of a link; false if nothing more waits for it.
+    fn write_next(&mut self, now: f64, id: u64) -> bool {
+        let Some(link) = self.links.get_mut(&id) else { return false };
+        let clients = &mut self.clients;
+        let mut has_left = |conn| clients.get_mut(&conn).is_none_or(|line| line.has_left(now));
+        let Some(frame) = self.reducer.next_frame(now, id, &mut has_left) else { return false };
+        link.write(&frame);
+        true
+    }
+
     /// Hears what was told while the process stood still.
     fn catch_up(&mut self, inputs: &mut Vec<(f64, Input)>) {
         debug!("the process stood still: what came meanwhile is heard first");
@@ -276,12 +330,9 @@
                     self.met.push((self.clock.now(), Input::LinkEnd { link, written: 0 }));
                 }
             }
-            Effect::Write { link, bytes } => {
-                if let Some(link) = self.links.get_mut(&link) {
-                    link.write(&bytes);
-                }
-            }
+            Effect::Send { link } => self.outbox.add(link),
             Effect::CloseLink { link } => {
+                while self.write_next(self.clock.now(), link) {}
                 if let Some(link) = self.links.get_mut(&link) {
                     link.close();
                 }
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -92,7 +92,10 @@
                 Effect::HangUp { conn } => format!("client {conn}: hang up"),
                 Effect::DropClient { conn } => format!("client {conn}: let go"),
                 Effect::Connect { link, addr } => format!("link {link}: connect to {addr}"),
-                Effect::Write { link, bytes } => format!("link {link}: {}", text(&bytes[4..])),
+                Effect::Send { link } => match self.reducer.next_frame(self.now, link, &mut |_| false) {
+                    Some(bytes) => format!("link {link}: {}", text(&bytes[4..])),
+                    None => continue,
+                },
                 Effect::CloseLink { link } => format!("link {link}: close"),
                 Effect::StopListening => "stop listening".to_owned(),
                 Effect::Watch { number, at } => format!("watch {number} at {at}"),
@@ -101,6 +104,10 @@
             };
             writeln!(self.trace, "{:>5} {line}", self.now - START).expect("a string takes all");
         }
+        // What was not sent after all is gone by at once.
+        if self.reducer.next_due() == Some(0.0) {
+            self.step(Vec::new());
+        }
     }
 
     /// Lets time pass, one due time after the other.
--- a/crates/mixer/tests/settings.rs
+++ b/crates/mixer/tests/settings.rs
@@ -174,7 +174,11 @@
                 let written = self.links.get(&link).map_or(0, |l| l.1.len() as u64);
                 self.at(self.now, Input::LinkEnd { link, written });
             }
-            Effect::Write { link, bytes } => self.written(link, &bytes),
+            Effect::Send { link } => {
+                while let Some(bytes) = self.reducer.next_frame(self.now, link, &mut |_| false) {
+                    self.written(link, &bytes);
+                }
+            }
             Effect::Answer { conn, bytes, .. } => self.answered(conn, &bytes),
             _ => {}
         }
--- a/crates/mixer/tests/wide.rs
+++ b/crates/mixer/tests/wide.rs
@@ -101,8 +101,11 @@
         _ => None,
     });
     let link = connected.unwrap_or_else(|| panic!("{} parts: nothing was sent, {effects:?}", weights.len()));
-    let effects = mixer.step(START, vec![(START, Input::LinkUp { link })]);
-    let mut sent: Vec<usize> = effects.iter().flat_map(shards).collect();
+    mixer.step(START, vec![(START, Input::LinkUp { link })]);
+    let mut sent = Vec::new();
+    while let Some(frame) = mixer.next_frame(START, link, &mut |_| false) {
+        sent.extend(shards(&frame));
+    }
     sent.sort_unstable();
     let frame = |shard: &usize| Frame::Part {
         id: format!("q1.{shard}"),
@@ -123,9 +126,8 @@
     Played { sent, exact }
 }
 
-/// The shards of the parts that are written to a searcher.
-fn shards(effect: &Effect) -> Vec<usize> {
-    let Effect::Write { bytes, .. } = effect else { return Vec::new() };
+/// The shards of the parts of a frame.
+fn shards(bytes: &[u8]) -> Vec<usize> {
     let text = String::from_utf8_lossy(bytes).into_owned();
     let after_id = |(at, _): (usize, &str)| {
         let digits = text[at + "q1.".len()..].split(' ').next()?;
--- a/crates/mixer/tests/writes.rs
+++ b/crates/mixer/tests/writes.rs
@@ -1,4 +1,4 @@
-//! What stands between the decision to send a call and its first byte.
+//! What stands between the decision to send a call and its first byte: stops of the process, and searchers that take nothing.
 
 use std::io::Write;
 use std::net::TcpStream;
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use pewterwharf_soak::fleet::{Library, build_library};
-use pewterwharf_standins::Manner;
+use pewterwharf_standins::{self as standins, Manner};
 
 mod rig;
 use rig::*;
@@ -18,6 +18,7 @@
 const STOPPED: Duration = Duration::from_millis(800);
 /// In so long a process that goes on has sent what it will.
 const GOES_ON: Duration = Duration::from_millis(400);
+
 /// Has the shell load the library that watches sends, with this setting.
 fn loads(setting: &str) -> String {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
@@ -65,3 +66,26 @@
     let calls = calls_after_the_stop(&mixer);
     assert!(calls.is_empty(), "{} calls for a client that left: {calls:?}", calls.len());
 }
+
+#[test]
+fn calls_of_one_step_tell_no_time_that_a_stop_between_them_has_used_up() {
+    let (mixer, _client) = stopped_between_two_calls(2, 300);
+    thread::sleep(STOPPED);
+    let calls = calls_after_the_stop(&mixer);
+    assert!(calls.is_empty(), "{} calls after the client's time: {calls:?}", calls.len());
+    let (mixer, _client) = stopped_between_two_calls(2, 1900);
+    thread::sleep(STOPPED);
+    let calls = calls_after_the_stop(&mixer);
+    let most = 1900 - STOPPED.as_millis() as u64;
+    assert!(calls.iter().all(|(_, told)| *told <= most), "told more than {most} ms: {calls:?}");
+}
+
+#[test]
+fn calls_of_one_step_are_not_sent_to_searchers_that_drain_in_a_stop_between_them() {
+    let (mixer, _client) = stopped_between_two_calls(2, 1900);
+    let drain: Vec<_> = mixer.searchers.iter().map(|(address, _)| (*address, "draining")).collect();
+    mixer.lists.tell(standins::list(2, false, &drain));
+    thread::sleep(STOPPED);
+    let calls = calls_after_the_stop(&mixer);
+    assert!(calls.is_empty(), "{} calls to searchers that drain: {calls:?}", calls.len());
+}
