Tests: the page and the query behind it are sent in one write, as the test means

Seen: request_behind_one_that_is_answered_at_once_... failed once beside a loaded machine (second answer empty). Trace: write! makes two system calls of it; with 50 ms between them it fails each time the same way ("the query": ""), as the mixer has answered the page as the last by then.

--- a/crates/mixer/tests/faults.rs
+++ b/crates/mixer/tests/faults.rs
@@ -214,7 +214,8 @@
     let client = mixer.connect();
     mixer.signal("TERM");
     wait(&mut mixer.log, "draining");
-    write!(&client, "GET /-/healthy HTTP/1.1\r\n\r\n{}", scan("entry", 1)).expect("it takes bytes");
+    let both = format!("GET /-/healthy HTTP/1.1\r\n\r\n{}", scan("entry", 1));
+    (&client).write_all(both.as_bytes()).expect("it takes bytes");
     client.set_read_timeout(Some(CEILING)).expect("a time-out");
     let mut input = std::io::BufReader::new(&client);
     for what in ["the page", "the query"] {
