Mixer: the service never waits for a searcher that takes no bytes

Seen by callers: answers and attempts of every client late while some searchers hang with full buffers; queries refused (503) at searchers that do read, slowly and through small buffers.

Cause: searcher::put slept in the one service thread, up to 5 ms a write, and then ended the link. Trouble at one searcher reached all others, and a link that drains slowly was lost with all that was out on it.

Change: link.rs writes what is taken and keeps the rest of a frame that has begun, bounded in sum by an eighth of the memory; the thread that reads tells when there is room. A frame of which no byte was taken goes back (Reducer::not_begun): it waits where it can be withdrawn, and is worked out anew, with the time that is left then. A link that takes nothing for connect_timeout_ms though something waits is closed as stuck, and its unsent calls go elsewhere at once. Counters: links_blocked, links_closed_stuck.

--- a/crates/mixer/src/buffer.rs
+++ b/crates/mixer/src/buffer.rs
@@ -18,12 +18,12 @@
         self.0.load(Ordering::Relaxed)
     }
 
-    fn take(&self, bytes: usize) -> bool {
+    pub(crate) fn take(&self, bytes: usize) -> bool {
         let less = |left: usize| left.checked_sub(bytes);
         self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less).is_ok()
     }
 
-    fn give(&self, bytes: usize) {
+    pub(crate) fn give(&self, bytes: usize) {
         self.0.fetch_add(bytes, Ordering::Relaxed);
     }
 }
--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -96,12 +96,15 @@
     links_opened,
     links_failed,
     links_open,
+    /// How often a searcher took no more of what waited for a link.
+    links_blocked,
     /// Links by why they were closed, and those that ended by themselves.
     links_closed_silent,
     links_closed_doubted,
     links_closed_for_room,
     links_closed_moved,
     links_closed_idle,
+    links_closed_stuck,
     links_closed_unusable,
     links_ended,
     lists,
--- a/crates/mixer/src/inputs.rs
+++ b/crates/mixer/src/inputs.rs
@@ -50,6 +50,14 @@
     LinkUp {
         link: u64,
     },
+    /// A searcher takes no more for now: what waits for the link waits on.
+    LinkBlocked {
+        link: u64,
+    },
+    /// It takes more again.
+    LinkHasRoom {
+        link: u64,
+    },
     /// It is over; so many frames were written whole.
     LinkEnd {
         link: u64,
--- a/crates/mixer/src/lib.rs
+++ b/crates/mixer/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod inputs;
 pub mod line;
+pub mod link;
 pub mod log;
 pub mod outbox;
 pub mod reducer;
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -158,9 +158,6 @@
 
     /// When it wants to be called at the latest.
     pub fn next_due(&self) -> Option<f64> {
-        if !self.events.is_empty() {
-            return Some(0.0); // of frames that were not sent since
-        }
         self.due.first().map(|d| f64::from_bits(d.0))
     }
 
@@ -333,6 +330,8 @@
                 self.make_room(now);
             }
             Input::LinkUp { link } => self.link_up(now, link),
+            Input::LinkBlocked { link } => self.link_blocked(now, link),
+            Input::LinkHasRoom { link } => self.link_has_room(link),
             Input::LinkEnd { link, written } => self.link_end(now, link, written),
             Input::Frames { link, frames, bad } => {
                 frames.into_iter().for_each(|frame| self.frame(now, link, frame));
@@ -354,10 +353,11 @@
             Due::TimedOut(attempt_id) => self.time_out(now, attempt_id),
             Due::ProbeTimedOut { link, number } => self.time_out_probe(now, link, number),
             Due::Idle(link) => self.close_idle(now, link),
+            Due::Stuck(link) => self.close_stuck(now, link),
             Due::Linger(conn) => self.linger(now, conn),
             Due::Quiet(conn) => self.quiet(now, conn),
             Due::Cached => self.uncache(now),
-            Due::Overdue(_) | Due::Drained => {}
+            Due::Overdue(_) | Due::Drained | Due::Unsent => {}
         }
     }
 
--- a/crates/mixer/src/reducer/attempts.rs
+++ b/crates/mixer/src/reducer/attempts.rs
@@ -138,6 +138,9 @@
                 *left -= 1;
                 if *left == 0 {
                     link.calls.remove(&attempt.call);
+                    // Where it never went out, nothing waits for that any more.
+                    link.queue
+                        .retain(|queued| !matches!(queued, Queued::Call(call, _) if *call == attempt.call));
                 }
             }
             self.rest(now, attempt.link);
--- a/crates/mixer/src/reducer/frames.rs
+++ b/crates/mixer/src/reducer/frames.rs
@@ -5,8 +5,8 @@
 use tracing::debug;
 
 use super::Reducer;
-use super::held::{AttemptId, LinkStanding, Queued};
-use super::rules::{self, SendRefusal, Violation};
+use super::held::{AttemptId, Due, LinkStanding, Queued};
+use super::rules::{self, LinkCloseReason, SendRefusal, Violation};
 use crate::frame::{self, Piece};
 use crate::inputs::Effect;
 
@@ -42,27 +42,84 @@
                 LinkStanding::Up => link.next_queued(),
                 LinkStanding::Closing => link.next_give_up(),
             };
-            let bytes = match queued? {
-                Queued::Probe => self.probe_frame(id),
-                Queued::GiveUp(name) => Some(frame::give_up(&name)),
-                Queued::Call(call, attempt_ids) => self.call_frame(now, id, call, attempt_ids, has_left),
+            let (bytes, latest) = match queued? {
+                Queued::Probe => (self.probe_frame(id), Queued::Probe),
+                Queued::GiveUp(name) => (Some(frame::give_up(&name)), Queued::GiveUp(name)),
+                Queued::Call(call, attempt_ids) => {
+                    let sent = self.hand_over_call(now, id, call, attempt_ids, has_left);
+                    if !self.events.is_empty() {
+                        self.add_due(now, Due::Unsent);
+                    }
+                    (self.call_frame(now, &sent), Queued::Call(call, sent))
+                }
             };
             if let (Some(bytes), Some(link)) = (bytes, self.links.get_mut(&id)) {
                 link.frames += 1;
+                link.latest = Some(latest);
                 return Some(bytes);
             }
         }
     }
 
-    /// The frame of a call, of those attempts that may still be sent; none if none may. The others end unsent.
-    fn call_frame(
+    /// Takes back the frame given last for a link: not a byte of it was taken, and it waits on.
+    pub fn not_begun(&mut self, id: u64) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let Some(queued) = link.latest.take() else { return };
+        link.frames -= 1;
+        match &queued {
+            Queued::Probe => {
+                let number = Some(link.frames);
+                link.probes.iter_mut().filter(|probe| probe.frame == number).for_each(|p| p.frame = None);
+            }
+            Queued::GiveUp(_) => {}
+            Queued::Call(_, attempt_ids) => {
+                for attempt_id in attempt_ids {
+                    if let Some(attempt) = self.attempts.get_mut(attempt_id) {
+                        attempt.frame = None;
+                    }
+                    if let Some(part) = self.parts.get_mut(&attempt_id.0) {
+                        part.may_have_run = part.may_have_run.saturating_sub(1);
+                    }
+                }
+            }
+        }
+        match queued {
+            Queued::GiveUp(name) => link.give_ups.push_front(name),
+            queued => link.queue.push_front(queued),
+        }
+    }
+
+    /// A searcher takes no more: one that goes on so for as long as a connection may take to come up has its link closed.
+    pub(super) fn link_blocked(&mut self, now: f64, id: u64) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        link.blocked_since = Some(now);
+        self.counters.links_blocked += 1;
+        debug!("link {id} to {}: takes no more, {} calls and probes wait", link.addr, link.queue.len());
+        self.add_due(now + self.terms.connect_timeout_ms, Due::Stuck(id));
+    }
+
+    pub(super) fn link_has_room(&mut self, id: u64) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.blocked_since = None;
+        }
+    }
+
+    pub(super) fn close_stuck(&mut self, now: f64, id: u64) {
+        let since = self.links.get(&id).and_then(|link| link.blocked_since);
+        if since.is_some_and(|since| now >= since + self.terms.connect_timeout_ms) {
+            self.close_link(id, LinkCloseReason::Stuck);
+        }
+    }
+
+    /// The attempts of a call that may still be sent, noted as such. The others end unsent.
+    fn hand_over_call(
         &mut self,
         now: f64,
         link: u64,
         call: u64,
         attempt_ids: Vec<AttemptId>,
         has_left: &mut dyn FnMut(u64) -> bool,
-    ) -> Option<Vec<u8>> {
+    ) -> Vec<AttemptId> {
         let waits = |id: &AttemptId| self.attempts.get(id).is_some_and(|attempt| attempt.call == call);
         let waiting: Vec<AttemptId> = attempt_ids.into_iter().filter(waits).collect();
         let mut sent = Vec::new();
@@ -75,13 +132,18 @@
                 Err(refusal) => self.refuse_send(now, attempt_id, refusal),
             }
         }
+        sent
+    }
+
+    /// The frame of these attempts; none if there are none.
+    fn call_frame(&self, now: f64, attempt_ids: &[AttemptId]) -> Option<Vec<u8>> {
         let piece = |id: &AttemptId| {
             let (attempt, part) = (self.attempts.get(id)?, self.parts.get(&id.0)?);
             let text = &self.scans.get(&part.scan)?.text;
             let wait_ms = (attempt.until - now).max(1.0) as u64;
             Some(Piece { id: &part.name, shard: part.shard, wait_ms, text })
         };
-        let pieces: Vec<Piece> = sent.iter().filter_map(piece).collect();
+        let pieces: Vec<Piece> = attempt_ids.iter().filter_map(piece).collect();
         (!pieces.is_empty()).then(|| frame::call(&pieces))
     }
 
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -51,6 +51,8 @@
     Overdue(u64),
     /// A link may have been idle for long.
     Idle(u64),
+    /// A link may have taken nothing for long.
+    Stuck(u64),
     /// A client has had its time to close.
     Linger(u64),
     /// A client has had its time to ask.
@@ -59,6 +61,8 @@
     Cached,
     /// Something of draining is to be looked at.
     Drained,
+    /// The decision module is still to hear of attempts that were not sent after all.
+    Unsent,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -158,6 +162,10 @@
     pub(super) queue: VecDeque<Queued>,
     /// Names of attempts that are to be given up, which go before those.
     pub(super) give_ups: VecDeque<Rc<str>>,
+    /// What was given for writing last.
+    pub(super) latest: Option<Queued>,
+    /// Its searcher has taken nothing since then, and something waits for that.
+    pub(super) blocked_since: Option<f64>,
     /// Frames whose writing has begun.
     pub(super) frames: u64,
     /// Calls out, and how many parts of each.
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -86,6 +86,8 @@
             standing: LinkStanding::Opening,
             queue: VecDeque::new(),
             give_ups: VecDeque::new(),
+            latest: None,
+            blocked_since: None,
             frames: 0,
             calls: BTreeMap::new(),
             out: HashMap::new(),
@@ -156,6 +158,7 @@
             LinkCloseReason::Room => &mut self.counters.links_closed_for_room,
             LinkCloseReason::Moved => &mut self.counters.links_closed_moved,
             LinkCloseReason::Idle => &mut self.counters.links_closed_idle,
+            LinkCloseReason::Stuck => &mut self.counters.links_closed_stuck,
             LinkCloseReason::Unusable => &mut self.counters.links_closed_unusable,
             LinkCloseReason::Ended => &mut self.counters.links_ended,
         };
--- a/crates/mixer/src/reducer/rules.rs
+++ b/crates/mixer/src/reducer/rules.rs
@@ -211,6 +211,8 @@
     Moved,
     /// Idle for nearly as long as searchers keep connections.
     Idle,
+    /// Its searcher takes nothing though something waits for that.
+    Stuck,
     /// What came on it can't be used.
     Unusable,
     /// It ended by itself.
@@ -225,6 +227,7 @@
             Self::Room => "for room",
             Self::Moved => "its searcher has moved",
             Self::Idle => "idle",
+            Self::Stuck => "stuck",
             Self::Unusable => "unusable",
             Self::Ended => "ended",
         })
@@ -234,7 +237,7 @@
 /// Whether a link may be closed now for that reason. Attempts that are out on it would end as reset.
 pub(super) fn may_close_link(link: &Link, reason: LinkCloseReason) -> bool {
     let free = match reason {
-        LinkCloseReason::Unusable | LinkCloseReason::Ended => true,
+        LinkCloseReason::Stuck | LinkCloseReason::Unusable | LinkCloseReason::Ended => true,
         LinkCloseReason::Silent => link.calls.is_empty(),
         _ => link.idle(),
     };
--- a/crates/mixer/src/searcher.rs
+++ b/crates/mixer/src/searcher.rs
@@ -1,8 +1,9 @@
 //! Connections to searchers: one thread connects and reads them all, as a thread for each made a hundred for each of
-//! the hundreds of mixers of a large fleet. What goes out on one is written at once, by the service.
+//! the hundreds of mixers of a large fleet. What goes out on one is written by the service, which is told here when one that took
+//! no more has room again.
 
 use std::collections::HashMap;
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,75 +16,14 @@
 use crate::buffer::{Buffer, Room};
 use crate::frame;
 use crate::inputs::Input;
+use crate::link::Shared;
 use crate::tell::Tell;
 
-/// A searcher that takes no bytes for so long has more waiting than connections hold: it is as good as gone.
-const STUCK: Duration = Duration::from_millis(5);
-/// How often a searcher that takes no bytes is tried again.
-const RETRY: Duration = Duration::from_micros(500);
 /// Reads of one link in a row: who sends more waits until the others were read.
 const IN_A_ROW: usize = 16;
 
 const ORDERS: Token = Token(usize::MAX);
 
-/// A link, as the service holds it.
-#[derive(Default)]
-pub struct Link {
-    /// Absent until it is up.
-    stream: Option<Arc<TcpStream>>,
-    closed: bool,
-    /// Frames that were written whole.
-    pub written: u64,
-}
-
-impl Link {
-    pub fn up(&mut self, stream: Arc<TcpStream>) {
-        self.stream = Some(stream);
-        if self.closed {
-            self.close();
-        }
-    }
-
-    /// Writes a frame. Where that fails the link ends, and its reader tells of it.
-    pub fn write(&mut self, frame: &[u8]) {
-        let Some(stream) = self.stream.as_deref().filter(|_| !self.closed) else { return };
-        match put(stream, frame) {
-            Ok(()) => self.written += 1,
-            Err(error) => {
-                debug!("a link takes no more: {error}");
-                self.close();
-            }
-        }
-    }
-
-    pub fn close(&mut self) {
-        self.closed = true;
-        if let Some(stream) = &self.stream {
-            let _ = stream.shutdown(Shutdown::Both); // it may have ended already
-        }
-    }
-}
-
-/// Writes all; fails where nothing is taken for [`STUCK`].
-fn put(mut stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
-    let mut stuck = None;
-    while !bytes.is_empty() {
-        match stream.write(bytes) {
-            Ok(0) => return Err(ErrorKind::WriteZero.into()),
-            Ok(count) => (bytes, stuck) = (&bytes[count..], None),
-            Err(error) if error.kind() == ErrorKind::Interrupted => {}
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                if stuck.get_or_insert_with(Instant::now).elapsed() >= STUCK {
-                    return Err(ErrorKind::TimedOut.into());
-                }
-                std::thread::sleep(RETRY);
-            }
-            Err(error) => return Err(error),
-        }
-    }
-    Ok(())
-}
-
 /// The way to the thread that connects and reads.
 pub struct Orders {
     to: Sender<(u64, SocketAddrV4)>,
@@ -102,7 +42,7 @@
 /// A link, as the thread holds it.
 struct Conn {
     addr: SocketAddrV4,
-    stream: Arc<TcpStream>,
+    shared: Arc<Shared>,
     up: bool,
     buffer: Buffer,
     /// By when it has to be up, or a frame that has begun has to go on.
@@ -146,7 +86,12 @@
             for event in &events {
                 match event.token() {
                     ORDERS => self.obey(),
-                    Token(link) => ready.push(link as u64),
+                    Token(link) => {
+                        if event.is_writable() {
+                            self.has_room(link as u64);
+                        }
+                        ready.push(link as u64);
+                    }
                 }
             }
             for link in ready {
@@ -169,6 +114,12 @@
         }
     }
 
+    fn has_room(&self, link: u64) {
+        if self.links.get(&link).is_some_and(|conn| conn.shared.take_awaits_room()) {
+            self.tell.say(Input::LinkHasRoom { link });
+        }
+    }
+
     fn obey(&mut self) {
         while let Ok((link, addr)) = self.given.try_recv() {
             match self.begin(link, addr) {
@@ -186,13 +137,13 @@
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, Token(link as usize), interest)?;
         let (buffer, until) = (Buffer::new(&self.room), Some(Instant::now() + self.connect));
-        Ok(Conn { addr, stream: Arc::new(stream), up: false, buffer, until })
+        Ok(Conn { addr, shared: Arc::new(Shared::new(stream)), up: false, buffer, until })
     }
 
     fn end(&mut self, link: u64, why: &io::Error) {
         if let Some(conn) = self.links.remove(&link) {
             debug!("{}: {why}", conn.addr);
-            let _ = conn.stream.shutdown(Shutdown::Both); // it may have ended, or never come up
+            let _ = conn.shared.stream.shutdown(Shutdown::Both); // it may have ended, or never come up
             self.over(link);
         }
     }
@@ -216,20 +167,20 @@
     /// Goes on with what has happened on it; whether there may be more to read, or why it ends.
     fn turn(&mut self, link: u64, whole_in: Duration, tell: &Tell) -> io::Result<bool> {
         if !self.up {
-            if let Some(error) = self.stream.take_error()? {
+            if let Some(error) = self.shared.stream.take_error()? {
                 return Err(error);
             }
-            match self.stream.peer_addr() {
+            match self.shared.stream.peer_addr() {
                 Ok(_) => {}
                 Err(error) if error.kind() == ErrorKind::NotConnected => return Ok(false),
                 Err(error) => return Err(error),
             }
-            self.stream.set_nodelay(true)?;
+            self.shared.stream.set_nodelay(true)?;
             (self.up, self.until) = (true, None);
-            tell.link(link, self.stream.clone());
+            tell.link(link, self.shared.clone());
         }
         for _ in 0..IN_A_ROW {
-            match self.buffer.fill(&mut &*self.stream) {
+            match self.buffer.fill(&mut &self.shared.stream) {
                 Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
                 Ok(_) => self.frames(link, whole_in, tell)?,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -22,10 +22,11 @@
 use crate::discovery::{self, Watch, Watches};
 use crate::inputs::{Effect, Input, Phase};
 use crate::line::{Line, Orders};
+use crate::link::{Link, Written};
 use crate::log;
 use crate::outbox::{Outbox, PauseWatch, Slice};
 use crate::reducer::Reducer;
-use crate::searcher::{self, Link, Searchers};
+use crate::searcher::{self, Searchers};
 use crate::signals::{Again, Hearing, is_end};
 use crate::tell::{STACK, Tell, Told, spawn};
 
@@ -87,6 +88,8 @@
     /// What the service itself has met and the reducer is still to hear.
     met: Vec<(f64, Input)>,
     outbox: Outbox,
+    /// What frames that searchers have taken in part may hold in sum.
+    rests: Room,
     pauses: PauseWatch,
     /// The process stood still since inputs were last heard.
     stood_still: bool,
@@ -148,6 +151,7 @@
             }
         })?;
         info!("{} listens on {at}", start.name);
+        let rests = Room::of(start.memory / BUFFERS);
         let hearing = Hearing::new(signals, missed, start, again, tell.clone());
         spawn("signals", STACK, move || hearing.run())?;
         let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
@@ -163,6 +167,7 @@
             watches,
             met,
             outbox: Outbox::default(),
+            rests,
             pauses: PauseWatch::new(clock.now()),
             stood_still: false,
             announcing,
@@ -244,14 +249,24 @@
         }
     }
 
-    /// Writes the next frame of a link; false if nothing more waits for it.
+    /// Writes the next frame of a link, or the rest of one; false if nothing more can be written on it for now.
     fn write_next(&mut self, now: f64, id: u64) -> bool {
-        let Some(link) = self.links.get_mut(&id) else { return false };
-        let clients = &mut self.clients;
-        let mut has_left = |conn| clients.get_mut(&conn).is_none_or(|line| line.has_left(now));
-        let Some(frame) = self.reducer.next_frame(now, id, &mut has_left) else { return false };
-        link.write(&frame);
-        true
+        let Some(link) = self.links.get_mut(&id).filter(|link| !link.awaits_room()) else { return false };
+        let written = if link.has_rest() {
+            link.write_rest()
+        } else {
+            let clients = &mut self.clients;
+            let mut has_left = |conn| clients.get_mut(&conn).is_none_or(|line| line.has_left(now));
+            let Some(frame) = self.reducer.next_frame(now, id, &mut has_left) else { return false };
+            link.write(frame, &self.rests)
+        };
+        if written == Written::NotBegun {
+            self.reducer.not_begun(id);
+        }
+        if matches!(written, Written::Partly | Written::NotBegun) {
+            self.met.push((now, Input::LinkBlocked { link: id }));
+        }
+        written == Written::Whole
     }
 
     /// Hears what was told while the process stood still.
@@ -276,6 +291,10 @@
                     inputs.push((at, Input::LinkUp { link }));
                 }
             }
+            Told::Input(at, Input::LinkHasRoom { link }) => {
+                self.outbox.add(link);
+                inputs.push((at, Input::LinkHasRoom { link }));
+            }
             Told::Input(at, Input::LinkEnd { link, .. }) => {
                 let written = self.links.remove(&link).map_or(0, |held| held.written);
                 inputs.push((at, Input::LinkEnd { link, written }));
--- a/crates/mixer/src/tell.rs
+++ b/crates/mixer/src/tell.rs
@@ -6,12 +6,12 @@
 use std::time::Duration;
 
 use crossbeam_channel::{Sender, bounded};
-use mio::net::TcpStream;
 use pewterwharf_settings::Settings;
 
 use crate::clock::Clock;
 use crate::inputs::Input;
 use crate::line::Line;
+use crate::link;
 
 /// Stack of the threads of which there is one each.
 pub(crate) const STACK: usize = 256 * 1024;
@@ -21,7 +21,7 @@
     /// A client's connection.
     Client(f64, u64, Line),
     /// A link that is up.
-    Link(f64, u64, Arc<TcpStream>),
+    Link(f64, u64, Arc<link::Shared>),
     Input(f64, Input),
     /// No route leads here any more.
     RoutesLeft,
@@ -49,8 +49,8 @@
         self.clock.now()
     }
 
-    pub fn link(&self, link: u64, stream: Arc<TcpStream>) {
-        let _ = self.to.send(Told::Link(self.clock.now(), link, stream)); // or the program has ended
+    pub fn link(&self, link: u64, shared: Arc<link::Shared>) {
+        let _ = self.to.send(Told::Link(self.clock.now(), link, shared)); // or the program has ended
     }
 
     /// What the module believes; nothing, if the service does not answer in time.
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -105,7 +105,7 @@
             writeln!(self.trace, "{:>5} {line}", self.now - START).expect("a string takes all");
         }
         // What was not sent after all is gone by at once.
-        if self.reducer.next_due() == Some(0.0) {
+        if self.reducer.next_due().is_some_and(|due| due <= self.now) {
             self.step(Vec::new());
         }
     }
@@ -730,6 +730,68 @@
     assert_snapshot!(format!("{:?}", sizes[3]));
 }
 
+/// The frames that a link is given now, with these clients gone.
+fn frames(rig: &mut Rig, link: u64, gone: &[u64]) -> Vec<String> {
+    let mut frames = Vec::new();
+    while let Some(bytes) = rig.reducer.next_frame(rig.now, link, &mut |conn| gone.contains(&conn)) {
+        frames.push(String::from_utf8_lossy(&bytes[4..]).replace('\n', " "));
+    }
+    frames
+}
+
+#[test]
+fn call_whose_client_has_left_unheard_is_not_given_for_writing() {
+    let mut rig = Rig::new(1);
+    rig.asks(1, "all", "q1", 1);
+    let link = rig.last_link();
+    rig.reducer.step(rig.now, vec![(rig.now, Input::LinkUp { link })]);
+    assert_eq!(frames(&mut rig, link, &[1]), Vec::<String>::new());
+    rig.tell(Input::ClientEnd { conn: 1 });
+    assert_snapshot!(rig.counted());
+}
+
+#[test]
+fn call_of_which_no_byte_was_taken_is_withdrawn_or_told_the_time_that_is_left() {
+    for leaves in [true, false] {
+        let mut rig = Rig::new(1);
+        rig.asks(1, "once", "q1", 1);
+        let link = rig.last_link();
+        rig.reducer.step(rig.now, vec![(rig.now, Input::LinkUp { link })]);
+        let first = rig.reducer.next_frame(rig.now, link, &mut |_| false).expect("a call");
+        rig.reducer.not_begun(link);
+        rig.tell(Input::LinkBlocked { link });
+        rig.now += 200.0;
+        if leaves {
+            rig.tell(Input::ClientEnd { conn: 1 });
+        }
+        rig.reducer.step(rig.now, vec![(rig.now, Input::LinkHasRoom { link })]);
+        let told = |frame: &str| frame.split("d=").nth(1)?.split(' ').next()?.parse::<u64>().ok();
+        let before = told(&String::from_utf8_lossy(&first)).expect("a deadline");
+        let later: Vec<Option<u64>> = frames(&mut rig, link, &[]).iter().map(|frame| told(frame)).collect();
+        assert_eq!(later, if leaves { vec![] } else { vec![Some(before - 200)] });
+        assert_eq!(rig.reducer.counters().violations_send, 0);
+    }
+}
+
+#[test]
+fn link_that_takes_nothing_for_as_long_as_a_connection_may_take_is_closed_and_its_calls_go_elsewhere() {
+    let mut rig = Rig::new(2);
+    rig.asks(1, "once", "q1", 1);
+    let link = rig.last_link();
+    rig.reducer.step(rig.now, vec![(rig.now, Input::LinkUp { link })]);
+    assert!(rig.reducer.next_frame(rig.now, link, &mut |_| false).is_some());
+    rig.reducer.not_begun(link);
+    rig.tell(Input::LinkBlocked { link });
+    rig.pass(240.0);
+    assert!(!rig.trace.contains("close"), "{}", rig.trace);
+    rig.pass(20.0);
+    rig.tell(Input::LinkEnd { link, written: 0 });
+    let further = rig.last_link();
+    assert_ne!(further, link);
+    rig.tell(Input::LinkUp { link: further });
+    assert_snapshot!(rig.counted());
+}
+
 #[test]
 fn call_that_waits_for_a_link_is_not_sent_to_where_its_searcher_was() {
     let mut rig = Rig::new(1);
--- a/crates/mixer/tests/settings.rs
+++ b/crates/mixer/tests/settings.rs
@@ -111,6 +111,8 @@
     /// Parts whose values came in, by their names.
     values: BTreeSet<String>,
     links: HashMap<u64, (u8, Vec<Vec<String>>, bool)>,
+    /// Links whose searcher takes no more for now.
+    blocked: BTreeSet<u64>,
     lives: Vec<Life>,
     answers: usize,
 }
@@ -155,10 +157,16 @@
                 _ => {}
             }
         }
+        let room = |input: &Input| if let Input::LinkHasRoom { link } = input { Some(*link) } else { None };
+        let has_room: Vec<u64> = inputs.iter().filter_map(room).collect();
         let effects = self.reducer.step(self.now, inputs.into_iter().map(|i| (self.now, i)).collect());
         for effect in effects {
             self.met(effect);
         }
+        for link in has_room {
+            self.blocked.remove(&link);
+            self.write(link);
+        }
     }
 
     fn met(&mut self, effect: Effect) {
@@ -174,16 +182,29 @@
                 let written = self.links.get(&link).map_or(0, |l| l.1.len() as u64);
                 self.at(self.now, Input::LinkEnd { link, written });
             }
-            Effect::Send { link } => {
-                while let Some(bytes) = self.reducer.next_frame(self.now, link, &mut |_| false) {
-                    self.written(link, &bytes);
-                }
-            }
+            Effect::Send { link } => self.write(link),
             Effect::Answer { conn, bytes, .. } => self.answered(conn, &bytes),
             _ => {}
         }
     }
 
+    /// Writes what waits for a link, until its searcher takes no more for a while.
+    fn write(&mut self, link: u64) {
+        while !self.blocked.contains(&link)
+            && let Some(bytes) = self.reducer.next_frame(self.now, link, &mut |_| false)
+        {
+            if !chance(&mut self.seed, 0.1) {
+                self.written(link, &bytes);
+                continue;
+            }
+            self.reducer.not_begun(link);
+            self.blocked.insert(link);
+            self.at(self.now, Input::LinkBlocked { link });
+            let later = within(&mut self.seed, 0.0, 600.0);
+            self.at(self.now + later, Input::LinkHasRoom { link });
+        }
+    }
+
     fn written(&mut self, link: u64, bytes: &[u8]) {
         let text = String::from_utf8_lossy(&bytes[4..]).into_owned();
         let permits = self.terms.permits.clone();
@@ -316,6 +337,7 @@
             sent: HashMap::new(),
             values: BTreeSet::new(),
             links: HashMap::new(),
+            blocked: BTreeSet::new(),
             answers: 0,
         };
         let list = day.list(true);
--- a/crates/mixer/tests/writes.rs
+++ b/crates/mixer/tests/writes.rs
@@ -1,13 +1,15 @@
 //! What stands between the decision to send a call and its first byte: stops of the process, and searchers that take nothing.
 
-use std::io::Write;
-use std::net::TcpStream;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use pewterwharf_soak::fleet::{Library, build_library};
-use pewterwharf_standins::{self as standins, Manner};
+use pewterwharf_standins::{self as standins, Lists, Manner};
+use rustix::net::sockopt;
 
 mod rig;
 use rig::*;
@@ -18,6 +20,8 @@
 const STOPPED: Duration = Duration::from_millis(800);
 /// In so long a process that goes on has sent what it will.
 const GOES_ON: Duration = Duration::from_millis(400);
+/// Buffers as small as the system allows.
+const SMALL: usize = 4608;
 
 /// Has the shell load the library that watches sends, with this setting.
 fn loads(setting: &str) -> String {
@@ -89,3 +93,115 @@
     let calls = calls_after_the_stop(&mixer);
     assert!(calls.is_empty(), "{} calls to searchers that drain: {calls:?}", calls.len());
 }
+
+/// A listener whose connections take a few kilobytes ahead of who reads them.
+fn narrow_port() -> TcpListener {
+    let listener = port();
+    sockopt::set_socket_recv_buffer_size(&listener, SMALL).expect("a buffer");
+    listener
+}
+
+/// A mixer with small buffers towards these searchers, once it is ready.
+fn start_narrow(name: &str, searchers: &[SocketAddr], ranges: usize) -> Mixer {
+    let lists = Lists::default();
+    let discovery = port();
+    let at = discovery.local_addr().expect("an address").to_string();
+    lists.serve(discovery);
+    let searchers: Vec<_> = searchers.iter().map(|address| (*address, "up")).collect();
+    lists.tell(standins::list(1, true, &searchers));
+    let path = config(name, |config| {
+        config["settings"]["family_info"]["ranges"] = ranges.into();
+        config["settings"]["permissions"]["open_cap"] = (4 * ranges + 200).into();
+    });
+    let before = loads(&format!("SHIM_SEND_BUFFER={SMALL}"));
+    let (child, mut log, addr) = listens(command(&before, &at, &path).spawn().expect("the mixer starts"));
+    wait(&mut log, "ready");
+    let (_, heard) = mpsc::channel();
+    Mixer { child, log, addr, lists, heard, searchers }
+}
+
+/// A query of so many parts with this text.
+fn with_text(id: &str, parts: u32, text: &str) -> String {
+    let list: Vec<_> =
+        (0..parts).map(|shard| serde_json::json!({"id": shard, "w": 1.0 / f64::from(parts)})).collect();
+    let body = serde_json::json!({"parts": list, "expr": text}).to_string();
+    format!(
+        "POST /lookup HTTP/1.1\r\nHost: app.svc\r\nReq-Id: {id}\r\nReq-Owner: acme\r\n\
+         Req-Deadline-Ms: 1900\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Reads a little at a time, and answers a call once it is whole.
+fn reads_slowly(listener: TcpListener) {
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || drop(serve_slowly(stream)));
+        }
+    });
+}
+
+fn serve_slowly(mut stream: TcpStream) -> std::io::Result<()> {
+    let (mut bytes, mut piece) = (Vec::new(), [0; 1024]);
+    loop {
+        let count = stream.read(&mut piece)?;
+        if count == 0 {
+            return Ok(());
+        }
+        bytes.extend_from_slice(&piece[..count]);
+        thread::sleep(Duration::from_millis(7)); // longer than any wait of a write
+        while let Some(head) = bytes.first_chunk::<4>()
+            && let end = 4 + u32::from_be_bytes(*head) as usize
+            && bytes.len() >= end
+        {
+            let frame: Vec<u8> = bytes.drain(..end).collect();
+            if frame[4] != b'D' {
+                continue;
+            }
+            let name = frame[5..].split(|byte| *byte == b' ').next().unwrap_or_default();
+            let answer = format!("O{} 200 1 -\nvalue", String::from_utf8_lossy(name));
+            stream.write_all(&(answer.len() as u32).to_be_bytes())?;
+            stream.write_all(answer.as_bytes())?;
+        }
+    }
+}
+
+#[test]
+fn searcher_that_reads_slowly_through_small_buffers_gets_its_calls_whole() {
+    let listener = narrow_port();
+    let address = listener.local_addr().expect("an address");
+    reads_slowly(listener);
+    let mixer = start_narrow("reads-slowly", &[address], 16);
+    let client = mixer.connect();
+    for nth in 0..3 {
+        write!(&client, "{}", with_text(&format!("slow{nth}"), 1, &"x".repeat(30_000)))
+            .expect("it takes bytes");
+        let said = answer(&client);
+        assert!(said.starts_with("HTTP/1.1 200 OK"), "{said}");
+    }
+}
+
+#[test]
+fn searchers_that_take_nothing_hold_up_no_other_client() {
+    const SEARCHERS: usize = 100;
+    /// Each of them may cost far less than this; all of them together as little.
+    const HELD_UP: Duration = Duration::from_millis(250);
+    // Their connections are never accepted, let alone read.
+    let listeners: Vec<TcpListener> = (0..SEARCHERS).map(|_| narrow_port()).collect();
+    let addresses: Vec<_> = listeners.iter().map(|l| l.local_addr().expect("an address")).collect();
+    let mixer = start_narrow("take-nothing", &addresses, SEARCHERS);
+    let (wide, other) = (mixer.connect(), mixer.connect());
+    write!(&other, "GET /-/healthy HTTP/1.1\r\n\r\n").expect("it takes bytes");
+    assert!(answer(&other).starts_with("HTTP/1.1 200 OK"));
+    write!(&wide, "{}", with_text("wide", SEARCHERS as u32, &"x".repeat(30_000))).expect("it takes bytes");
+    let mut longest = Duration::ZERO;
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_millis(1500) {
+        let asked = Instant::now();
+        write!(&other, "GET /-/healthy HTTP/1.1\r\n\r\n").expect("it takes bytes");
+        assert!(answer(&other).starts_with("HTTP/1.1 200 OK"));
+        longest = longest.max(asked.elapsed());
+        thread::sleep(Duration::from_millis(2));
+    }
+    assert!(longest < HELD_UP, "another client waited {longest:?}");
+}
