Mixer: between the last look at a call's clients and its first byte stands nothing

Seen by callers: an attempt begins up to 0.15 s (whatever the hold) after its client left, where the mixer is held up between its look at the clock and its write.

Change: next_frame says for which clients a frame is; they are asked after it is encoded and after the last look at the clock, each time. One that has left has the frame taken back and worked out without it.

Evidence: the library holds the writing thread for 0.4 s after its nth look at the clock since the first of eight calls.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -191,14 +191,8 @@
             waits: AtomicBool::new(false),
             over: AtomicBool::new(false),
         });
-        let line = Line {
-            conn,
-            shared: shared.clone(),
-            orders: self.orders.clone(),
-            slow: false,
-            over: false,
-            stood_at: f64::NEG_INFINITY,
-        };
+        let line =
+            Line { conn, shared: shared.clone(), orders: self.orders.clone(), slow: false, over: false };
         let held = Conn {
             shared,
             buffer: Buffer::new(&self.room),
--- a/crates/mixer/src/line.rs
+++ b/crates/mixer/src/line.rs
@@ -11,10 +11,6 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 
-/// A client that was there a moment ago is not asked for again: far less than the 100 ms in which attempts may begin for one that
-/// has left.
-const ASKED_AGAIN_MS: f64 = 2.0;
-
 /// What the service and the reading thread share of a connection.
 pub(crate) struct Shared {
     pub stream: TcpStream,
@@ -115,21 +111,12 @@
     pub(crate) slow: bool,
     /// It was given its last answer.
     pub(crate) over: bool,
-    /// When its connection was last seen to stand, in milliseconds of the service's clock.
-    pub(crate) stood_at: f64,
 }
 
 impl Line {
     /// Whether the system knows that the client has closed its side, whatever the reading thread has come to.
-    pub fn has_left(&mut self, now: f64) -> bool {
-        if now < self.stood_at + ASKED_AGAIN_MS {
-            return false;
-        }
-        let has_ended = self.shared.has_ended();
-        if !has_ended {
-            self.stood_at = now;
-        }
-        has_ended
+    pub fn has_left(&self) -> bool {
+        self.shared.has_ended()
     }
 
     /// Gives an answer; false if its rest is left to the reading thread, which tells when it is written.
--- a/crates/mixer/src/reducer/frames.rs
+++ b/crates/mixer/src/reducer/frames.rs
@@ -1,6 +1,8 @@
 //! The reducer's part for frames: what goes out on a link next, worked out right before its first byte and not before. Until then
 //! whatever waits can be withdrawn, and is told the time that is left at the write.
 
+use std::collections::BTreeSet;
+
 use pewterwharf::interface::Ending;
 use tracing::debug;
 
@@ -10,6 +12,20 @@
 use crate::frame::{self, Piece};
 use crate::inputs::Effect;
 
+/// A frame whose first byte is to be written now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    pub bytes: Vec<u8>,
+    /// The clients for whom it is: it may not begin once one of them has left.
+    pub clients: Vec<u64>,
+}
+
+impl Outgoing {
+    fn of_no_client(bytes: Vec<u8>) -> Self {
+        Self { bytes, clients: Vec::new() }
+    }
+}
+
 impl Reducer {
     /// Has something wait for its write on a link.
     pub(super) fn enqueue(&mut self, id: u64, queued: Queued) {
@@ -25,16 +41,11 @@
     }
 
     /// The frame that is to be written next on a link, of what may be sent now; none if nothing waits for it. Before a link is closed
-    /// it tells only what is given up.
-    /// `has_left` tells whether a client's connection is known to have ended, whatever was told of it so far.
+    /// it tells only what is given up. `left`: clients whose connections are known to have ended, whatever was told of them so far.
     ///
-    /// Its first byte has to go out at once: it tells the time that is left at `now`.
-    pub fn next_frame(
-        &mut self,
-        now: f64,
-        id: u64,
-        has_left: &mut dyn FnMut(u64) -> bool,
-    ) -> Option<Vec<u8>> {
+    /// Its first byte has to go out at once, as it tells the time that is left at `now`, and only while none of its clients has left;
+    /// else it is to be [taken back](Self::not_begun).
+    pub fn next_frame(&mut self, now: f64, id: u64, left: &[u64]) -> Option<Outgoing> {
         loop {
             let link = self.links.get_mut(&id)?;
             let queued = match link.standing {
@@ -42,21 +53,23 @@
                 LinkStanding::Up => link.next_queued(),
                 LinkStanding::Closing => link.next_give_up(),
             };
-            let (bytes, latest) = match queued? {
-                Queued::Probe => (self.probe_frame(id), Queued::Probe),
-                Queued::GiveUp(name) => (Some(frame::give_up(&name)), Queued::GiveUp(name)),
+            let (outgoing, latest) = match queued? {
+                Queued::Probe => (self.probe_frame(id).map(Outgoing::of_no_client), Queued::Probe),
+                Queued::GiveUp(name) => {
+                    (Some(Outgoing::of_no_client(frame::give_up(&name))), Queued::GiveUp(name))
+                }
                 Queued::Call(call, attempt_ids) => {
-                    let sent = self.hand_over_call(now, id, call, attempt_ids, has_left);
+                    let sent = self.hand_over_call(now, id, call, attempt_ids, left);
                     if !self.events.is_empty() {
                         self.add_due(now, Due::Unsent);
                     }
                     (self.call_frame(now, &sent), Queued::Call(call, sent))
                 }
             };
-            if let (Some(bytes), Some(link)) = (bytes, self.links.get_mut(&id)) {
+            if let (Some(outgoing), Some(link)) = (outgoing, self.links.get_mut(&id)) {
                 link.frames += 1;
                 link.latest = Some(latest);
-                return Some(bytes);
+                return Some(outgoing);
             }
         }
     }
@@ -118,13 +131,13 @@
         link: u64,
         call: u64,
         attempt_ids: Vec<AttemptId>,
-        has_left: &mut dyn FnMut(u64) -> bool,
+        left: &[u64],
     ) -> Vec<AttemptId> {
         let waits = |id: &AttemptId| self.attempts.get(id).is_some_and(|attempt| attempt.call == call);
         let waiting: Vec<AttemptId> = attempt_ids.into_iter().filter(waits).collect();
         let mut sent = Vec::new();
         for attempt_id in waiting {
-            match self.may_send(now, link, attempt_id, has_left) {
+            match self.may_send(now, link, attempt_id, left) {
                 Ok(()) => {
                     self.hand_over(now, link, attempt_id);
                     sent.push(attempt_id);
@@ -136,7 +149,7 @@
     }
 
     /// The frame of these attempts; none if there are none.
-    fn call_frame(&self, now: f64, attempt_ids: &[AttemptId]) -> Option<Vec<u8>> {
+    fn call_frame(&self, now: f64, attempt_ids: &[AttemptId]) -> Option<Outgoing> {
         let piece = |id: &AttemptId| {
             let (attempt, part) = (self.attempts.get(id)?, self.parts.get(&id.0)?);
             let text = &self.scans.get(&part.scan)?.text;
@@ -144,16 +157,15 @@
             Some(Piece { id: &part.name, shard: part.shard, wait_ms, text })
         };
         let pieces: Vec<Piece> = attempt_ids.iter().filter_map(piece).collect();
-        (!pieces.is_empty()).then(|| frame::call(&pieces))
+        if pieces.is_empty() {
+            return None;
+        }
+        let client = |id: &AttemptId| Some(self.scans.get(&self.parts.get(&id.0)?.scan)?.conn);
+        let clients: BTreeSet<u64> = attempt_ids.iter().filter_map(client).collect();
+        Some(Outgoing { bytes: frame::call(&pieces), clients: clients.into_iter().collect() })
     }
 
-    fn may_send(
-        &self,
-        now: f64,
-        link: u64,
-        attempt_id: AttemptId,
-        has_left: &mut dyn FnMut(u64) -> bool,
-    ) -> Result<(), SendRefusal> {
+    fn may_send(&self, now: f64, link: u64, attempt_id: AttemptId, left: &[u64]) -> Result<(), SendRefusal> {
         let attempt = self.attempts.get(&attempt_id).ok_or(SendRefusal::QueryOver)?;
         let link = self.links.get(&link).ok_or(SendRefusal::SearcherNotReady)?;
         let part = self.parts.get(&attempt_id.0).ok_or(SendRefusal::QueryOver)?;
@@ -168,7 +180,7 @@
             link,
             now,
         )?;
-        if has_left(query.conn) { Err(SendRefusal::ClientLeft) } else { Ok(()) }
+        if left.contains(&query.conn) { Err(SendRefusal::ClientLeft) } else { Ok(()) }
     }
 
     /// Notes that an attempt goes out with the next frame of a link.
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -97,6 +97,14 @@
     copies: Copies,
 }
 
+/// What is to be written next on a link.
+enum Next {
+    Frame(Vec<u8>),
+    Nothing,
+    /// The process was held up while a frame was worked out, which waits on.
+    Stale,
+}
+
 /// Prints the counters of the reducer, and others.
 fn print_counters(counters: &str, others: &str) {
     log::print(&format!("{counters}log_texts_dropped {}\n{others}", log::dropped()));
@@ -243,37 +251,58 @@
             if slice.is_over(now) {
                 return;
             }
-            if !self.write_next(now, link) {
+            if !self.write_next(link) {
                 self.outbox.remove_first();
             }
         }
     }
 
     /// Writes the next frame of a link, or the rest of one; false if nothing more can be written on it for now.
-    fn write_next(&mut self, now: f64, id: u64) -> bool {
+    fn write_next(&mut self, id: u64) -> bool {
         let Some(link) = self.links.get_mut(&id).filter(|link| !link.awaits_room()) else { return false };
         let written = if link.has_rest() {
             link.write_rest()
         } else {
-            let clients = &mut self.clients;
-            let mut has_left = |conn| clients.get_mut(&conn).is_none_or(|line| line.has_left(now));
-            let Some(frame) = self.reducer.next_frame(now, id, &mut has_left) else { return false };
-            // A stop while it was worked out; nothing stands between this look at the clock and the write.
-            if !outbox::may_begin(now, self.clock.now()) {
-                self.reducer.not_begun(id);
-                return true;
+            match self.next_frame(id) {
+                Next::Nothing => return false,
+                Next::Stale => return true,
+                Next::Frame(frame) => match self.links.get_mut(&id) {
+                    Some(link) => link.write(frame, &self.rests),
+                    None => return false,
+                },
             }
-            link.write(frame, &self.rests)
         };
         if written == Written::NotBegun {
             self.reducer.not_begun(id);
         }
         if matches!(written, Written::Partly | Written::NotBegun) {
-            self.met.push((now, Input::LinkBlocked { link: id }));
+            self.met.push((self.clock.now(), Input::LinkBlocked { link: id }));
         }
         written == Written::Whole
     }
 
+    /// The next frame of a link. It has to begin at once: between the last look at its clients and the write nothing may stand, not
+    /// even a look at the clock.
+    fn next_frame(&mut self, id: u64) -> Next {
+        let mut left = Vec::new();
+        loop {
+            let now = self.clock.now();
+            let Some(frame) = self.reducer.next_frame(now, id, &left) else { return Next::Nothing };
+            if !outbox::may_begin(now, self.clock.now()) {
+                self.reducer.not_begun(id);
+                return Next::Stale;
+            }
+            let clients = &self.clients;
+            let has_left = |conn: &u64| clients.get(conn).is_none_or(Line::has_left);
+            let gone: Vec<u64> = frame.clients.iter().copied().filter(has_left).collect();
+            if gone.is_empty() {
+                return Next::Frame(frame.bytes);
+            }
+            self.reducer.not_begun(id);
+            left.extend(gone);
+        }
+    }
+
     /// Hears what was told while the process stood still.
     fn catch_up(&mut self, inputs: &mut Vec<(f64, Input)>) {
         debug!("the process stood still: what came meanwhile is heard first");
@@ -356,7 +385,7 @@
             }
             Effect::Send { link } => self.outbox.add(link),
             Effect::CloseLink { link } => {
-                while self.write_next(self.clock.now(), link) {}
+                while self.write_next(link) {}
                 if let Some(link) = self.links.get_mut(&link) {
                     link.close();
                 }
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -92,8 +92,8 @@
                 Effect::HangUp { conn } => format!("client {conn}: hang up"),
                 Effect::DropClient { conn } => format!("client {conn}: let go"),
                 Effect::Connect { link, addr } => format!("link {link}: connect to {addr}"),
-                Effect::Send { link } => match self.reducer.next_frame(self.now, link, &mut |_| false) {
-                    Some(bytes) => format!("link {link}: {}", text(&bytes[4..])),
+                Effect::Send { link } => match self.reducer.next_frame(self.now, link, &[]) {
+                    Some(frame) => format!("link {link}: {}", text(&frame.bytes[4..])),
                     None => continue,
                 },
                 Effect::CloseLink { link } => format!("link {link}: close"),
@@ -733,8 +733,8 @@
 /// The frames that a link is given now, with these clients gone.
 fn frames(rig: &mut Rig, link: u64, gone: &[u64]) -> Vec<String> {
     let mut frames = Vec::new();
-    while let Some(bytes) = rig.reducer.next_frame(rig.now, link, &mut |conn| gone.contains(&conn)) {
-        frames.push(String::from_utf8_lossy(&bytes[4..]).replace('\n', " "));
+    while let Some(frame) = rig.reducer.next_frame(rig.now, link, gone) {
+        frames.push(String::from_utf8_lossy(&frame.bytes[4..]).replace('\n', " "));
     }
     frames
 }
@@ -757,7 +757,7 @@
         rig.asks(1, "once", "q1", 1);
         let link = rig.last_link();
         rig.reducer.step(rig.now, vec![(rig.now, Input::LinkUp { link })]);
-        let first = rig.reducer.next_frame(rig.now, link, &mut |_| false).expect("a call");
+        let first = rig.reducer.next_frame(rig.now, link, &[]).expect("a call");
         rig.reducer.not_begun(link);
         rig.tell(Input::LinkBlocked { link });
         rig.now += 200.0;
@@ -766,7 +766,7 @@
         }
         rig.reducer.step(rig.now, vec![(rig.now, Input::LinkHasRoom { link })]);
         let told = |frame: &str| frame.split("d=").nth(1)?.split(' ').next()?.parse::<u64>().ok();
-        let before = told(&String::from_utf8_lossy(&first)).expect("a deadline");
+        let before = told(&String::from_utf8_lossy(&first.bytes)).expect("a deadline");
         let later: Vec<Option<u64>> = frames(&mut rig, link, &[]).iter().map(|frame| told(frame)).collect();
         assert_eq!(later, if leaves { vec![] } else { vec![Some(before - 200)] });
         assert_eq!(rig.reducer.counters().violations_send, 0);
@@ -779,7 +779,7 @@
     rig.asks(1, "once", "q1", 1);
     let link = rig.last_link();
     rig.reducer.step(rig.now, vec![(rig.now, Input::LinkUp { link })]);
-    assert!(rig.reducer.next_frame(rig.now, link, &mut |_| false).is_some());
+    assert!(rig.reducer.next_frame(rig.now, link, &[]).is_some());
     rig.reducer.not_begun(link);
     rig.tell(Input::LinkBlocked { link });
     rig.pass(240.0);
--- a/crates/mixer/tests/settings.rs
+++ b/crates/mixer/tests/settings.rs
@@ -191,10 +191,10 @@
     /// Writes what waits for a link, until its searcher takes no more for a while.
     fn write(&mut self, link: u64) {
         while !self.blocked.contains(&link)
-            && let Some(bytes) = self.reducer.next_frame(self.now, link, &mut |_| false)
+            && let Some(frame) = self.reducer.next_frame(self.now, link, &[])
         {
             if !chance(&mut self.seed, 0.1) {
-                self.written(link, &bytes);
+                self.written(link, &frame.bytes);
                 continue;
             }
             self.reducer.not_begun(link);
--- a/crates/mixer/tests/wide.rs
+++ b/crates/mixer/tests/wide.rs
@@ -103,8 +103,8 @@
     let link = connected.unwrap_or_else(|| panic!("{} parts: nothing was sent, {effects:?}", weights.len()));
     mixer.step(START, vec![(START, Input::LinkUp { link })]);
     let mut sent = Vec::new();
-    while let Some(frame) = mixer.next_frame(START, link, &mut |_| false) {
-        sent.extend(shards(&frame));
+    while let Some(frame) = mixer.next_frame(START, link, &[]) {
+        sent.extend(shards(&frame.bytes));
     }
     sent.sort_unstable();
     let frame = |shard: &usize| Frame::Part {
--- a/crates/mixer/tests/writes.rs
+++ b/crates/mixer/tests/writes.rs
@@ -94,6 +94,30 @@
     assert!(calls.is_empty(), "{} calls to searchers that drain: {calls:?}", calls.len());
 }
 
+#[test]
+fn call_is_not_sent_for_a_client_that_leaves_while_the_mixer_is_held_up_after_its_look_at_the_clock() {
+    const HELD_MS: u64 = 400;
+    for look in 1..=6 {
+        let setting = format!("SHIM_STOPS_AFTER=stops SHIM_HOLDS={look} SHIM_HOLD_MS={HELD_MS}");
+        let mixer = start_after(&loads(&setting), EXAMPLE, None, &[Manner::Answers, Manner::Answers]);
+        let client = mixer.connect();
+        // Its links are up from here on.
+        write!(&client, "{}", scan("entry", PARTS)).expect("it takes bytes");
+        assert!(answer(&client).starts_with("HTTP/1.1 200 OK"));
+        write!(&client, "{}", scan("entry", PARTS).replace("q1", "stops")).expect("it takes bytes");
+        while !mixer.heard.recv_timeout(CEILING).expect("a frame").starts_with("D stops.") {}
+        thread::sleep(Duration::from_millis(20)); // what was written before the hold has arrived
+        while mixer.heard.try_recv().is_ok() {}
+        drop(client);
+        let left = Instant::now();
+        while left.elapsed() < Duration::from_millis(2 * HELD_MS) {
+            let frame = mixer.heard.recv_timeout(Duration::from_millis(50));
+            let late = frame.is_ok_and(|frame| frame.starts_with("D ")) && left.elapsed().as_millis() > 100;
+            assert!(!late, "look {look}: a call goes out {:?} after its client left", left.elapsed());
+        }
+    }
+}
+
 /// A listener whose connections take a few kilobytes ahead of who reads them.
 fn narrow_port() -> TcpListener {
     let listener = port();
--- a/crates/soak/shim/sends.c
+++ b/crates/soak/shim/sends.c
@@ -1,6 +1,7 @@
 /* Loaded before a mixer (LD_PRELOAD): notes when it writes the first byte of each call to a searcher, whatever the searcher reads.
    SHIM_SENDS: the file for the notes, a line of JSON for each part. SHIM_SEND_BUFFER: SO_SNDBUF of connections to searchers.
-   SHIM_STOPS_AFTER: once the first call that holds a part of this name's beginning is written, the process stops itself, once. */
+   SHIM_STOPS_AFTER: once the first call that holds a part of this name's beginning is written, the process stops itself, once.
+   SHIM_HOLDS: in place of the stop, the thread that wrote is held for SHIM_HOLD_MS after it has read the clock that many times. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -25,10 +26,18 @@
 static struct { atomic_int is_link; atomic_size_t left; } links[DESCRIPTORS];
 static atomic_int notes = -1;
 static atomic_int has_stopped;
+/* Looks at the clock until this thread is held; none if it is not to be. */
+static __thread int looks_left;
+
+int clock_gettime(clockid_t clock, struct timespec *time) {
+    int result = REAL(clock_gettime)(clock, time);
+    if (looks_left > 0 && --looks_left == 0) usleep(1000 * atoi(getenv("SHIM_HOLD_MS")));
+    return result;
+}
 
 static double now_ms(void) {
     struct timespec time;
-    clock_gettime(CLOCK_MONOTONIC, &time);
+    REAL(clock_gettime)(CLOCK_MONOTONIC, &time);
     return time.tv_sec * 1e3 + time.tv_nsec / 1e6;
 }
 
@@ -85,7 +94,10 @@
 static void stop_after(const char *call, const char *end) {
     const char *begins = getenv("SHIM_STOPS_AFTER");
     if (!begins || (size_t)(end - call) < strlen(begins) || strncmp(call, begins, strlen(begins)) != 0) return;
-    if (!atomic_exchange(&has_stopped, 1)) kill(getpid(), SIGSTOP);
+    if (atomic_exchange(&has_stopped, 1)) return;
+    const char *holds = getenv("SHIM_HOLDS");
+    if (holds) looks_left = atoi(holds);
+    else kill(getpid(), SIGSTOP);
 }
 
 /* Goes through the frames that these bytes begin, of which so many were written. */
