Soak: one series of stops at a time on a mixer

Trace: two series overlapped, so that from 1,358,650 to 1,360,454 ms, up to the kill, the mixer ran for 0.3 ms in all; no program could have answered.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -91,6 +91,8 @@
     processes: u32,
     /// Asked to end, and when it is killed if it has not.
     ends_by: Option<f64>,
+    /// A series of stops goes on until then.
+    stutters_until: f64,
     ready: bool,
     agent: Helper,
     clients: Helper,
@@ -221,6 +223,7 @@
                 before: None,
                 processes: 0,
                 ends_by: None,
+                stutters_until: 0.0,
                 ready: false,
                 agent: Helper::start(&options.role_arguments, &Role::Agent(agent))?,
                 clients: Helper::start(&options.role_arguments, &Role::Clients(clients))?,
@@ -514,6 +517,11 @@
                 self.later(ms, Due::Resume(mixer));
             }
             Trouble::MixerStutters { mixer, count, ms, apart_ms } => {
+                // Two series at once would let it go on for no time at all.
+                if now < self.mixers[mixer].stutters_until {
+                    return Ok(());
+                }
+                self.mixers[mixer].stutters_until = lasts(u64::from(count) * (ms + apart_ms));
                 self.recorder.record(&note(lasts(u64::from(count) * (ms + apart_ms))));
                 self.carry_out(Due::Stutter { mixer, left: count, ms, apart_ms })?;
             }
