--- a/crates/mixer/src/lib.rs
+++ b/crates/mixer/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod inputs;
 pub mod line;
 pub mod link;
+pub mod listener;
 pub mod log;
 pub mod outbox;
 pub mod reducer;
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -1,13 +1,13 @@
 //! The program: opens what it needs, runs the reducer on what comes in, carries out its effects, and closes.
 
+mod writes;
+
 use std::collections::HashMap;
-use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result, ensure};
+use anyhow::{Context, Result};
 use crossbeam_channel::{Receiver, bounded};
 use pewterwharf_settings::Settings;
 use pewterwharf_terms::Start;
@@ -22,46 +22,15 @@
 use crate::discovery::{self, Watch, Watches};
 use crate::inputs::{Effect, Input, Phase};
 use crate::line::{Line, Orders};
-use crate::link::{Link, Written};
+use crate::link::Link;
+use crate::listener::{listen, local};
 use crate::log;
-use crate::outbox::{self, Outbox, PauseWatch, Slice};
+use crate::outbox::{Outbox, PauseWatch};
 use crate::reducer::Reducer;
 use crate::searcher::{self, Searchers};
-use crate::signals::{Again, Hearing, is_end};
+use crate::signals::{Again, Hearing};
 use crate::tell::{STACK, Tell, Told, spawn};
 
-/// The process before may hold the port for a while after the platform has begun the next one: it is waited for, well within the
-/// 30 s in which a mixer has to be ready, and looked at so often.
-const HELD: Duration = Duration::from_secs(20);
-const LOOK: Duration = Duration::from_millis(20);
-
-/// Listens there, once the port is free, and says which signals came meanwhile. Asked to end, it does.
-fn listen(at: SocketAddr, signals: &mut Signals) -> Result<(TcpListener, Vec<i32>)> {
-    let since = Instant::now();
-    let mut missed = Vec::new();
-    loop {
-        match TcpListener::bind(at) {
-            Err(error) if error.kind() == ErrorKind::AddrInUse && since.elapsed() < HELD => {
-                missed.extend(signals.pending());
-                ensure!(
-                    !missed.iter().any(|signal| is_end(*signal)),
-                    "asked to end while listen={at} was held by another"
-                );
-                std::thread::sleep(LOOK);
-            }
-            bound => {
-                let listener = bound.with_context(|| format!("listen={at}"))?;
-                return Ok((listener, missed));
-            }
-        }
-    }
-}
-
-/// The address that a listener has got, where its port was left open.
-fn local(listener: &TcpListener) -> Result<SocketAddr> {
-    listener.local_addr().context("the listener's address")
-}
-
 /// Inputs that may wait to be heard: whoever sends more, faster than they are taken, waits. The one thread that
 /// takes them sends none.
 const WAITING: usize = 128;
@@ -97,14 +66,6 @@
     copies: Copies,
 }
 
-/// What is to be written next on a link.
-enum Next {
-    Frame(Vec<u8>),
-    Nothing,
-    /// The process was held up while a frame was worked out, which waits on.
-    Stale,
-}
-
 /// Prints the counters of the reducer, and others.
 fn print_counters(counters: &str, others: &str) {
     log::print(&format!("{counters}log_texts_dropped {}\n{others}", log::dropped()));
@@ -239,70 +200,6 @@
         (inputs, catches_up)
     }
 
-    /// Writes what waits for links, as long as what was heard last still counts.
-    fn write_waiting(&mut self) {
-        let slice = Slice::new(self.clock.now());
-        while let Some(link) = self.outbox.first() {
-            let now = self.clock.now();
-            if self.pauses.stood_still(now, 0.0) {
-                self.stood_still = true;
-                return;
-            }
-            if slice.is_over(now) {
-                return;
-            }
-            if !self.write_next(link) {
-                self.outbox.remove_first();
-            }
-        }
-    }
-
-    /// Writes the next frame of a link, or the rest of one; false if nothing more can be written on it for now.
-    fn write_next(&mut self, id: u64) -> bool {
-        let Some(link) = self.links.get_mut(&id).filter(|link| !link.awaits_room()) else { return false };
-        let written = if link.has_rest() {
-            link.write_rest()
-        } else {
-            match self.next_frame(id) {
-                Next::Nothing => return false,
-                Next::Stale => return true,
-                Next::Frame(frame) => match self.links.get_mut(&id) {
-                    Some(link) => link.write(frame, &self.rests),
-                    None => return false,
-                },
-            }
-        };
-        if written == Written::NotBegun {
-            self.reducer.not_begun(id);
-        }
-        if matches!(written, Written::Partly | Written::NotBegun) {
-            self.met.push((self.clock.now(), Input::LinkBlocked { link: id }));
-        }
-        written == Written::Whole
-    }
-
-    /// The next frame of a link. It has to begin at once: between the last look at its clients and the write nothing may stand, not
-    /// even a look at the clock.
-    fn next_frame(&mut self, id: u64) -> Next {
-        let mut left = Vec::new();
-        loop {
-            let now = self.clock.now();
-            let Some(frame) = self.reducer.next_frame(now, id, &left) else { return Next::Nothing };
-            if !outbox::may_begin(now, self.clock.now()) {
-                self.reducer.not_begun(id);
-                return Next::Stale;
-            }
-            let clients = &self.clients;
-            let has_left = |conn: &u64| clients.get(conn).is_none_or(Line::has_left);
-            let gone: Vec<u64> = frame.clients.iter().copied().filter(has_left).collect();
-            if gone.is_empty() {
-                return Next::Frame(frame.bytes);
-            }
-            self.reducer.not_begun(id);
-            left.extend(gone);
-        }
-    }
-
     /// Hears what was told while the process stood still.
     fn catch_up(&mut self, inputs: &mut Vec<(f64, Input)>) {
         debug!("the process stood still: what came meanwhile is heard first");
