--- a/crates/mixer/tests/writes.rs
+++ b/crates/mixer/tests/writes.rs
@@ -118,6 +118,30 @@
     }
 }
 
+#[test]
+fn connection_that_comes_up_after_its_client_has_left_is_sent_no_call() {
+    // No connection fits into its backlog but one; the system tries again after a second.
+    let listener = port();
+    rustix::net::listen(&listener, 0).expect("a backlog");
+    let address = listener.local_addr().expect("an address");
+    let held = TcpStream::connect(address).expect("the one that fits");
+    let mixer = start_towards("true", &[address], "late-connection", |config| {
+        config["settings"]["permissions"]["connect_timeout_ms"] = 4000.0.into();
+    });
+    let client = mixer.connect();
+    write!(&client, "{}", with_text("late", 1, "find")).expect("it takes bytes");
+    thread::sleep(Duration::from_millis(300));
+    drop(client);
+    thread::sleep(Duration::from_millis(200));
+    drop(held);
+    let _held = accept(&listener);
+    let link = accept(&listener);
+    link.set_read_timeout(Some(Duration::from_millis(500))).expect("a time-out");
+    let mut bytes = [0; 1024];
+    let count = (&link).read(&mut bytes).unwrap_or(0);
+    assert!(!bytes[..count].starts_with(b"\0\0\0") || bytes[4] != b'D', "a call for a client that left");
+}
+
 /// A listener whose connections take a few kilobytes ahead of who reads them.
 fn narrow_port() -> TcpListener {
     let listener = port();
@@ -127,18 +151,28 @@
 
 /// A mixer with small buffers towards these searchers, once it is ready.
 fn start_narrow(name: &str, searchers: &[SocketAddr], ranges: usize) -> Mixer {
+    let before = loads(&format!("SHIM_SEND_BUFFER={SMALL}"));
+    start_towards(&before, searchers, name, |config| {
+        config["settings"]["family_info"]["ranges"] = ranges.into();
+        config["settings"]["permissions"]["open_cap"] = (4 * ranges + 200).into();
+    })
+}
+
+/// A mixer towards these searchers with the example's configuration, changed, once it is ready.
+fn start_towards(
+    before: &str,
+    searchers: &[SocketAddr],
+    name: &str,
+    change: impl FnOnce(&mut serde_json::Value),
+) -> Mixer {
     let lists = Lists::default();
     let discovery = port();
     let at = discovery.local_addr().expect("an address").to_string();
     lists.serve(discovery);
     let searchers: Vec<_> = searchers.iter().map(|address| (*address, "up")).collect();
     lists.tell(standins::list(1, true, &searchers));
-    let path = config(name, |config| {
-        config["settings"]["family_info"]["ranges"] = ranges.into();
-        config["settings"]["permissions"]["open_cap"] = (4 * ranges + 200).into();
-    });
-    let before = loads(&format!("SHIM_SEND_BUFFER={SMALL}"));
-    let (child, mut log, addr) = listens(command(&before, &at, &path).spawn().expect("the mixer starts"));
+    let path = config(name, change);
+    let (child, mut log, addr) = listens(command(before, &at, &path).spawn().expect("the mixer starts"));
     wait(&mut log, "ready");
     let (_, heard) = mpsc::channel();
     Mixer { child, log, addr, lists, heard, searchers }
