--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -16,6 +16,7 @@
 use crate::http::{Ask, Progress, Request};
 use crate::inputs::Input;
 use crate::line::{Line, Order, Orders, Shared};
+use crate::stream::write_some;
 use crate::tell::Tell;
 
 /// A client that takes no bytes for so long is given up.
@@ -260,7 +261,7 @@
 
     fn flush(&mut self, conn: u64) {
         let Some(held) = self.conns.get_mut(&conn).filter(|c| !c.out.is_empty()) else { return };
-        match held.shared.put(&held.out) {
+        match write_some(&held.shared.stream, &held.out) {
             Ok(0) => return,
             Ok(written) => drop(held.out.drain(..written)),
             Err(_) => return self.end(conn),
--- a/crates/mixer/src/lib.rs
+++ b/crates/mixer/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod searcher;
 pub mod service;
 pub mod signals;
+pub mod stream;
 pub mod tell;
--- a/crates/mixer/src/line.rs
+++ b/crates/mixer/src/line.rs
@@ -1,6 +1,5 @@
 //! A client's connection as the service holds it, and what it shares with the thread that reads it.
 
-use std::io::{self, ErrorKind, Write};
 use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,6 +10,8 @@
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::io::Errno;
 
+use crate::stream::write_some;
+
 /// What the service and the reading thread share of a connection.
 pub(crate) struct Shared {
     pub stream: TcpStream,
@@ -23,21 +24,6 @@
 }
 
 impl Shared {
-    /// Writes what can be written now; how much that was.
-    pub fn put(&self, bytes: &[u8]) -> io::Result<usize> {
-        let mut written = 0;
-        while written < bytes.len() {
-            match (&self.stream).write(&bytes[written..]) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => written += count,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(written)
-    }
-
     /// Whether the other side has closed or reset the connection; unread bytes before that do not hide it.
     pub fn has_ended(&self) -> bool {
         loop {
@@ -123,7 +109,7 @@
     pub fn say(&mut self, mut bytes: Vec<u8>, last: bool) -> bool {
         self.over |= last;
         if !self.slow {
-            match self.shared.put(&bytes) {
+            match write_some(&self.shared.stream, &bytes) {
                 Ok(written) if written == bytes.len() => {
                     self.shared.said(last);
                     if self.shared.waits.swap(false, Ordering::SeqCst) {
--- a/crates/mixer/src/link.rs
+++ b/crates/mixer/src/link.rs
@@ -1,7 +1,7 @@
 //! A connection to a searcher as the service holds it: frames are written as far as the searcher takes them, and nobody waits for
 //! the rest.
 
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind};
 use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -10,6 +10,7 @@
 use tracing::debug;
 
 use crate::buffer::Room;
+use crate::stream::write_some;
 
 /// What the service and the thread that reads share of a link.
 pub struct Shared {
@@ -28,27 +29,20 @@
         self.awaits_room.swap(false, Ordering::SeqCst)
     }
 
-    /// Writes what is taken now; how much that was.
+    /// Writes what is taken now; how much that was. Short of all, the reader tells once there is room.
     fn write(&self, bytes: &[u8]) -> io::Result<usize> {
         let mut written = 0;
-        while written < bytes.len() {
-            match (&self.stream).write(&bytes[written..]) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(count) => written += count,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                // Room that came before the flag was set has been passed over: it is looked for once more.
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    if self.awaits_room.swap(true, Ordering::SeqCst) {
-                        break;
-                    }
-                }
-                Err(error) => return Err(error),
+        loop {
+            written += write_some(&self.stream, &bytes[written..])?;
+            if written == bytes.len() {
+                self.awaits_room.store(false, Ordering::SeqCst);
+                return Ok(written);
+            }
+            // Room that came before this was set has been passed over: it is looked for once more.
+            if self.awaits_room.swap(true, Ordering::SeqCst) {
+                return Ok(written);
             }
         }
-        if written == bytes.len() {
-            self.awaits_room.store(false, Ordering::SeqCst);
-        }
-        Ok(written)
     }
 }
 
