Soak: a process that was stopped goes on though its successor has started

Trace: m2 was stopped at 1,648,741 ms, its successor began at 1,648,845 (MixerHandsOver, 713 ms), and every later SIGCONT went to that one; the old process's log ends at the stop, and SIGKILL met it stopped. SIGCONT now goes to both.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -415,6 +415,14 @@
         }
     }
 
+    /// Lets a mixer go on, whichever of its processes was stopped.
+    fn resume_mixer(&mut self, number: usize) {
+        if let Some((process, _)) = &self.mixers[number].before {
+            signal(&process.child, Signal::CONT);
+        }
+        self.signal_mixer(number, Signal::CONT, "CONT");
+    }
+
     fn carry_out(&mut self, due: Due) -> Result<()> {
         match due {
             Due::Begin(trouble) => self.begin(trouble)?,
@@ -422,7 +430,7 @@
             Due::StartMixer(mixer) if self.mixers[mixer].process.is_some() => {}
             Due::StartMixer(mixer) => self.start_mixer(mixer)?,
             Due::TakeOver(mixer) => self.take_over(mixer)?,
-            Due::Resume(mixer) => self.signal_mixer(mixer, Signal::CONT, "CONT"),
+            Due::Resume(mixer) => self.resume_mixer(mixer),
             Due::Stutter { mixer, left, ms, apart_ms } => {
                 self.signal_mixer(mixer, Signal::STOP, "STOP");
                 self.later(ms, Due::Resume(mixer));
