Mixer: what came while it stood still is told no more time than its client has left

Seen by callers: after a stop, searchers are told up to the length of the stop more than the client has left (0.15 s are allowed), and work for nobody.

Change: the thread of clients looks at the clock each 40 ms at the latest (pauses.rs); after a pause it tells of it first, so that the service hears what came before it sends, also where it had nothing due itself, and takes what a query waited off its time, from the look before the pause. Within a turn, from the turn's beginning.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -16,6 +16,7 @@
 use crate::http::{Ask, Progress, Request};
 use crate::inputs::Input;
 use crate::line::{Line, Order, Orders, Shared};
+use crate::pauses::PauseWatch;
 use crate::stream::write_some;
 use crate::tell::Tell;
 
@@ -23,6 +24,10 @@
 const STUCK: Duration = Duration::from_secs(5);
 /// How often it is looked for the stuck, while an answer waits.
 const LOOK: Duration = Duration::from_secs(1);
+/// How often the thread looks at the clock, so that a pause of the process shows.
+const LOOKS_EACH: Duration = Duration::from_millis(40);
+/// Events that are taken together.
+const EVENTS: usize = 256;
 /// After a failed accept (no descriptors left, say) the next one waits so long.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Bytes that are taken and passed over after a connection's last request, so that no reset overtakes its
@@ -84,6 +89,9 @@
     orders: Orders,
     given: Receiver<Order>,
     tell: Tell,
+    pauses: PauseWatch,
+    /// What is read in this turn came no earlier, in milliseconds of the service's clock.
+    came_since: f64,
 }
 
 impl Clients {
@@ -96,7 +104,24 @@
         let (to, given) = unbounded(); // no more than an answer and three words for each connection
         let (listener, conns, orders) = (Some(listener), HashMap::new(), Orders { to, waker });
         let (next, freed, pause, stopped) = (0, false, None, false);
-        Ok(Self { poll, listener, stopped, places, conns, next, freed, pause, room, orders, given, tell })
+        let came_since = tell.now();
+        let pauses = PauseWatch::new(came_since);
+        Ok(Self {
+            poll,
+            listener,
+            stopped,
+            places,
+            conns,
+            next,
+            freed,
+            pause,
+            room,
+            orders,
+            given,
+            tell,
+            pauses,
+            came_since,
+        })
     }
 
     pub fn orders(&self) -> Orders {
@@ -105,15 +130,18 @@
 
     /// Runs for as long as the program does.
     pub fn run(mut self) -> io::Result<()> {
-        let mut events = Events::with_capacity(256);
+        let mut events = Events::with_capacity(EVENTS);
+        let mut were_all_taken = true;
         loop {
             let look = self.conns.values().any(|c| !c.out.is_empty()).then_some(LOOK);
             let pause = self.pause.map(|until| until.saturating_duration_since(Instant::now()));
-            let wait = look.into_iter().chain(pause).min();
-            match self.poll.poll(&mut events, wait) {
+            let wait = look.into_iter().chain(pause).fold(LOOKS_EACH, Duration::min);
+            match self.poll.poll(&mut events, Some(wait)) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 other => other?,
             }
+            self.look_for_a_pause(wait, were_all_taken);
+            were_all_taken = events.iter().count() < EVENTS;
             let mut ordered = false;
             for event in &events {
                 match event.token() {
@@ -150,6 +178,19 @@
         }
     }
 
+    /// Notes since when what is read in this turn may have been there: it came in the pause, if there was one.
+    fn look_for_a_pause(&mut self, wait: Duration, were_all_taken: bool) {
+        let now = self.tell.now();
+        match self.pauses.look(now, wait.as_secs_f64() * 1000.0) {
+            Some(since) => {
+                self.came_since = since;
+                self.tell.say(Input::StoodStill);
+            }
+            None if were_all_taken => self.came_since = now,
+            None => {}
+        }
+    }
+
     fn accept(&mut self) {
         while self.conns.len() < self.places
             && self.pause.is_none()
@@ -286,7 +327,7 @@
 
     fn read(&mut self, conn: u64) {
         let Some(held) = self.conns.get_mut(&conn) else { return };
-        if !held.read(conn, &self.tell) || held.leaves() {
+        if !held.read(conn, self.came_since, &self.tell) || held.leaves() {
             self.end(conn);
         } else if std::mem::take(&mut held.more) {
             self.orders.resume(conn);
@@ -325,7 +366,9 @@
     /// Reads all that has come, also ahead of an answer that is owed, and tells of a request whose turn it is; false at
     /// the connection's end. A request is told of only once nothing more is there to read: guards against sending on
     /// for a client that had left while it waited to be accepted, or for its turn.
-    fn read(&mut self, conn: u64, tell: &Tell) -> bool {
+    ///
+    /// `since`: what is read now came no earlier.
+    fn read(&mut self, conn: u64, since: f64, tell: &Tell) -> bool {
         let fresh = std::mem::take(&mut self.fresh);
         if self.peer_ended {
             if self.shared.owing.load(Ordering::SeqCst) {
@@ -340,7 +383,7 @@
                 self.pass_over(usize::MAX);
             }
             if self.over.is_some() {
-                return self.discard(conn, tell);
+                return self.discard(conn, since, tell);
             }
             if self.asked.is_none() {
                 self.take_up();
@@ -354,7 +397,7 @@
                     self.more = true;
                     return true;
                 }
-                if !self.ask(conn, tell) {
+                if !self.ask(conn, since, tell) {
                     return true;
                 }
                 continue; // who answers has to know that more waits
@@ -362,7 +405,7 @@
             match self.buffer.fill(&mut &self.shared.stream) {
                 Ok(1..) => self.tell_behind(conn, tell),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    if self.ask(conn, tell) {
+                    if self.ask(conn, since, tell) {
                         continue;
                     }
                     if !waits && self.has_begun() && !self.begun {
@@ -372,7 +415,7 @@
                     return true;
                 }
                 Err(error) if error.kind() == ErrorKind::OutOfMemory => {
-                    if self.ask(conn, tell) {
+                    if self.ask(conn, since, tell) {
                         continue;
                     }
                     if waits {
@@ -393,7 +436,7 @@
     }
 
     /// Reads and discards a turn's worth of what has come after the last request; false at the connection's end.
-    fn discard(&mut self, conn: u64, tell: &Tell) -> bool {
+    fn discard(&mut self, conn: u64, since: f64, tell: &Tell) -> bool {
         let mut turn = 0;
         while turn < TURN {
             let mut bytes = [0; 4096];
@@ -404,7 +447,7 @@
                     turn += count;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    if !self.ask(conn, tell) {
+                    if !self.ask(conn, since, tell) {
                         return true;
                     }
                 }
@@ -447,8 +490,11 @@
     }
 
     /// Tells of the request that was taken up.
-    fn ask(&mut self, conn: u64, tell: &Tell) -> bool {
-        let Some((ask, close)) = self.asked.take() else { return false };
+    fn ask(&mut self, conn: u64, since: f64, tell: &Tell) -> bool {
+        let Some((mut ask, close)) = self.asked.take() else { return false };
+        if let Ask::Scan(query) = &mut ask {
+            query.wait_ms = (query.wait_ms - (tell.now() - since)).max(0.0);
+        }
         self.shared.owing.store(true, Ordering::SeqCst);
         self.told_behind = false;
         // First, as it may be answered at once.
--- a/crates/mixer/src/http.rs
+++ b/crates/mixer/src/http.rs
@@ -15,6 +15,7 @@
     pub id: String,
     pub table_type: String,
     pub customer: Option<String>,
+    /// How long its client still waits.
     pub wait_ms: f64,
     pub retry: bool,
     pub text: String,
--- a/crates/mixer/src/lib.rs
+++ b/crates/mixer/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod listener;
 pub mod log;
 pub mod outbox;
+pub mod pauses;
 pub mod reducer;
 pub mod searcher;
 pub mod service;
--- a/crates/mixer/src/outbox.rs
+++ b/crates/mixer/src/outbox.rs
@@ -1,14 +1,10 @@
-//! What a turn of the service goes by when it writes to searchers: which links have something to write, for how long it may go on
-//! before others are heard, and whether the process stood still meanwhile.
+//! What a turn of the service goes by when it writes to searchers: which links have something to write, and for how long it may go
+//! on before others are heard.
 
 use std::collections::{HashSet, VecDeque};
 
 /// Writing goes on for so long before inputs are heard again: what is sent is decided on what was known a moment ago.
 const SLICE_MS: f64 = 5.0;
-/// A look at the clock that comes so much later than it was due finds that the process stood still. Attempts may begin for 100 ms
-/// after their client has gone.
-const STOOD_STILL_MS: f64 = 80.0;
-
 /// A frame that has been worked out begins within so long, or is worked out anew.
 const BEGINS_WITHIN_MS: f64 = 5.0;
 
@@ -48,24 +44,6 @@
     }
 }
 
-/// Notices that the process stood still between two looks at the clock. Times are milliseconds.
-pub struct PauseWatch {
-    looked_at: f64,
-}
-
-impl PauseWatch {
-    pub fn new(now: f64) -> Self {
-        Self { looked_at: now }
-    }
-
-    /// Whether this look comes far later than one that was due after `wait_ms`.
-    pub fn stood_still(&mut self, now: f64, wait_ms: f64) -> bool {
-        let late_ms = now - self.looked_at - wait_ms;
-        self.looked_at = now;
-        late_ms > STOOD_STILL_MS
-    }
-}
-
 /// The time that a turn has for writing.
 pub struct Slice {
     began_at: f64,
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -25,7 +25,8 @@
 use crate::link::Link;
 use crate::listener::{listen, local};
 use crate::log;
-use crate::outbox::{Outbox, PauseWatch};
+use crate::outbox::Outbox;
+use crate::pauses::PauseWatch;
 use crate::reducer::Reducer;
 use crate::searcher::{self, Searchers};
 use crate::signals::{Again, Hearing};
@@ -151,7 +152,7 @@
             let heard_at = self.clock.now();
             let effects = self.reducer.step(heard_at, inputs);
             effects.into_iter().for_each(|effect| self.carry_out(effect));
-            let paused = self.pauses.stood_still(self.clock.now(), 0.0);
+            let paused = self.pauses.look(self.clock.now(), 0.0).is_some();
             // Not twice in a row: a machine that takes so long over each step sends all the same.
             if paused && !caught_up {
                 self.stood_still = true;
@@ -187,16 +188,17 @@
         if let Ok(told) = self.heard.recv_timeout(wait) {
             self.hear(told, &mut inputs);
         }
-        let paused = self.pauses.stood_still(self.clock.now(), wait.as_secs_f64() * 1000.0);
-        let catches_up = std::mem::take(&mut self.stood_still) || paused;
-        if catches_up {
-            self.catch_up(&mut inputs);
-        }
+        let paused = self.pauses.look(self.clock.now(), wait.as_secs_f64() * 1000.0).is_some();
         while inputs.len() < TOGETHER
             && let Ok(told) = self.heard.try_recv()
         {
             self.hear(told, &mut inputs);
         }
+        // Whoever tells of a pause does so before all that it meets after it.
+        let catches_up = std::mem::take(&mut self.stood_still) || paused;
+        if catches_up {
+            self.catch_up(&mut inputs);
+        }
         (inputs, catches_up)
     }
 
@@ -222,6 +224,7 @@
                     inputs.push((at, Input::LinkUp { link }));
                 }
             }
+            Told::Input(_, Input::StoodStill) => self.stood_still = true,
             Told::Input(at, Input::LinkHasRoom { link }) => {
                 self.outbox.add(link);
                 inputs.push((at, Input::LinkHasRoom { link }));
--- a/crates/mixer/src/service/writes.rs
+++ b/crates/mixer/src/service/writes.rs
@@ -20,7 +20,7 @@
         let slice = Slice::new(self.clock.now());
         while let Some(link) = self.outbox.first() {
             let now = self.clock.now();
-            if self.pauses.stood_still(now, 0.0) {
+            if self.pauses.look(now, 0.0).is_some() {
                 self.stood_still = true;
                 return;
             }
--- a/crates/mixer/tests/writes.rs
+++ b/crates/mixer/tests/writes.rs
@@ -94,6 +94,30 @@
     assert!(calls.is_empty(), "{} calls to searchers that drain: {calls:?}", calls.len());
 }
 
+#[test]
+fn request_that_comes_while_the_mixer_stands_still_is_told_no_more_time_than_its_client_has_left() {
+    const DEADLINE_MS: u64 = 1500;
+    const SLACK_MS: u64 = 150;
+    for is_known in [true, false] {
+        let mixer = start(&[Manner::Answers]);
+        let known = mixer.connect();
+        write!(&known, "{}", scan("entry", 1)).expect("it takes bytes");
+        assert!(answer(&known).starts_with("HTTP/1.1 200 OK"));
+        thread::sleep(Duration::from_millis(700)); // nothing happens
+        mixer.signal("STOP");
+        let client = if is_known { known } else { mixer.connect() };
+        let request = scan("entry", 1)
+            .replace("q1", "stops")
+            .replace("Deadline-Ms: 1000", &format!("Deadline-Ms: {DEADLINE_MS}"));
+        write!(&client, "{request}").expect("it takes bytes");
+        thread::sleep(STOPPED);
+        for (call, told_ms) in calls_after_the_stop(&mixer) {
+            let most = DEADLINE_MS - STOPPED.as_millis() as u64 + SLACK_MS;
+            assert!(told_ms <= most, "known before: {is_known}, told more than {most} ms: {call:?}");
+        }
+    }
+}
+
 #[test]
 fn call_is_not_sent_for_a_client_that_leaves_while_the_mixer_is_held_up_after_its_look_at_the_clock() {
     const HELD_MS: u64 = 400;
