--- a/crates/soak/src/agent.rs
+++ b/crates/soak/src/agent.rs
@@ -13,8 +13,7 @@
 
 use crate::clock::now_ms;
 use crate::control::{self, AgentOrder, Listed};
-use crate::record::{Event, Recorder, Status};
-use crate::role;
+use crate::record::{self, Event, Recorder, Status};
 
 const STACK: usize = 128 * 1024;
 /// As long as nothing changes, an empty line comes so often.
@@ -60,7 +59,7 @@
 
 /// Serves until its runner has gone.
 pub fn serve(setup: Setup) -> Result<()> {
-    let recorder = role::recorder(&setup.folder, &format!("agent-{}", setup.mixer))?;
+    let recorder = record::recorder(&setup.folder, &format!("agent-{}", setup.mixer))?;
     let places = setup.places;
     let agent = Arc::new(Agent { setup, recorder, state: Mutex::default(), changed: Condvar::new() });
     for (place, at) in places.into_iter().enumerate() {
--- a/crates/soak/src/clients.rs
+++ b/crates/soak/src/clients.rs
@@ -14,9 +14,9 @@
 
 use crate::clock::now_ms;
 use crate::control::{self, ClientsOrder};
-use crate::record::{ConnectionEnd, Event, Recorder};
+use crate::record::{self, ConnectionEnd, Event, Recorder};
+use crate::searcher;
 use crate::settings::{CLASSES, Class, SHARDS};
-use crate::{role, searcher};
 
 const STACK: usize = 192 * 1024;
 /// Bytes of a long text.
@@ -86,7 +86,7 @@
 
 /// Serves until its runner has gone.
 pub fn serve(setup: Setup) -> Result<()> {
-    let recorder = role::recorder(&setup.folder, &format!("clients-{}", setup.mixer))?;
+    let recorder = record::recorder(&setup.folder, &format!("clients-{}", setup.mixer))?;
     let shared = Arc::new(Shared {
         setup,
         recorder,
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -14,8 +14,7 @@
 
 use crate::clock::now_ms;
 use crate::control::{self, Passing, ProxyOrder};
-use crate::record::{Event, Recorder};
-use crate::role;
+use crate::record::{self, Event, Recorder};
 use crate::settings::{NARROW, holds};
 
 const STACK: usize = 128 * 1024;
@@ -58,7 +57,7 @@
 
 /// Serves until its runner has gone.
 pub fn serve(setup: Setup) -> Result<()> {
-    let recorder = role::recorder(&setup.folder, &format!("proxy-{}", setup.number))?;
+    let recorder = record::recorder(&setup.folder, &format!("proxy-{}", setup.number))?;
     let shared = Arc::new(Shared { passing: Mutex::default(), recorder });
     for way in setup.ways {
         let (listener, shared) = (TcpListener::bind(way.listen)?, shared.clone());
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -112,3 +112,12 @@
     }
     Ok(events)
 }
+
+/// The record of a process in a run's folder.
+pub fn recorder(folder: &str, name: &str) -> anyhow::Result<Recorder> {
+    let path = Path::new(folder).join(format!("{name}.jsonl"));
+    if path.exists() {
+        anyhow::bail!("{} stands already", path.display());
+    }
+    Ok(Recorder::create(&path)?)
+}
--- a/crates/soak/src/role.rs
+++ b/crates/soak/src/role.rs
@@ -1,11 +1,8 @@
 //! The processes that stand in for a mixer's surroundings: which one, told by the environment.
 
-use std::path::Path;
-
-use anyhow::{Result, bail};
+use anyhow::Result;
 use serde::{Deserialize, Serialize};
 
-use crate::record::Recorder;
 use crate::{agent, clients, proxy, searcher};
 
 /// The variable that names the role of a process, as JSON.
@@ -32,12 +29,3 @@
     // Threads that still serve end with the process.
     std::process::exit(0)
 }
-
-/// The record of a process in a run's folder.
-pub fn recorder(folder: &str, name: &str) -> Result<Recorder> {
-    let path = Path::new(folder).join(format!("{name}.jsonl"));
-    if path.exists() {
-        bail!("{} stands already", path.display());
-    }
-    Ok(Recorder::create(&path)?)
-}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,23 +1,25 @@
 //! One run: starts all processes, carries out the faults of its seed, ends in order, and hands its events to the judge.
 
+mod faults;
+mod mixers;
+
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use anyhow::{Context, Result, ensure};
-use rustix::process::Signal;
+use anyhow::{Result, ensure};
 
 use crate::agent;
 use crate::clients;
 use crate::clock::now_ms;
-use crate::control::{AgentOrder, ClientsOrder, Listed, Manner, Passing, ProxyOrder, SearcherOrder};
-use crate::fleet::{Helper, Library, MixerProcess, Ports, Preload, build_library, page, signal};
+use crate::control::{AgentOrder, ClientsOrder, Listed};
+use crate::fleet::{Helper, Library, MixerProcess, Ports, build_library, page};
 use crate::judge::{self, Verdict};
 use crate::proxy::{self, Way};
 use crate::record::{self, Event, Recorder, Status};
 use crate::role::Role;
 use crate::searcher;
-use crate::settings::{self, CELLS, LONGEST_MS, NARROW};
+use crate::settings::CELLS;
 use crate::trouble::{self, Sizes, Trouble};
 
 /// Processes that may take each searcher's place in turn.
@@ -265,124 +267,6 @@
         (0..self.mixers.len()).try_for_each(|mixer| self.look_at(mixer))
     }
 
-    /// Notes that a mixer is ready or has ended, kills one that takes too long over its end, and starts the next process.
-    fn look_at(&mut self, number: usize) -> Result<()> {
-        let now = now_ms();
-        self.look_at_the_one_before(number)?;
-        let mixer = &mut self.mixers[number];
-        let Some(process) = &mut mixer.process else { return Ok(()) };
-        if let Some(status) = process.child.try_wait()? {
-            let (status, expected) = (status.code(), mixer.ends_by.is_some());
-            self.recorder.record(&Event::Exited { at: now, mixer: number, status, expected });
-            // The log's last lines may still be on their way.
-            std::thread::sleep(Duration::from_millis(10));
-            let counters = process.log.counters();
-            record_counters(&self.recorder, number, &counters);
-            (mixer.process, mixer.ends_by, mixer.ready) = (None, None, false);
-            mixer.clients.tell(&ClientsOrder::Front(false));
-            self.due.push((now + 50.0, Due::StartMixer(number)));
-            return Ok(());
-        }
-        if mixer.ends_by.is_some_and(|by| by <= now) {
-            self.recorder.record(&Event::Signalled {
-                at: now,
-                mixer: number,
-                signal: "KILL after TERM".to_owned(),
-            });
-            signal(&process.child, Signal::KILL);
-            mixer.ends_by = Some(f64::INFINITY);
-            return Ok(());
-        }
-        if !mixer.ready
-            && mixer.ends_by.is_none()
-            && page(mixer.listen, "/-/ready").is_ok_and(|(status, _)| status == 200)
-        {
-            mixer.ready = true;
-            self.recorder.record(&Event::Ready { at: now_ms(), mixer: number });
-            mixer.clients.tell(&ClientsOrder::Front(true));
-        }
-        Ok(())
-    }
-
-    /// The same for a process whose successor runs already.
-    fn look_at_the_one_before(&mut self, number: usize) -> Result<()> {
-        let now = now_ms();
-        let Some((process, ends_by)) = &mut self.mixers[number].before else { return Ok(()) };
-        if let Some(status) = process.child.try_wait()? {
-            let status = status.code();
-            self.recorder.record(&Event::Exited { at: now, mixer: number, status, expected: true });
-            std::thread::sleep(Duration::from_millis(10));
-            record_counters(&self.recorder, number, &process.log.counters());
-            self.mixers[number].before = None;
-        } else if *ends_by <= now {
-            self.recorder.record(&Event::Signalled {
-                at: now,
-                mixer: number,
-                signal: "KILL after TERM".to_owned(),
-            });
-            signal(&process.child, Signal::KILL);
-            *ends_by = f64::INFINITY;
-        }
-        Ok(())
-    }
-
-    /// Starts the next process of a mixer beside the one that ends.
-    fn take_over(&mut self, number: usize) -> Result<()> {
-        let mixer = &mut self.mixers[number];
-        // It may have ended by itself, and its successor have been started, before.
-        let Some(ends_by) = mixer.ends_by else { return Ok(()) };
-        mixer.clients.tell(&ClientsOrder::Front(false));
-        if let Some(process) = mixer.process.take() {
-            mixer.before = Some((process, ends_by));
-            self.start_mixer(number)?;
-        }
-        Ok(())
-    }
-
-    fn start_mixer(&mut self, number: usize) -> Result<()> {
-        self.write_config(number)?;
-        let mixer = &mut self.mixers[number];
-        mixer.processes += 1;
-        let folder = &self.options.folder;
-        let log = folder.join(format!("{}-{}.log", mixer.name, mixer.processes));
-        let preload = Preload {
-            libraries: self.libraries.clone(),
-            notes: folder.join(format!("sends-{}-{}.jsonl", mixer.name, mixer.processes)),
-            send_buffer: self.options.narrow.then_some(NARROW),
-        };
-        self.recorder.record(&Event::Started { at: now_ms(), mixer: number });
-        mixer.process = Some(MixerProcess::start(
-            &self.options.program,
-            &folder.join(format!("{}.json", mixer.name)),
-            log,
-            &preload,
-        )?);
-        (mixer.ready, mixer.ends_by) = (false, None);
-        Ok(())
-    }
-
-    /// Writes a mixer's configuration as the platform does, whole or not at all.
-    fn write_config(&self, number: usize) -> Result<()> {
-        let mixer = &self.mixers[number];
-        let up: Vec<Listed> =
-            self.searchers.iter().map(Searcher::listed).filter(|s| s.status != Status::Removed).collect();
-        let known = agent::list(0, true, &up.iter().collect::<Vec<_>>());
-        let seed = self.options.seed * 1000 + u64::from(mixer.processes);
-        let config = settings::config(
-            &mixer.name,
-            mixer.listen,
-            mixer.places[mixer.place],
-            seed,
-            self.mixers.len(),
-            &known,
-        );
-        let path = self.options.folder.join(format!("{}.json", mixer.name));
-        let new = path.with_extension("new");
-        std::fs::write(&new, config.to_string()).context("a configuration")?;
-        std::fs::rename(new, path)?;
-        Ok(())
-    }
-
     fn start_searcher(&mut self, number: usize) -> Result<()> {
         let searcher = &mut self.searchers[number];
         searcher.processes += 1;
@@ -408,223 +292,6 @@
         self.due.push((now_ms() + ms as f64, due));
     }
 
-    fn signal_mixer(&mut self, number: usize, kind: Signal, name: &str) {
-        if let Some(process) = &self.mixers[number].process {
-            self.recorder.record(&Event::Signalled { at: now_ms(), mixer: number, signal: name.to_owned() });
-            signal(&process.child, kind);
-        }
-    }
-
-    /// Lets a mixer go on, whichever of its processes was stopped.
-    fn resume_mixer(&mut self, number: usize) {
-        if let Some((process, _)) = &self.mixers[number].before {
-            signal(&process.child, Signal::CONT);
-        }
-        self.signal_mixer(number, Signal::CONT, "CONT");
-    }
-
-    fn carry_out(&mut self, due: Due) -> Result<()> {
-        match due {
-            Due::Begin(trouble) => self.begin(trouble)?,
-            Due::FrontOff(mixer) => self.mixers[mixer].clients.tell(&ClientsOrder::Front(false)),
-            Due::StartMixer(mixer) if self.mixers[mixer].process.is_some() => {}
-            Due::StartMixer(mixer) => self.start_mixer(mixer)?,
-            Due::TakeOver(mixer) => self.take_over(mixer)?,
-            Due::Resume(mixer) => self.resume_mixer(mixer),
-            Due::Stutter { mixer, left, ms, apart_ms } => {
-                self.signal_mixer(mixer, Signal::STOP, "STOP");
-                self.later(ms, Due::Resume(mixer));
-                if left > 1 {
-                    self.later(ms + apart_ms, Due::Stutter { mixer, left: left - 1, ms, apart_ms });
-                }
-            }
-            Due::ResumeSearcher(searcher) => {
-                if let Some(process) = &self.searchers[searcher].process {
-                    signal(&process.child, Signal::CONT);
-                }
-            }
-            Due::StartSearcher(number) => {
-                self.start_searcher(number)?;
-                self.searchers[number].since_ms = unix_ms();
-                let listed = self.searchers[number].listed();
-                self.tell_agents(&[listed]);
-            }
-            Due::Behave(searcher) => self.searcher_does(searcher, Manner::Answers),
-            Due::RemoveSearcher(number) => {
-                self.searchers[number].status = Status::Removed;
-                let listed = self.searchers[number].listed();
-                self.tell_agents(&[listed]);
-                self.later(600, Due::ReplaceSearcher(number));
-            }
-            Due::ReplaceSearcher(number) => {
-                let searcher = &mut self.searchers[number];
-                searcher.process = None;
-                searcher.generation += 1;
-                (searcher.status, searcher.since_ms) = (Status::Up, unix_ms());
-                self.start_searcher(number)?;
-                let listed = self.searchers[number].listed();
-                self.tell_agents(&[listed]);
-            }
-            Due::PassWhole(proxy) => self.proxies[proxy].tell(&ProxyOrder::Passing(Passing::Whole)),
-            Due::Hangup { mixer, left } => {
-                self.signal_mixer(mixer, Signal::HUP, "HUP");
-                if left > 1 {
-                    self.later(20, Due::Hangup { mixer, left: left - 1 });
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn searcher_does(&mut self, number: usize, manner: Manner) {
-        if let Some(process) = &mut self.searchers[number].process {
-            process.tell(&SearcherOrder::Manner(manner));
-        }
-    }
-
-    /// Whether a mixer runs that has not been asked to end, and none ends beside it.
-    fn may_end(&self, number: usize) -> bool {
-        let mixer = &self.mixers[number];
-        mixer.process.is_some() && mixer.ends_by.is_none() && mixer.before.is_none()
-    }
-
-    fn begin(&mut self, trouble: Trouble) -> Result<()> {
-        let now = now_ms();
-        let lasts = |ms: u64| now + ms as f64;
-        let note = |until: f64| Event::Trouble { at: now, until, what: format!("{trouble:?}") };
-        match trouble {
-            Trouble::MixerEnds { mixer, front_ms } => {
-                if !self.may_end(mixer) {
-                    return Ok(());
-                }
-                self.recorder.record(&note(now));
-                self.signal_mixer(mixer, Signal::TERM, "TERM");
-                self.mixers[mixer].ends_by = Some(now + LONGEST_MS + KILLED_AFTER_MS);
-                self.later(front_ms, Due::FrontOff(mixer));
-            }
-            Trouble::MixerHandsOver { mixer, after_ms } => {
-                if !self.may_end(mixer) {
-                    return Ok(());
-                }
-                self.recorder.record(&note(now));
-                self.signal_mixer(mixer, Signal::TERM, "TERM");
-                self.mixers[mixer].ends_by = Some(now + LONGEST_MS + KILLED_AFTER_MS);
-                self.later(after_ms, Due::TakeOver(mixer));
-            }
-            Trouble::MixerKilled { mixer } => {
-                if !self.may_end(mixer) {
-                    return Ok(());
-                }
-                self.recorder.record(&note(now));
-                self.signal_mixer(mixer, Signal::KILL, "KILL");
-                self.mixers[mixer].ends_by = Some(f64::INFINITY);
-            }
-            Trouble::MixerPaused { mixer, ms } => {
-                self.recorder.record(&note(lasts(ms)));
-                self.signal_mixer(mixer, Signal::STOP, "STOP");
-                self.later(ms, Due::Resume(mixer));
-            }
-            Trouble::MixerStutters { mixer, count, ms, apart_ms } => {
-                // Two series at once would let it go on for no time at all.
-                if now < self.mixers[mixer].stutters_until {
-                    return Ok(());
-                }
-                self.mixers[mixer].stutters_until = lasts(u64::from(count) * (ms + apart_ms));
-                self.recorder.record(&note(lasts(u64::from(count) * (ms + apart_ms))));
-                self.carry_out(Due::Stutter { mixer, left: count, ms, apart_ms })?;
-            }
-            Trouble::MixerReloads { mixer, signals } => {
-                self.recorder.record(&note(now));
-                let place = 1 - self.mixers[mixer].place;
-                self.mixers[mixer].place = place;
-                self.write_config(mixer)?;
-                self.mixers[mixer].agent.tell(&AgentOrder::Move);
-                self.carry_out(Due::Hangup { mixer, left: signals })?;
-            }
-            Trouble::MixerReports { mixer } => {
-                self.recorder.record(&note(now));
-                self.signal_mixer(mixer, Signal::USR1, "USR1");
-            }
-            Trouble::LogReaderGone { mixer } => {
-                self.recorder.record(&note(f64::MAX));
-                self.mixers[mixer].process.iter().for_each(|process| process.log.go());
-            }
-            Trouble::LogReaderStalls { mixer, ms } => {
-                self.recorder.record(&note(lasts(ms)));
-                self.mixers[mixer].process.iter().for_each(|process| process.log.stall(ms));
-            }
-            Trouble::SearcherPaused { searcher, ms } => {
-                self.recorder.record(&note(lasts(ms)));
-                if let Some(process) = &self.searchers[searcher].process {
-                    signal(&process.child, Signal::STOP);
-                }
-                self.later(ms, Due::ResumeSearcher(searcher));
-            }
-            Trouble::SearcherRestarts { searcher, ms } => {
-                if self.searchers[searcher].status != Status::Up || self.searchers[searcher].process.is_none()
-                {
-                    return Ok(());
-                }
-                self.recorder.record(&note(lasts(ms)));
-                self.searchers[searcher].process = None;
-                self.later(ms, Due::StartSearcher(searcher));
-            }
-            Trouble::SearcherDoes { searcher, manner, ms } => {
-                self.recorder.record(&note(lasts(ms)));
-                self.searcher_does(searcher, manner);
-                self.later(ms, Due::Behave(searcher));
-            }
-            Trouble::SearcherReplaced { searcher, drains_ms } => {
-                let place = &mut self.searchers[searcher];
-                if place.status != Status::Up
-                    || place.generation + 1 >= GENERATIONS
-                    || place.process.is_none()
-                {
-                    return Ok(());
-                }
-                place.status = Status::Draining;
-                self.recorder.record(&note(lasts(drains_ms)));
-                let listed = self.searchers[searcher].listed();
-                self.tell_agents(&[listed]);
-                self.later(drains_ms, Due::RemoveSearcher(searcher));
-            }
-            Trouble::ProxyPasses { proxy, passing, ms } => {
-                self.recorder.record(&note(lasts(ms)));
-                self.proxies[proxy].tell(&ProxyOrder::Passing(passing));
-                self.later(ms, Due::PassWhole(proxy));
-            }
-            Trouble::AgentSilent { mixer, ms } => {
-                self.recorder.record(&note(lasts(ms)));
-                self.mixers[mixer].agent.tell(&AgentOrder::Silent(ms));
-            }
-            Trouble::AgentDown { mixer, ms } => {
-                self.recorder.record(&note(lasts(ms)));
-                self.mixers[mixer].agent.tell(&AgentOrder::Down(ms));
-            }
-            Trouble::AgentResets { mixer } => {
-                self.recorder.record(&note(now));
-                self.mixers[mixer].agent.tell(&AgentOrder::Reset);
-            }
-            Trouble::AgentSlow { mixer, ms } => {
-                self.recorder.record(&note(lasts(ms)));
-                self.mixers[mixer].agent.tell(&AgentOrder::Slow(ms));
-            }
-            Trouble::ClientsLeave { mixer } => {
-                self.recorder.record(&note(now));
-                self.mixers[mixer].clients.tell(&ClientsOrder::LeaveAll);
-            }
-            Trouble::ClientsBurst { mixer, count } => {
-                self.recorder.record(&note(now));
-                self.mixers[mixer].clients.tell(&ClientsOrder::Burst(count));
-            }
-            Trouble::ClientsCrowd { mixer, count, ms } => {
-                self.recorder.record(&note(lasts(ms)));
-                self.mixers[mixer].clients.tell(&ClientsOrder::Crowd(count, ms));
-            }
-        }
-        Ok(())
-    }
-
     /// Lets all that was asked come to its end.
     fn settle(&mut self) -> Result<()> {
         let ms = SETTLE_MS;
--- a/crates/soak/src/searcher.rs
+++ b/crates/soak/src/searcher.rs
@@ -15,8 +15,7 @@
 
 use crate::clock::now_ms;
 use crate::control::{self, Manner, SearcherOrder};
-use crate::record::{Event, Recorder};
-use crate::role;
+use crate::record::{self, Event, Recorder};
 use crate::settings::IDLE_CLOSE_MS;
 
 /// Stack of a thread.
@@ -59,7 +58,7 @@
 
 /// Serves until its runner has gone.
 pub fn serve(setup: Setup) -> Result<()> {
-    let recorder = role::recorder(&setup.folder, &format!("{}-{}", setup.name, setup.process))?;
+    let recorder = record::recorder(&setup.folder, &format!("{}-{}", setup.name, setup.process))?;
     let listener = TcpListener::bind(setup.listen)?;
     let random = Mutex::new(Rand64::new(u128::from(setup.seed)));
     let shared = Arc::new(Shared { setup, recorder, manner: Mutex::default(), random });
