Mixer: an accept that fails for a moment closes no other client's new connection

A new connection's request may not be closed without an answer.

Cause: every failed accept asked for room, so that ENFILE or ECONNABORTED hung up on the client that mattered least, here one that had come a moment before (log: accept: Too many open files in system; client 3 is hung up on: others need its place).

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -12,6 +12,7 @@
 use crossbeam_channel::{Receiver, unbounded};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
+use rustix::io::Errno;
 use tracing::debug;
 
 use crate::buffer::Room;
@@ -35,6 +36,11 @@
 const LISTENER: Token = Token(0);
 const ORDERS: Token = Token(usize::MAX);
 
+/// Whether it fails since the process has no descriptor left: only then does another client's leaving help.
+fn is_full(error: &io::Error) -> bool {
+    error.raw_os_error() == Some(Errno::MFILE.raw_os_error())
+}
+
 /// All connections of clients, and the listener.
 pub struct Clients {
     poll: Poll,
@@ -164,7 +170,7 @@
                 Ok((stream, _)) => {
                     if let Err(error) = self.begin(stream) {
                         debug!("a client could not be served: {error}");
-                        self.tell.say(Input::AcceptFailed);
+                        self.tell.say(Input::AcceptFailed { is_full: is_full(&error) });
                     }
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
@@ -178,7 +184,7 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => {
                     debug!("accept: {error}");
-                    self.tell.say(Input::AcceptFailed);
+                    self.tell.say(Input::AcceptFailed { is_full: is_full(&error) });
                     self.pause = Some(Instant::now() + PAUSE);
                 }
             }
--- a/crates/mixer/src/inputs.rs
+++ b/crates/mixer/src/inputs.rs
@@ -46,7 +46,10 @@
     },
     /// All that waited to be accepted are, and no more will be.
     ListenerClosed,
-    AcceptFailed,
+    /// A client could not be accepted; whether that is since the process has no descriptor left.
+    AcceptFailed {
+        is_full: bool,
+    },
     LinkUp {
         link: u64,
     },
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -325,9 +325,11 @@
             Input::Said { conn } => self.said(now, conn),
             Input::Sends { conn } => self.sends(conn),
             Input::ListenerClosed => self.deaf = true,
-            Input::AcceptFailed => {
+            Input::AcceptFailed { is_full } => {
                 self.counters.accepts_failed += 1;
-                self.make_room(now);
+                if is_full {
+                    self.make_room(now);
+                }
             }
             Input::LinkUp { link } => self.link_up(now, link),
             Input::LinkBlocked { link } => self.link_blocked(now, link),
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -730,6 +730,16 @@
     assert_snapshot!(format!("{:?}", sizes[3]));
 }
 
+#[test]
+fn accept_that_failed_for_a_moment_closes_no_new_connection() {
+    let mut rig = Rig::new(1);
+    rig.tell(Input::AcceptFailed { is_full: false });
+    assert!(!rig.trace.contains("hang up"), "{}", rig.trace);
+    rig.tell(Input::AcceptFailed { is_full: true });
+    assert!(rig.trace.contains("client 1: hang up"), "{}", rig.trace);
+    assert_eq!(rig.reducer.counters().accepts_failed, 2);
+}
+
 /// The frames that a link is given now, with these clients gone.
 fn frames(rig: &mut Rig, link: u64, gone: &[u64]) -> Vec<String> {
     let mut frames = Vec::new();
