Mixer: what a poll finds after a pause may have come in it, though the turn before saw the pause

Trace of m1-000823: sent 447 ms before the first write, the mixer stopped but for 50 us; the pause was seen in the turn of a poll that had returned before it with nothing, the request found by the next poll, 10 ms later, and counted from then (d=982 where 563 were left).

Change: Arrivals (pauses.rs) keeps the beginning of a pause for the turn after as well; of pauses in a row each from the one before, so that a series does not add up. What one poll could not hold counts as before.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -18,7 +18,7 @@
 use crate::buffer::Room;
 use crate::inputs::Input;
 use crate::line::{Line, Order, Orders, Shared};
-use crate::pauses::PauseWatch;
+use crate::pauses::Arrivals;
 use crate::stream::write_some;
 use crate::tell::Tell;
 use connection::Conn;
@@ -59,9 +59,7 @@
     orders: Orders,
     given: Receiver<Order>,
     tell: Tell,
-    pauses: PauseWatch,
-    /// What is read in this turn came no earlier, in milliseconds of the service's clock.
-    came_since: f64,
+    arrivals: Arrivals,
 }
 
 impl Clients {
@@ -74,8 +72,7 @@
         let (to, given) = unbounded(); // no more than an answer and three words for each connection
         let (listener, conns, orders) = (Some(listener), HashMap::new(), Orders { to, waker });
         let (next, freed, pause, stopped) = (0, false, None, false);
-        let came_since = tell.now();
-        let pauses = PauseWatch::new(came_since);
+        let arrivals = Arrivals::new(tell.now());
         Ok(Self {
             poll,
             listener,
@@ -89,8 +86,7 @@
             orders,
             given,
             tell,
-            pauses,
-            came_since,
+            arrivals,
         })
     }
 
@@ -101,7 +97,6 @@
     /// Runs for as long as the program does.
     pub fn run(mut self) -> io::Result<()> {
         let mut events = Events::with_capacity(EVENTS);
-        let mut were_all_taken = true;
         loop {
             let look = self.conns.values().any(|c| !c.out.is_empty()).then_some(LOOK);
             let pause = self.pause.map(|until| until.saturating_duration_since(Instant::now()));
@@ -110,8 +105,10 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 other => other?,
             }
-            self.look_for_a_pause(wait, were_all_taken);
-            were_all_taken = events.iter().count() < EVENTS;
+            let were_all_taken = events.iter().count() < EVENTS;
+            if self.arrivals.turn(self.tell.now(), wait.as_secs_f64() * 1000.0, were_all_taken) {
+                self.tell.say(Input::StoodStill);
+            }
             let mut ordered = false;
             for event in &events {
                 match event.token() {
@@ -148,19 +145,6 @@
         }
     }
 
-    /// Notes since when what is read in this turn may have been there: it came in the pause, if there was one.
-    fn look_for_a_pause(&mut self, wait: Duration, were_all_taken: bool) {
-        let now = self.tell.now();
-        match self.pauses.look(now, wait.as_secs_f64() * 1000.0) {
-            Some(since) => {
-                self.came_since = since;
-                self.tell.say(Input::StoodStill);
-            }
-            None if were_all_taken => self.came_since = now,
-            None => {}
-        }
-    }
-
     fn accept(&mut self) {
         while self.conns.len() < self.places
             && self.pause.is_none()
@@ -279,7 +263,7 @@
 
     fn read(&mut self, conn: u64) {
         let Some(held) = self.conns.get_mut(&conn) else { return };
-        if !held.read(conn, self.came_since, &self.tell) || held.leaves() {
+        if !held.read(conn, self.arrivals.since(), &self.tell) || held.leaves() {
             self.end(conn);
         } else if std::mem::take(&mut held.more) {
             self.orders.resume(conn);
--- a/crates/mixer/src/pauses.rs
+++ b/crates/mixer/src/pauses.rs
@@ -1,4 +1,5 @@
-//! Whether the process stood still: a thread that looks at the clock again and again finds a look that comes far too late.
+//! Whether the process stood still, and what came meanwhile: a thread that looks at the clock again and again finds a look that comes
+//! far too late.
 
 /// A look that comes so much later than it was due finds that the process stood still. Attempts may begin for 100 ms after their
 /// client has gone, and tell 150 ms more than it has left.
@@ -20,3 +21,34 @@
         (now - before > wait_ms + STOOD_STILL_MS).then_some(before)
     }
 }
+
+/// Since when what a polling thread finds in a turn may have been there. Times are milliseconds of one clock.
+///
+/// What a poll finds came after the poll before had returned. That was right before the look of that turn, or, where a pause shows in
+/// that look, at any time since the look before it.
+pub struct Arrivals {
+    pauses: PauseWatch,
+    since: f64,
+    /// What the next turn finds came no earlier, where that is not known from its own look.
+    next_since: Option<f64>,
+}
+
+impl Arrivals {
+    pub fn new(now: f64) -> Self {
+        Self { pauses: PauseWatch::new(now), since: now, next_since: Some(now) }
+    }
+
+    /// Begins the turn after a poll that has returned just now and was to wait `wait_ms` at most; whether the process stood still.
+    /// `all_found`: the poll found all that there was.
+    pub fn turn(&mut self, now: f64, wait_ms: f64, all_found: bool) -> bool {
+        let paused_since = self.pauses.look(now, wait_ms);
+        self.since = self.next_since.or(paused_since).unwrap_or(now);
+        self.next_since = paused_since.or((!all_found).then_some(self.since));
+        paused_since.is_some()
+    }
+
+    /// What is found in this turn came no earlier.
+    pub fn since(&self) -> f64 {
+        self.since
+    }
+}
