Mixer: a write that fails for a moment is tried again though no event follows it

Seen by callers, where one send in ten fails with EAGAIN though there is room (faults.c, now with it): answers that never come or do not end.

Cause: after a full write both sides wait for the system's event (edge), which does not come where nothing was full.

Change: a link that takes nothing is tried again after 10 ms, then after twice as long each time (Effect::Retry); answers that wait are gone on with at each of the clients' thread's looks, 40 ms apart.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -137,6 +137,7 @@
                 self.accept();
             }
             if look.is_some() {
+                self.flush_all();
                 let stuck = self.conns.iter().filter(|(_, c)| !c.out.is_empty() && c.since.elapsed() > STUCK);
                 for conn in stuck.map(|c| *c.0).collect::<Vec<_>>() {
                     self.end(conn);
@@ -236,6 +237,14 @@
         }
     }
 
+    /// Goes on with all answers that wait, though a write that failed for a moment is followed by no event.
+    fn flush_all(&mut self) {
+        let waiting = self.conns.iter().filter(|(_, conn)| !conn.out.is_empty()).map(|(conn, _)| *conn);
+        for conn in waiting.collect::<Vec<_>>() {
+            self.flush(conn);
+        }
+    }
+
     fn flush(&mut self, conn: u64) {
         let Some(held) = self.conns.get_mut(&conn).filter(|c| !c.out.is_empty()) else { return };
         match write_some(&held.shared.stream, &held.out) {
--- a/crates/mixer/src/inputs.rs
+++ b/crates/mixer/src/inputs.rs
@@ -53,9 +53,10 @@
     LinkUp {
         link: u64,
     },
-    /// A searcher takes no more for now: what waits for the link waits on.
+    /// A searcher takes no more for now: what waits for the link waits on. Whether it took any since that was told last.
     LinkBlocked {
         link: u64,
+        took_some: bool,
     },
     /// It takes more again.
     LinkHasRoom {
@@ -114,6 +115,10 @@
     Send {
         link: u64,
     },
+    /// Tries once more to write on a link whose searcher takes no more.
+    Retry {
+        link: u64,
+    },
     CloseLink {
         link: u64,
     },
--- a/crates/mixer/src/link.rs
+++ b/crates/mixer/src/link.rs
@@ -52,6 +52,8 @@
     Whole,
     /// Its rest follows once there is room.
     Partly,
+    /// Nothing of the rest was taken.
+    Stalled,
     /// Not a byte was taken: it can be withdrawn.
     NotBegun,
     /// The link ends, and its reader tells of it.
@@ -85,6 +87,13 @@
         self.shared.as_ref().is_some_and(|shared| shared.awaits_room.load(Ordering::SeqCst))
     }
 
+    /// Lets the next write be tried though nobody has told of room.
+    pub fn retry(&self) {
+        if let Some(shared) = &self.shared {
+            shared.awaits_room.store(false, Ordering::SeqCst);
+        }
+    }
+
     /// Whether a frame has begun and is not whole.
     pub fn has_rest(&self) -> bool {
         !self.rest.is_empty()
@@ -124,7 +133,7 @@
             Ok(count) => {
                 self.rest = rest;
                 self.rest.drain(..count);
-                Written::Partly
+                if count > 0 { Written::Partly } else { Written::Stalled }
             }
             Err(error) => {
                 self.give_room_back();
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -332,7 +332,7 @@
                 }
             }
             Input::LinkUp { link } => self.link_up(now, link),
-            Input::LinkBlocked { link } => self.link_blocked(now, link),
+            Input::LinkBlocked { link, took_some } => self.link_blocked(now, link, took_some),
             Input::LinkHasRoom { link } => self.link_has_room(link),
             Input::LinkEnd { link, written } => self.link_end(now, link, written),
             Input::Frames { link, frames, bad } => {
@@ -356,6 +356,7 @@
             Due::ProbeTimedOut { link, number } => self.time_out_probe(now, link, number),
             Due::Idle(link) => self.close_idle(now, link),
             Due::Stuck(link) => self.close_stuck(now, link),
+            Due::Retry(link) => self.retry_blocked(link),
             Due::Linger(conn) => self.linger(now, conn),
             Due::Quiet(conn) => self.quiet(now, conn),
             Due::Cached => self.uncache(now),
--- a/crates/mixer/src/reducer/frames.rs
+++ b/crates/mixer/src/reducer/frames.rs
@@ -12,6 +12,10 @@
 use crate::frame::{self, Piece};
 use crate::inputs::Effect;
 
+/// A link that takes nothing is tried again after so long, then after twice as long each time: its reader tells of room, but not of
+/// a write that failed for a moment.
+const FIRST_RETRY_MS: f64 = 10.0;
+
 /// A frame whose first byte is to be written now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Outgoing {
@@ -103,12 +107,24 @@
     }
 
     /// A searcher takes no more: one that goes on so for as long as a connection may take to come up has its link closed.
-    pub(super) fn link_blocked(&mut self, now: f64, id: u64) {
+    pub(super) fn link_blocked(&mut self, now: f64, id: u64, took_some: bool) {
         let Some(link) = self.links.get_mut(&id) else { return };
-        link.blocked_since = Some(now);
-        self.counters.links_blocked += 1;
-        debug!("link {id} to {}: takes no more, {} calls and probes wait", link.addr, link.queue.len());
-        self.add_due(now + self.terms.connect_timeout_ms, Due::Stuck(id));
+        let still_blocked = link.blocked_since.is_some() && !took_some;
+        link.retry_ms = if still_blocked { 2.0 * link.retry_ms } else { FIRST_RETRY_MS };
+        let retry_at = now + link.retry_ms;
+        if !still_blocked {
+            link.blocked_since = Some(now);
+            self.counters.links_blocked += 1;
+            debug!("link {id} to {}: takes no more, {} calls and probes wait", link.addr, link.queue.len());
+            self.add_due(now + self.terms.connect_timeout_ms, Due::Stuck(id));
+        }
+        self.add_due(retry_at, Due::Retry(id));
+    }
+
+    pub(super) fn retry_blocked(&mut self, id: u64) {
+        if self.links.get(&id).is_some_and(|link| link.blocked_since.is_some()) {
+            self.effects.push(Effect::Retry { link: id });
+        }
     }
 
     pub(super) fn link_has_room(&mut self, id: u64) {
--- a/crates/mixer/src/reducer/held.rs
+++ b/crates/mixer/src/reducer/held.rs
@@ -53,6 +53,8 @@
     Idle(u64),
     /// A link may have taken nothing for long.
     Stuck(u64),
+    /// A link that takes nothing is tried again.
+    Retry(u64),
     /// A client has had its time to close.
     Linger(u64),
     /// A client has had its time to ask.
@@ -166,6 +168,8 @@
     pub(super) latest: Option<Queued>,
     /// Its searcher has taken nothing since then, and something waits for that.
     pub(super) blocked_since: Option<f64>,
+    /// Then, it is tried again after so long, lest nobody tells of room.
+    pub(super) retry_ms: f64,
     /// Frames whose writing has begun.
     pub(super) frames: u64,
     /// Calls out, and how many parts of each.
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -88,6 +88,7 @@
             give_ups: VecDeque::new(),
             latest: None,
             blocked_since: None,
+            retry_ms: 0.0,
             frames: 0,
             calls: BTreeMap::new(),
             out: HashMap::new(),
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -284,6 +284,12 @@
                 }
             }
             Effect::Send { link } => self.outbox.add(link),
+            Effect::Retry { link } => {
+                if let Some(held) = self.links.get(&link) {
+                    held.retry();
+                    self.outbox.add(link);
+                }
+            }
             Effect::CloseLink { link } => {
                 while self.write_next(link) {}
                 if let Some(link) = self.links.get_mut(&link) {
--- a/crates/mixer/src/service/writes.rs
+++ b/crates/mixer/src/service/writes.rs
@@ -51,8 +51,9 @@
         if written == Written::NotBegun {
             self.reducer.not_begun(id);
         }
-        if matches!(written, Written::Partly | Written::NotBegun) {
-            self.met.push((self.clock.now(), Input::LinkBlocked { link: id }));
+        if matches!(written, Written::Partly | Written::Stalled | Written::NotBegun) {
+            let took_some = written == Written::Partly;
+            self.met.push((self.clock.now(), Input::LinkBlocked { link: id, took_some }));
         }
         written == Written::Whole
     }
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -96,6 +96,7 @@
                     Some(frame) => format!("link {link}: {}", text(&frame.bytes[4..])),
                     None => continue,
                 },
+                Effect::Retry { link } => format!("link {link}: try again"),
                 Effect::CloseLink { link } => format!("link {link}: close"),
                 Effect::StopListening => "stop listening".to_owned(),
                 Effect::Watch { number, at } => format!("watch {number} at {at}"),
@@ -769,7 +770,7 @@
         rig.reducer.step(rig.now, vec![(rig.now, Input::LinkUp { link })]);
         let first = rig.reducer.next_frame(rig.now, link, &[]).expect("a call");
         rig.reducer.not_begun(link);
-        rig.tell(Input::LinkBlocked { link });
+        rig.tell(Input::LinkBlocked { link, took_some: false });
         rig.now += 200.0;
         if leaves {
             rig.tell(Input::ClientEnd { conn: 1 });
@@ -791,7 +792,7 @@
     rig.reducer.step(rig.now, vec![(rig.now, Input::LinkUp { link })]);
     assert!(rig.reducer.next_frame(rig.now, link, &[]).is_some());
     rig.reducer.not_begun(link);
-    rig.tell(Input::LinkBlocked { link });
+    rig.tell(Input::LinkBlocked { link, took_some: false });
     rig.pass(240.0);
     assert!(!rig.trace.contains("close"), "{}", rig.trace);
     rig.pass(20.0);
--- a/crates/mixer/tests/settings.rs
+++ b/crates/mixer/tests/settings.rs
@@ -199,7 +199,7 @@
             }
             self.reducer.not_begun(link);
             self.blocked.insert(link);
-            self.at(self.now, Input::LinkBlocked { link });
+            self.at(self.now, Input::LinkBlocked { link, took_some: false });
             let later = within(&mut self.seed, 0.0, 600.0);
             self.at(self.now + later, Input::LinkHasRoom { link });
         }
--- a/crates/soak/shim/faults.c
+++ b/crates/soak/shim/faults.c
@@ -44,6 +44,7 @@
 
 ssize_t send(int socket, const void *bytes, size_t count, int flags) {
     if (chance(20)) return fails(EINTR);
+    if (chance(10)) return fails(EAGAIN);
     if (count > 3 && chance(10)) count = 3;
     return REAL(send)(socket, bytes, count, flags);
 }
