--- a/crates/mixer/tests/soak.rs
+++ b/crates/mixer/tests/soak.rs
@@ -1,6 +1,6 @@
 //! The soak test: mixers and their surroundings as processes, overlapping faults by seed, judged by invariants.
 //!
-//! Many seeds, every second of them with narrow connections (with `SOAK_SHIM=1` under failing system calls): `SOAK_SEEDS=1..40 SOAK_SECONDS=20 cargo test -p pewterwharf-mixer --test soak -- --ignored --nocapture`.
+//! Many seeds, every second of them with narrow connections, of the others every second with threads held up (with `SOAK_SHIM=1` under failing system calls): `SOAK_SEEDS=1..40 SOAK_SECONDS=20 cargo test -p pewterwharf-mixer --test soak -- --ignored --nocapture`.
 
 use std::path::PathBuf;
 
@@ -58,7 +58,12 @@
     let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|text| text.parse().ok()).unwrap_or(20);
     let faults = std::env::var_os("SOAK_SHIM").is_some();
     let breaks = |seed: &u64| {
-        let options = Options { faults, narrow: seed.is_multiple_of(2), ..options("many", *seed, seconds) };
+        let options = Options {
+            faults,
+            narrow: seed.is_multiple_of(2),
+            holds: seed % 4 == 3,
+            ..options("many", *seed, seconds)
+        };
         !soak(&options).violations.is_empty()
     };
     let broken: Vec<u64> = (from..=to).filter(breaks).collect();
@@ -133,6 +138,23 @@
     assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
 }
 
+#[test]
+fn threads_held_up_after_their_looks_at_the_clock_keep_every_promise() {
+    let troubles = vec![
+        (500, Trouble::ClientsLeave { mixer: 0 }),
+        (700, Trouble::SearcherReplaced { searcher: 2, drains_ms: 900 }),
+        (900, Trouble::ClientsLeave { mixer: 1 }),
+        (1100, Trouble::SearcherPaused { searcher: 5, ms: 1500 }),
+        (1400, Trouble::ClientsLeave { mixer: 2 }),
+        (1800, Trouble::SearcherReplaced { searcher: 7, drains_ms: 900 }),
+        (2000, Trouble::MixerEnds { mixer: 3, front_ms: 300 }),
+        (2600, Trouble::ClientsLeave { mixer: 4 }),
+    ];
+    let holds = Options { troubles: Some(troubles), holds: true, ..options("holds", 7, 4) };
+    let verdict = soak(&holds);
+    assert!(verdict.violations.is_empty(), "{:?}", verdict.by_rule());
+}
+
 #[test]
 fn stops_between_writes_beside_searchers_that_read_nothing_keep_every_promise() {
     let deaf = |proxy: usize| Trouble::ProxyPasses { proxy, passing: Passing::Deaf, ms: 3500 };
--- a/crates/soak/shim/sends.c
+++ b/crates/soak/shim/sends.c
@@ -1,6 +1,7 @@
 /* Loaded before a mixer (LD_PRELOAD): notes when it writes the first byte of each call to a searcher, whatever the searcher reads.
    SHIM_SENDS: the file for the notes, a line of JSON for each part. SHIM_SEND_BUFFER: SO_SNDBUF of connections to searchers.
    SHIM_STOPS_AFTER: once the first call that holds a part of this name's beginning is written, the process stops itself, once.
+   SHIM_HOLDS_ONE_IN: whoever reads the clock is held after one in so many times, for up to SHIM_HOLD_MS.
    SHIM_HOLDS: in place of the stop, the thread that wrote is held for SHIM_HOLD_MS after it has read the clock that many times. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -28,10 +29,20 @@
 static atomic_int has_stopped;
 /* Looks at the clock until this thread is held; none if it is not to be. */
 static __thread int looks_left;
+static unsigned holds_one_in, hold_ms;
+static atomic_uint_fast64_t drawn = 88172645463325252u;
+
+static uint64_t draw(void) {
+    uint64_t x = atomic_fetch_add(&drawn, 0x9e3779b97f4a7c15u) ^ (uint64_t)getpid() << 32;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9u;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebu;
+    return x ^ (x >> 31);
+}
 
 int clock_gettime(clockid_t clock, struct timespec *time) {
     int result = REAL(clock_gettime)(clock, time);
-    if (looks_left > 0 && --looks_left == 0) usleep(1000 * atoi(getenv("SHIM_HOLD_MS")));
+    if (looks_left > 0 && --looks_left == 0) usleep(1000 * hold_ms);
+    if (holds_one_in > 0 && draw() % holds_one_in == 0) usleep(1000 * (draw() % hold_ms));
     return result;
 }
 
@@ -43,6 +54,9 @@
 
 __attribute__((constructor)) static void begin(void) {
     const char *path = getenv("SHIM_SENDS");
+    const char *one_in = getenv("SHIM_HOLDS_ONE_IN"), *ms = getenv("SHIM_HOLD_MS");
+    holds_one_in = one_in ? atoi(one_in) : 0;
+    hold_ms = ms ? atoi(ms) : 0;
     if (path) notes = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 }
 
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -185,6 +185,8 @@
     pub notes: PathBuf,
     /// The size of buffers towards searchers, where it is not the system's.
     pub send_buffer: Option<usize>,
+    /// After one in so many looks at the clock whoever looked is held up, for so many milliseconds at most.
+    pub holds: Option<(u32, u32)>,
 }
 
 impl Preload {
@@ -195,6 +197,10 @@
             ("SHIM_SENDS", self.notes.clone().into_os_string()),
         ];
         variables.extend(self.send_buffer.map(|bytes| ("SHIM_SEND_BUFFER", bytes.to_string().into())));
+        if let Some((one_in, most_ms)) = self.holds {
+            variables.push(("SHIM_HOLDS_ONE_IN", one_in.to_string().into()));
+            variables.push(("SHIM_HOLD_MS", most_ms.to_string().into()));
+        }
         variables
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -53,6 +53,8 @@
     /// Connections to searchers take few bytes ahead of who reads them, some queries hold long texts, and searchers read nothing for
     /// a while.
     pub narrow: bool,
+    /// Threads of the mixers are held up now and then after a look at the clock.
+    pub holds: bool,
 }
 
 impl Options {
@@ -68,6 +70,7 @@
             troubles: None,
             faults: false,
             narrow: false,
+            holds: false,
         }
     }
 }
--- a/crates/soak/src/run/mixers.rs
+++ b/crates/soak/src/run/mixers.rs
@@ -14,6 +14,9 @@
 use crate::record::{Event, Status};
 use crate::settings::{self, NARROW};
 
+/// One look at the clock in so many, and for how long at most, in milliseconds: the platform names 150.
+const HOLDS: (u32, u32) = (3000, 140);
+
 impl Run<'_> {
     /// Notes that a mixer is ready or has ended, kills one that takes too long over its end, and starts the next process.
     pub(super) fn look_at(&mut self, number: usize) -> Result<()> {
@@ -99,6 +102,7 @@
             libraries: self.libraries.clone(),
             notes: folder.join(format!("sends-{}-{}.jsonl", mixer.name, mixer.processes)),
             send_buffer: self.options.narrow.then_some(NARROW),
+            holds: self.options.holds.then_some(HOLDS),
         };
         self.recorder.record(&Event::Started { at: now_ms(), mixer: number });
         mixer.process = Some(MixerProcess::start(
