Mixer: messages are sent to the service, not told

Tell, Told, say, hear, heard become MessageSender, Message, send, receive, received in crates/mixer, tell.rs becomes messages.rs: the field's words.

--- a/crates/mixer/src/announcing.rs
+++ b/crates/mixer/src/announcing.rs
@@ -19,8 +19,8 @@
 
 use crate::discovery::Watches;
 use crate::inputs::Phase;
+use crate::messages::{MessageSender, STACK, spawn};
 use crate::reducer::Reducer;
-use crate::tell::{STACK, Tell, spawn};
 
 /// How often the mixer's health is reported, in milliseconds: well under the time that worse has to last.
 const REPORT_MS: f64 = 250.0;
@@ -125,7 +125,7 @@
     question: &str,
     show: Option<&Show>,
     type_names: &[String],
-    tell: &Tell,
+    messages: &MessageSender,
     fleet: Option<&Way>,
 ) -> Said {
     let shown = || {
@@ -140,18 +140,18 @@
             Ok(format!("{shown}table types, in the order above\n  {}\n", type_names.join(" ")))
         }
         ("bgp show", None) => Err("bgp is not set in the operator's file".to_owned()),
-        ("beliefs", _) => tell.beliefs().ok_or_else(|| "the mixer does not answer".to_owned()),
+        ("beliefs", _) => messages.beliefs().ok_or_else(|| "the mixer does not answer".to_owned()),
         (other, _) => Err(format!("\"{other}\" is not known here; known are bgp show, beliefs, fleet show")),
     }
 }
 
 impl On {
-    fn start(bgp: &Bgp, terms: Terms, seed: u64, tell: &Tell) -> Result<Self> {
+    fn start(bgp: &Bgp, terms: Terms, seed: u64, messages: &MessageSender) -> Result<Self> {
         let speaker = Speaker::start(terms, bgp.listen, seed).context("bgp")?;
-        let (may_stop, tell) = (speaker.may_stop().clone(), tell.clone());
+        let (may_stop, messages) = (speaker.may_stop().clone(), messages.clone());
         spawn("routes left", STACK, move || {
             if may_stop.recv().is_ok() {
-                tell.may_stop();
+                messages.may_stop();
             }
         })?;
         Ok(Self { speaker, listen: bgp.listen, report_at: 0.0, seen: (0, 0), pressure: 0.0 })
@@ -191,7 +191,7 @@
         settings: &Settings,
         type_names: &[String],
         seed: u64,
-        tell: &Tell,
+        messages: &MessageSender,
         fleet: Option<Way>,
     ) -> Result<Self> {
         let mut announcing = Self {
@@ -205,19 +205,20 @@
         };
         if let Some(bgp) = &settings.bgp {
             let terms = terms(bgp, type_names).map_err(anyhow::Error::msg)?;
-            announcing.on = Some(On::start(bgp, terms, seed, tell)?);
+            announcing.on = Some(On::start(bgp, terms, seed, messages)?);
         }
-        announcing.console(settings, tell)?;
+        announcing.console(settings, messages)?;
         Ok(announcing)
     }
 
-    fn console(&mut self, settings: &Settings, tell: &Tell) -> Result<()> {
+    fn console(&mut self, settings: &Settings, messages: &MessageSender) -> Result<()> {
         self.console = None; // its socket may be wanted again
         self.console_at.clone_from(&settings.console);
         if let Some(path) = &settings.console {
             let (show, names) = (self.on.as_ref().map(|on| on.speaker.shows()), self.type_names.clone());
-            let (tell, fleet) = (tell.clone(), self.fleet.clone());
-            let answer = move |question: &str| answer(question, show.as_ref(), &names, &tell, fleet.as_ref());
+            let (messages, fleet) = (messages.clone(), self.fleet.clone());
+            let answer =
+                move |question: &str| answer(question, show.as_ref(), &names, &messages, fleet.as_ref());
             let console = Console::open(path, answer);
             self.console = Some(console.with_context(|| format!("console {}", path.display()))?);
         }
@@ -228,7 +229,7 @@
     ///
     /// # Errors
     /// Why nothing, or not all of it, has changed.
-    pub fn change(&mut self, settings: &Settings, tell: &Tell) -> Result<(), String> {
+    pub fn change(&mut self, settings: &Settings, messages: &MessageSender) -> Result<(), String> {
         if self.stop != Stop::No {
             return Err("the mixer is about to end".to_owned());
         }
@@ -242,7 +243,7 @@
                 on.speaker.change(terms);
             }
             (on @ None, Some((bgp, terms))) => {
-                *on = Some(On::start(bgp, terms, self.seed, tell).map_err(|error| format!("{error:#}"))?);
+                *on = Some(On::start(bgp, terms, self.seed, messages).map_err(|error| format!("{error:#}"))?);
             }
             (on @ Some(_), None) => {
                 if let Some(on) = on.take() {
@@ -254,7 +255,7 @@
             (None, None) => {}
         }
         if settings.console != self.console_at || was_on != self.on.is_some() {
-            self.console(settings, tell).map_err(|error| format!("{error:#}"))?;
+            self.console(settings, messages).map_err(|error| format!("{error:#}"))?;
         }
         Ok(())
     }
--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -18,9 +18,9 @@
 use crate::buffer::Room;
 use crate::inputs::Input;
 use crate::line::{Line, Order, Orders, Shared};
+use crate::messages::MessageSender;
 use crate::pauses::Arrivals;
 use crate::stream::write_some;
-use crate::tell::Tell;
 use connection::Conn;
 
 /// A client that takes no bytes for so long is given up.
@@ -58,12 +58,17 @@
     room: Room,
     orders: Orders,
     given: Receiver<Order>,
-    tell: Tell,
+    messages: MessageSender,
     arrivals: Arrivals,
 }
 
 impl Clients {
-    pub fn open(listener: std::net::TcpListener, places: usize, room: Room, tell: Tell) -> io::Result<Self> {
+    pub fn open(
+        listener: std::net::TcpListener,
+        places: usize,
+        room: Room,
+        messages: MessageSender,
+    ) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
         let mut listener = TcpListener::from_std(listener);
         let poll = Poll::new()?;
@@ -72,7 +77,7 @@
         let (to, given) = unbounded(); // no more than an answer and three words for each connection
         let (listener, conns, orders) = (Some(listener), HashMap::new(), Orders { to, waker });
         let (next, freed, pause, stopped) = (0, false, None, false);
-        let arrivals = Arrivals::new(tell.now());
+        let arrivals = Arrivals::new(messages.now());
         Ok(Self {
             poll,
             listener,
@@ -85,7 +90,7 @@
             room,
             orders,
             given,
-            tell,
+            messages,
             arrivals,
         })
     }
@@ -106,8 +111,8 @@
                 other => other?,
             }
             let were_all_taken = events.iter().count() < EVENTS;
-            if self.arrivals.turn(self.tell.now(), wait.as_secs_f64() * 1000.0, were_all_taken) {
-                self.tell.say(Input::StoodStill);
+            if self.arrivals.turn(self.messages.now(), wait.as_secs_f64() * 1000.0, were_all_taken) {
+                self.messages.send(Input::StoodStill);
             }
             let mut ordered = false;
             for event in &events {
@@ -155,21 +160,21 @@
                 Ok((stream, _)) => {
                     if let Err(error) = self.begin(stream) {
                         debug!("a client could not be served: {error}");
-                        self.tell.say(Input::AcceptFailed { is_full: is_full(&error) });
+                        self.messages.send(Input::AcceptFailed { is_full: is_full(&error) });
                     }
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     // Whoever waited to be accepted may have asked already: the listener goes after them.
                     if self.stopped {
                         self.listener = None;
-                        self.tell.say(Input::ListenerClosed);
+                        self.messages.send(Input::ListenerClosed);
                     }
                     return;
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => {
                     debug!("accept: {error}");
-                    self.tell.say(Input::AcceptFailed { is_full: is_full(&error) });
+                    self.messages.send(Input::AcceptFailed { is_full: is_full(&error) });
                     self.pause = Some(Instant::now() + PAUSE);
                 }
             }
@@ -193,7 +198,7 @@
         let held = Conn::new(shared, &self.room);
         self.conns.insert(conn, held);
         // The service knows the connection before anything else is told of it.
-        self.tell.client(conn, line);
+        self.messages.client(conn, line);
         self.read(conn);
         Ok(())
     }
@@ -256,7 +261,7 @@
         if held.out.is_empty() {
             held.out = Vec::new();
             held.shared.said(held.last);
-            self.tell.say(Input::Said { conn });
+            self.messages.send(Input::Said { conn });
             match held.dropped {
                 true => self.end(conn),
                 false => self.read(conn),
@@ -272,7 +277,7 @@
 
     fn read(&mut self, conn: u64) {
         let Some(held) = self.conns.get_mut(&conn) else { return };
-        if !held.read(conn, self.arrivals.since(), &self.tell) || held.leaves() {
+        if !held.read(conn, self.arrivals.since(), &self.messages) || held.leaves() {
             self.end(conn);
         } else if std::mem::take(&mut held.more) {
             self.orders.resume(conn);
@@ -282,7 +287,7 @@
     /// Ends a connection and makes its place free.
     fn end(&mut self, conn: u64) {
         if self.conns.remove(&conn).is_some() {
-            self.tell.say(Input::ClientEnd { conn });
+            self.messages.send(Input::ClientEnd { conn });
             self.freed = true;
         }
     }
--- a/crates/mixer/src/client/connection.rs
+++ b/crates/mixer/src/client/connection.rs
@@ -9,7 +9,7 @@
 use crate::http::{Ask, Progress, Request};
 use crate::inputs::Input;
 use crate::line::Shared;
-use crate::tell::Tell;
+use crate::messages::MessageSender;
 
 /// Bytes that are taken and passed over after a connection's last request, so that no reset overtakes its
 /// answer. Who sends more has had an answer and does not read it.
@@ -97,7 +97,7 @@
     /// for a client that had left while it waited to be accepted, or for its turn.
     ///
     /// `since`: what is read now came no earlier.
-    pub(super) fn read(&mut self, conn: u64, since: f64, tell: &Tell) -> bool {
+    pub(super) fn read(&mut self, conn: u64, since: f64, messages: &MessageSender) -> bool {
         let fresh = std::mem::take(&mut self.fresh);
         if self.peer_ended {
             if self.shared.owing.load(Ordering::SeqCst) {
@@ -112,7 +112,7 @@
                 self.pass_over(usize::MAX);
             }
             if self.over.is_some() {
-                return self.discard(conn, since, tell);
+                return self.discard(conn, since, messages);
             }
             if self.asked.is_none() {
                 self.take_up();
@@ -126,25 +126,25 @@
                     self.more = true;
                     return true;
                 }
-                if !self.ask(conn, since, tell) {
+                if !self.ask(conn, since, messages) {
                     return true;
                 }
                 continue; // who answers has to know that more waits
             }
             match self.buffer.fill(&mut &self.shared.stream) {
-                Ok(1..) => self.tell_behind(conn, tell),
+                Ok(1..) => self.tell_behind(conn, messages),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    if self.ask(conn, since, tell) {
+                    if self.ask(conn, since, messages) {
                         continue;
                     }
                     if !waits && self.has_begun() && !self.begun {
                         self.begun = true;
-                        tell.say(Input::Begun { conn });
+                        messages.send(Input::Begun { conn });
                     }
                     return true;
                 }
                 Err(error) if error.kind() == ErrorKind::OutOfMemory => {
-                    if self.ask(conn, since, tell) {
+                    if self.ask(conn, since, messages) {
                         continue;
                     }
                     if waits {
@@ -165,18 +165,18 @@
     }
 
     /// Reads and discards a turn's worth of what has come after the last request; false at the connection's end.
-    fn discard(&mut self, conn: u64, since: f64, tell: &Tell) -> bool {
+    fn discard(&mut self, conn: u64, since: f64, messages: &MessageSender) -> bool {
         let mut turn = 0;
         while turn < TURN {
             let mut bytes = [0; 4096];
             match (&self.shared.stream).read(&mut bytes) {
                 Ok(count) if count > 0 && self.over.is_some_and(|left| count < left) => {
                     self.over = self.over.map(|left| left - count);
-                    self.still_sends(conn, tell);
+                    self.still_sends(conn, messages);
                     turn += count;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                    if !self.ask(conn, since, tell) {
+                    if !self.ask(conn, since, messages) {
                         return true;
                     }
                 }
@@ -189,10 +189,10 @@
     }
 
     /// Tells once that more came after the last answer.
-    fn still_sends(&mut self, conn: u64, tell: &Tell) {
+    fn still_sends(&mut self, conn: u64, messages: &MessageSender) {
         if !self.sends && self.shared.over.load(Ordering::SeqCst) {
             self.sends = true;
-            tell.say(Input::Sends { conn });
+            messages.send(Input::Sends { conn });
         }
     }
 
@@ -219,25 +219,25 @@
     }
 
     /// Tells of the request that was taken up.
-    fn ask(&mut self, conn: u64, since: f64, tell: &Tell) -> bool {
+    fn ask(&mut self, conn: u64, since: f64, messages: &MessageSender) -> bool {
         let Some((mut ask, close)) = self.asked.take() else { return false };
         if let Ask::Scan(query) = &mut ask {
-            query.wait_ms = (query.wait_ms - (tell.now() - since)).max(0.0);
+            query.wait_ms = (query.wait_ms - (messages.now() - since)).max(0.0);
         }
         self.shared.owing.store(true, Ordering::SeqCst);
         self.told_behind = false;
         // First, as it may be answered at once.
-        self.tell_behind(conn, tell);
-        tell.say(Input::Asked { conn, ask, close });
+        self.tell_behind(conn, messages);
+        messages.send(Input::Asked { conn, ask, close });
         true
     }
 
     /// Tells once that more was read behind the request that is open: its answer must not end the connection.
-    fn tell_behind(&mut self, conn: u64, tell: &Tell) {
+    fn tell_behind(&mut self, conn: u64, messages: &MessageSender) {
         let open = self.asked.is_none() && self.shared.owing.load(Ordering::SeqCst);
         if open && self.over.is_none() && self.has_begun() && !self.told_behind {
             self.told_behind = true;
-            tell.say(Input::SentBehind { conn });
+            messages.send(Input::SentBehind { conn });
         }
     }
 }
--- a/crates/mixer/src/copies.rs
+++ b/crates/mixer/src/copies.rs
@@ -12,8 +12,8 @@
 use tracing::{info, warn};
 
 use crate::inputs::Input;
+use crate::messages::MessageSender;
 use crate::reducer::Reducer;
-use crate::tell::Tell;
 
 /// How often it is looked for what the others do not know yet, in milliseconds: well under a probe's time.
 const LOOK_MS: f64 = 50.0;
@@ -64,7 +64,7 @@
     ///
     /// # Errors
     /// If too few descriptors are left for the rest, or the listener or the thread can't be had.
-    pub fn open(settings: &Settings, start: &mut Start, tell: &Tell) -> Result<Self> {
+    pub fn open(settings: &Settings, start: &mut Start, messages: &MessageSender) -> Result<Self> {
         let Some(fleet) = &settings.fleet else { return Ok(Self { on: None, section: None }) };
         let terms = terms(fleet, start.seed);
         let left = start.sockets.saturating_sub(terms.descriptors());
@@ -75,9 +75,9 @@
             start.sockets
         );
         start.sockets = left;
-        let tell = tell.clone();
+        let messages = messages.clone();
         let hear = move |advice: Vec<Advice>| {
-            tell.say(Input::Heard(advice.into_iter().map(Advice::event).collect()));
+            messages.send(Input::Heard(advice.into_iter().map(Advice::event).collect()));
         };
         let mesh = Mesh::start(terms, hear).with_context(|| format!("fleet listen {}", fleet.listen))?;
         info!(target: "fleet", "{} of fleet {} listens for mixers at {}", fleet.me, fleet.name, mesh.at());
--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -17,7 +17,7 @@
 use crate::buffer::{Buffer, Room};
 use crate::http::{self, Body};
 use crate::inputs::Input;
-use crate::tell::Tell;
+use crate::messages::MessageSender;
 
 /// A watch sends an empty line every 2 s: one that has said nothing for so long is doubted, and others begin beside it. What it
 /// misses counts as told 6 s after it fell silent, so that a slow one of these still has over 3 s to speak.
@@ -64,7 +64,7 @@
 
 impl Watch {
     /// Watches for as long as it counts and the program runs.
-    pub fn run(self, watches: &Watches, tell: &Tell) {
+    pub fn run(self, watches: &Watches, messages: &MessageSender) {
         let poll = loop {
             match Poll::new() {
                 Ok(poll) => break poll,
@@ -75,7 +75,7 @@
         };
         let Self { number, at, index } = self;
         let (room, wires, next_id, told) = (Room::of(2 * LONGEST), BTreeMap::new(), 0, 0);
-        let mut telling = Telling { poll, number, at, index, room, wires, next_id, told, watches, tell };
+        let mut telling = Telling { poll, number, at, index, room, wires, next_id, told, watches, messages };
         if let Err(error) = telling.run() {
             debug!("watch {number} has ended: {error:#}");
         }
@@ -95,7 +95,7 @@
     /// Lists told so far.
     told: u64,
     watches: &'a Watches,
-    tell: &'a Tell,
+    messages: &'a MessageSender,
 }
 
 impl Telling<'_> {
@@ -165,7 +165,7 @@
             Ok(()) => drop(self.wires.insert(id, wire)),
             Err(error) => {
                 debug!("discovery at {}: {error:#}, version {before:?} before", self.at);
-                ensure!(self.tell.say(Input::WatchLost), "nobody listens");
+                ensure!(self.messages.send(Input::WatchLost), "nobody listens");
             }
         }
         Ok(())
@@ -176,7 +176,7 @@
         let list = read.inspect_err(|error| warn!("discovery sent a line that can't be read: {error:#}"))?;
         self.index = Some(list.index);
         self.told += 1;
-        self.tell.say(Input::List { watch: self.number, list });
+        self.messages.send(Input::List { watch: self.number, list });
         Ok(())
     }
 }
@@ -303,7 +303,7 @@
                     ensure!(!(last && lines), "it has ended the watch");
                     if lines {
                         // An empty line is a word too: the list is as it was.
-                        telling.watches.said.store(telling.tell.now() as u64, Ordering::Release);
+                        telling.watches.said.store(telling.messages.now() as u64, Ordering::Release);
                         self.lines(&data, telling)?;
                     } else if !last {
                         self.text.bytes.extend(data);
--- a/crates/mixer/src/log.rs
+++ b/crates/mixer/src/log.rs
@@ -11,7 +11,7 @@
 use crossbeam_channel::{Receiver, Sender, bounded};
 use tracing_subscriber::fmt::MakeWriter;
 
-use crate::tell::{STACK, spawn};
+use crate::messages::{STACK, spawn};
 
 /// Texts that may wait to be written.
 const WAITING: usize = 128;
--- a/crates/mixer/src/searcher.rs
+++ b/crates/mixer/src/searcher.rs
@@ -17,7 +17,7 @@
 use crate::frame;
 use crate::inputs::Input;
 use crate::link::Shared;
-use crate::tell::Tell;
+use crate::messages::MessageSender;
 
 /// Reads of one link in a row: who sends more waits until the others were read.
 const IN_A_ROW: usize = 16;
@@ -59,16 +59,16 @@
     connect: Duration,
     room: Room,
     given: Receiver<(u64, SocketAddrV4)>,
-    tell: Tell,
+    messages: MessageSender,
 }
 
 impl Searchers {
-    pub fn open(connect: Duration, room: Room, tell: Tell) -> io::Result<(Self, Orders)> {
+    pub fn open(connect: Duration, room: Room, messages: MessageSender) -> io::Result<(Self, Orders)> {
         let poll = Poll::new()?;
         let waker = Arc::new(Waker::new(poll.registry(), ORDERS)?);
         let (to, given) = unbounded(); // one word for each link, of which descriptors allow so many
         let (links, more) = (HashMap::new(), Vec::new());
-        Ok((Self { poll, links, more, connect, room, given, tell }, Orders { to, waker }))
+        Ok((Self { poll, links, more, connect, room, given, messages }, Orders { to, waker }))
     }
 
     /// Runs for as long as the program does.
@@ -96,7 +96,7 @@
             }
             for link in ready {
                 let Some(conn) = self.links.get_mut(&link) else { continue };
-                match conn.turn(link, self.connect, &self.tell) {
+                match conn.turn(link, self.connect, &self.messages) {
                     Ok(true) => self.more.push(link),
                     Ok(false) => {}
                     Err(why) => self.end(link, &why),
@@ -107,7 +107,7 @@
             for link in late.map(|(link, _)| *link).collect::<Vec<_>>() {
                 if self.links.get(&link).is_some_and(|conn| conn.up) {
                     let bad = Some("a frame that does not end".to_owned());
-                    self.tell.say(Input::Frames { link, frames: Vec::new(), bad });
+                    self.messages.send(Input::Frames { link, frames: Vec::new(), bad });
                 }
                 self.end(link, &ErrorKind::TimedOut.into());
             }
@@ -116,7 +116,7 @@
 
     fn has_room(&self, link: u64) {
         if self.links.get(&link).is_some_and(|conn| conn.shared.take_awaits_room()) {
-            self.tell.say(Input::LinkHasRoom { link });
+            self.messages.send(Input::LinkHasRoom { link });
         }
     }
 
@@ -149,7 +149,7 @@
     }
 
     fn over(&self, link: u64) {
-        self.tell.say(Input::LinkEnd { link, written: 0 }); // the service knows how many were
+        self.messages.send(Input::LinkEnd { link, written: 0 }); // the service knows how many were
     }
 }
 
@@ -165,7 +165,7 @@
 
 impl Conn {
     /// Goes on with what has happened on it; whether there may be more to read, or why it ends.
-    fn turn(&mut self, link: u64, whole_in: Duration, tell: &Tell) -> io::Result<bool> {
+    fn turn(&mut self, link: u64, whole_in: Duration, messages: &MessageSender) -> io::Result<bool> {
         if !self.up {
             if let Some(error) = self.shared.stream.take_error()? {
                 return Err(error);
@@ -177,12 +177,12 @@
             }
             self.shared.stream.set_nodelay(true)?;
             (self.up, self.until) = (true, None);
-            tell.link(link, self.shared.clone());
+            messages.link(link, self.shared.clone());
         }
         for _ in 0..IN_A_ROW {
             match self.buffer.fill(&mut &self.shared.stream) {
                 Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
-                Ok(_) => self.frames(link, whole_in, tell)?,
+                Ok(_) => self.frames(link, whole_in, messages)?,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
                 Err(error) => return Err(error),
             }
@@ -191,7 +191,7 @@
     }
 
     /// Tells of the frames that have come whole.
-    fn frames(&mut self, link: u64, whole_in: Duration, tell: &Tell) -> io::Result<()> {
+    fn frames(&mut self, link: u64, whole_in: Duration, messages: &MessageSender) -> io::Result<()> {
         let mut frames = Vec::new();
         loop {
             match frame::read(self.buffer.bytes()) {
@@ -202,13 +202,13 @@
                 Ok(None) => break,
                 // What came before is told with it, so that nothing new goes out on the link in between.
                 Err(why) => {
-                    tell.say(Input::Frames { link, frames, bad: Some(why.clone()) });
+                    messages.send(Input::Frames { link, frames, bad: Some(why.clone()) });
                     return Err(io::Error::other(why));
                 }
             }
         }
         if !frames.is_empty() {
-            tell.say(Input::Frames { link, frames, bad: None });
+            messages.send(Input::Frames { link, frames, bad: None });
         }
         self.until = (!self.buffer.bytes().is_empty()).then(|| Instant::now() + whole_in);
         Ok(())
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -25,12 +25,12 @@
 use crate::link::Link;
 use crate::listener::{listen, local};
 use crate::log;
+use crate::messages::{Message, MessageSender, STACK, spawn};
 use crate::outbox::Outbox;
 use crate::pauses::PauseWatch;
 use crate::reducer::Reducer;
 use crate::searcher::{self, Searchers};
 use crate::signals::{Again, Hearing};
-use crate::tell::{STACK, Tell, Told, spawn};
 
 /// Inputs that may wait to be heard: whoever sends more, faster than they are taken, waits. The one thread that
 /// takes them sends none.
@@ -48,8 +48,8 @@
 pub struct Service {
     clock: Clock,
     reducer: Reducer,
-    heard: Receiver<Told>,
-    tell: Tell,
+    received: Receiver<Message>,
+    messages: MessageSender,
     orders: Orders,
     clients: HashMap<u64, Line>,
     links: HashMap<u64, Link>,
@@ -76,13 +76,13 @@
     /// Opens what it needs; the signals it goes by must be caught before, so that none ends it meanwhile.
     pub fn open(mut start: Start, settings: &Settings, mut signals: Signals, again: Again) -> Result<Self> {
         let clock = Clock::start();
-        let (to, heard) = bounded(WAITING);
-        let tell = Tell { to, clock };
+        let (to, received) = bounded(WAITING);
+        let messages = MessageSender { to, clock };
         let connect = Duration::from_secs_f64(start.terms.connect_timeout_ms.max(1.0) / 1000.0);
         if start.terms.types.iter().any(|t| t.second_step) {
             warn!("table types with a second step are answered from the first: the protocol states no other");
         }
-        let copies = Copies::open(settings, &mut start, &tell)?;
+        let copies = Copies::open(settings, &mut start, &messages)?;
         let mut reducer = Reducer::new(start.terms.clone(), start.seed, start.sockets);
         // Without a list of ours the first that the watch tells is whole; else it is asked for.
         let mut index = Some(0);
@@ -97,16 +97,17 @@
         }
         reducer.watches(start.discovery);
         // Before the signals are heard: a fault in it is told at the start, like any other.
-        let announcing = Announcing::open(settings, reducer.type_names(), start.seed, &tell, copies.way())?;
+        let announcing =
+            Announcing::open(settings, reducer.type_names(), start.seed, &messages, copies.way())?;
         let watches = Arc::new(Watches::default());
         let first = Watch { number: 0, at: start.discovery, index };
-        let (told, counted) = (tell.clone(), watches.clone());
+        let (told, counted) = (messages.clone(), watches.clone());
         spawn("discovery", STACK, move || first.run(&counted, &told))?;
         let (listener, missed) = listen(start.listen.into(), &mut signals)?;
         let (at, places) = (local(&listener)?, reducer.client_places());
         let (ours, room) = (Room::of(start.memory / BUFFERS), Room::of(start.memory / BUFFERS));
         let clients =
-            Clients::open(listener, places, ours, tell.clone()).context("connections of clients")?;
+            Clients::open(listener, places, ours, messages.clone()).context("connections of clients")?;
         let orders = clients.orders();
         spawn("clients", STACK, move || {
             if let Err(error) = clients.run() {
@@ -114,7 +115,7 @@
             }
         })?;
         let (links, searchers) =
-            Searchers::open(connect, room, tell.clone()).context("connections to searchers")?;
+            Searchers::open(connect, room, messages.clone()).context("connections to searchers")?;
         spawn("searchers", STACK, move || {
             if let Err(error) = links.run() {
                 tracing::error!("connections to searchers: {error}");
@@ -122,14 +123,14 @@
         })?;
         info!("{} listens on {at}", start.name);
         let rests = Room::of(start.memory / BUFFERS);
-        let hearing = Hearing::new(signals, missed, start, again, tell.clone());
+        let hearing = Hearing::new(signals, missed, start, again, messages.clone());
         spawn("signals", STACK, move || hearing.run())?;
         let (clients, links, met) = (HashMap::new(), HashMap::new(), Vec::new());
         Ok(Self {
             clock,
             reducer,
-            heard,
-            tell,
+            received,
+            messages,
             orders,
             clients,
             links,
@@ -148,7 +149,7 @@
     /// Runs until it is asked to end and all is answered.
     pub fn run(mut self) -> Result<()> {
         while self.reducer.phase() != Phase::Closed {
-            let (inputs, caught_up) = self.hear_all();
+            let (inputs, caught_up) = self.receive_all();
             let heard_at = self.clock.now();
             let effects = self.reducer.step(heard_at, inputs);
             effects.into_iter().for_each(|effect| self.carry_out(effect));
@@ -182,17 +183,17 @@
     }
 
     /// Waits until something is told or due, and takes all that was; whether what came while the process stood still is among it.
-    fn hear_all(&mut self) -> (Vec<(f64, Input)>, bool) {
+    fn receive_all(&mut self) -> (Vec<(f64, Input)>, bool) {
         let wait = self.rests_for();
         let mut inputs = std::mem::take(&mut self.met);
-        if let Ok(told) = self.heard.recv_timeout(wait) {
-            self.hear(told, &mut inputs);
+        if let Ok(message) = self.received.recv_timeout(wait) {
+            self.receive(message, &mut inputs);
         }
         let paused = self.pauses.look(self.clock.now(), wait.as_secs_f64() * 1000.0).is_some();
         while inputs.len() < TOGETHER
-            && let Ok(told) = self.heard.try_recv()
+            && let Ok(message) = self.received.try_recv()
         {
-            self.hear(told, &mut inputs);
+            self.receive(message, &mut inputs);
         }
         // Whoever tells of a pause does so before all that it meets after it.
         let catches_up = std::mem::take(&mut self.stood_still) || paused;
@@ -207,57 +208,57 @@
         debug!("the process stood still: what came meanwhile is heard first");
         inputs.push((self.clock.now(), Input::StoodStill));
         let until = Instant::now() + CATCH_UP;
-        while let Ok(told) = self.heard.recv_deadline(until) {
-            self.hear(told, inputs);
+        while let Ok(message) = self.received.recv_deadline(until) {
+            self.receive(message, inputs);
         }
     }
 
-    fn hear(&mut self, told: Told, inputs: &mut Vec<(f64, Input)>) {
-        match told {
-            Told::Client(at, conn, line) => {
+    fn receive(&mut self, message: Message, inputs: &mut Vec<(f64, Input)>) {
+        match message {
+            Message::Client(at, conn, line) => {
                 self.clients.insert(conn, line);
                 inputs.push((at, Input::ClientOpen { conn }));
             }
-            Told::Link(at, link, stream) => {
+            Message::Link(at, link, stream) => {
                 if let Some(held) = self.links.get_mut(&link) {
                     held.up(stream);
                     inputs.push((at, Input::LinkUp { link }));
                 }
             }
-            Told::Input(_, Input::StoodStill) => self.stood_still = true,
-            Told::Input(at, Input::LinkHasRoom { link }) => {
+            Message::Input(_, Input::StoodStill) => self.stood_still = true,
+            Message::Input(at, Input::LinkHasRoom { link }) => {
                 self.outbox.add(link);
                 inputs.push((at, Input::LinkHasRoom { link }));
             }
-            Told::Input(at, Input::LinkEnd { link, .. }) => {
+            Message::Input(at, Input::LinkEnd { link, .. }) => {
                 let written = self.links.remove(&link).map_or(0, |held| held.written);
                 inputs.push((at, Input::LinkEnd { link, written }));
             }
             // What leads clients here goes first.
-            Told::Input(at, Input::Stop) => {
+            Message::Input(at, Input::Stop) => {
                 self.copies.ends();
                 if self.announcing.stop() {
                     inputs.push((at, Input::Stop));
                 }
             }
-            Told::RoutesLeft => {
+            Message::RoutesLeft => {
                 if self.announcing.left() {
                     inputs.push((self.clock.now(), Input::Stop));
                 }
             }
-            Told::Beliefs(to) => {
+            Message::Beliefs(to) => {
                 let _ = to.send(self.reducer.beliefs().to_string()); // or nobody waits any more
             }
-            Told::Settings(read) => {
+            Message::Settings(read) => {
                 let read = read.and_then(|settings| {
                     self.copies.change(&settings);
-                    self.announcing.change(&settings, &self.tell)
+                    self.announcing.change(&settings, &self.messages)
                 });
                 if let Err(why) = read {
                     warn!("the operator's file changes nothing: {why}");
                 }
             }
-            Told::Input(at, input) => inputs.push((at, input)),
+            Message::Input(at, input) => inputs.push((at, input)),
         }
     }
 
@@ -300,7 +301,7 @@
             Effect::Watch { number, at } => {
                 self.watches.wanted.store(number, Ordering::Release);
                 let watch = Watch { number, at, index: None };
-                let (told, watches) = (self.tell.clone(), self.watches.clone());
+                let (told, watches) = (self.messages.clone(), self.watches.clone());
                 if let Err(error) = spawn("discovery", STACK, move || watch.run(&watches, &told)) {
                     warn!("no thread for a watch: {error}");
                 }
--- a/crates/mixer/src/signals.rs
+++ b/crates/mixer/src/signals.rs
@@ -11,7 +11,7 @@
 use signal_hook::iterator::Signals;
 
 use crate::inputs::Input;
-use crate::tell::{Tell, Told};
+use crate::messages::{Message, MessageSender};
 
 /// A configuration that can't be read as it stands may still be written: it is read again for so long, well within the 4 s in which
 /// a new one has to count.
@@ -48,13 +48,19 @@
     waiting: VecDeque<i32>,
     start: Start,
     again: Again,
-    tell: Tell,
+    messages: MessageSender,
 }
 
 impl Hearing {
     /// `missed`: those that came before, in their order.
-    pub fn new(signals: Signals, missed: Vec<i32>, start: Start, again: Again, tell: Tell) -> Self {
-        Self { signals, waiting: missed.into(), start, again, tell }
+    pub fn new(
+        signals: Signals,
+        missed: Vec<i32>,
+        start: Start,
+        again: Again,
+        messages: MessageSender,
+    ) -> Self {
+        Self { signals, waiting: missed.into(), start, again, messages }
     }
 
     /// Runs for as long as the program does.
@@ -69,7 +75,7 @@
                 SIGHUP => self.reload(),
                 _ => Input::Stop,
             };
-            if !self.tell.say(input) {
+            if !self.messages.send(input) {
                 return;
             }
         }
@@ -78,8 +84,8 @@
     /// Reads both files anew.
     fn reload(&mut self) -> Input {
         let settings = (self.again.settings)().map(Box::new);
-        let settings = Told::Settings(settings.map_err(|error| format!("{error:#}")));
-        let _ = self.tell.to.send(settings); // or the program has ended
+        let settings = Message::Settings(settings.map_err(|error| format!("{error:#}")));
+        let _ = self.messages.to.send(settings); // or the program has ended
         let since = Instant::now();
         loop {
             match (self.again.start)(&self.start) {
