Mixer: pauses too short to be told of count for when a request came

Change: a look of the clients' thread that is 20 ms late takes what it finds to have come since the look before. The service is told of pauses of 80 ms as before.

--- a/crates/mixer/src/pauses.rs
+++ b/crates/mixer/src/pauses.rs
@@ -5,6 +5,9 @@
 /// client has gone, and tell 150 ms more than it has left.
 const STOOD_STILL_MS: f64 = 80.0;
 
+/// A look that is later by so much leaves open when what is found then has come: pauses that are too short to be told of add up.
+const UNSURE_MS: f64 = 20.0;
+
 /// The looks of one thread. Times are milliseconds of one clock.
 pub struct PauseWatch {
     looked_at: f64,
@@ -15,10 +18,15 @@
         Self { looked_at: now }
     }
 
-    /// Takes a look that was due `wait_ms` after the one before, at the latest; since when the process may have stood still, if it did.
-    pub fn look(&mut self, now: f64, wait_ms: f64) -> Option<f64> {
+    /// Takes a look that was due `wait_ms` after the one before, at the latest; whether the process stood still since.
+    pub fn look(&mut self, now: f64, wait_ms: f64) -> bool {
+        self.take(now, wait_ms).1 > STOOD_STILL_MS
+    }
+
+    /// The same: when the look before was, and by how much this one is late.
+    fn take(&mut self, now: f64, wait_ms: f64) -> (f64, f64) {
         let before = std::mem::replace(&mut self.looked_at, now);
-        (now - before > wait_ms + STOOD_STILL_MS).then_some(before)
+        (before, now - before - wait_ms)
     }
 }
 
@@ -41,10 +49,11 @@
     /// Begins the turn after a poll that has returned just now and was to wait `wait_ms` at most; whether the process stood still.
     /// `all_found`: the poll found all that there was.
     pub fn turn(&mut self, now: f64, wait_ms: f64, all_found: bool) -> bool {
-        let paused_since = self.pauses.look(now, wait_ms);
-        self.since = self.next_since.or(paused_since).unwrap_or(now);
-        self.next_since = paused_since.or((!all_found).then_some(self.since));
-        paused_since.is_some()
+        let (before, late_ms) = self.pauses.take(now, wait_ms);
+        let unsure_since = (late_ms > UNSURE_MS).then_some(before);
+        self.since = self.next_since.or(unsure_since).unwrap_or(now);
+        self.next_since = unsure_since.or((!all_found).then_some(self.since));
+        late_ms > STOOD_STILL_MS
     }
 
     /// What is found in this turn came no earlier.
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -153,7 +153,7 @@
             let heard_at = self.clock.now();
             let effects = self.reducer.step(heard_at, inputs);
             effects.into_iter().for_each(|effect| self.carry_out(effect));
-            let paused = self.pauses.look(self.clock.now(), 0.0).is_some();
+            let paused = self.pauses.look(self.clock.now(), 0.0);
             // Not twice in a row: a machine that takes so long over each step sends all the same.
             if paused && !caught_up {
                 self.stood_still = true;
@@ -189,7 +189,7 @@
         if let Ok(message) = self.received.recv_timeout(wait) {
             self.receive(message, &mut inputs);
         }
-        let paused = self.pauses.look(self.clock.now(), wait.as_secs_f64() * 1000.0).is_some();
+        let paused = self.pauses.look(self.clock.now(), wait.as_secs_f64() * 1000.0);
         while inputs.len() < TOGETHER
             && let Ok(message) = self.received.try_recv()
         {
--- a/crates/mixer/src/service/writes.rs
+++ b/crates/mixer/src/service/writes.rs
@@ -20,7 +20,7 @@
         let slice = Slice::new(self.clock.now());
         while let Some(link) = self.outbox.first() {
             let now = self.clock.now();
-            if self.pauses.look(now, 0.0).is_some() {
+            if self.pauses.look(now, 0.0) {
                 self.stood_still = true;
                 return;
             }
--- a/crates/mixer/tests/pauses.rs
+++ b/crates/mixer/tests/pauses.rs
@@ -37,9 +37,15 @@
     assert_eq!(seen[1..], [(false, 50.0), (false, 50.0), (false, 50.0), (false, 53.0)]);
 }
 
+#[test]
+fn pause_too_short_to_be_told_of_counts_all_the_same() {
+    let seen = turns(&[(10.0, true), (50.0, true), (150.0, true), (151.0, true), (152.0, true)]);
+    assert_eq!(seen[2..], [(false, 50.0), (false, 50.0), (false, 152.0)]);
+}
+
 #[test]
 fn long_wait_is_no_pause() {
     let mut watch = PauseWatch::new(0.0);
-    assert_eq!(watch.look(500.0, 500.0), None);
-    assert_eq!(watch.look(700.0, 0.0), Some(500.0));
+    assert!(!watch.look(500.0, 500.0));
+    assert!(watch.look(700.0, 0.0));
 }
