Mixer: one pause is caught up with once

The service and the thread of clients may both notice a pause; what the second told during the catching up asked for another 10 ms of it in the next turn.

--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -35,7 +35,7 @@
 /// Inputs that may wait to be heard: whoever sends more, faster than they are taken, waits. The one thread that
 /// takes them sends none.
 const WAITING: usize = 128;
-/// Of the memory stated, what the buffers of clients may grow to in sum, and those of searchers.
+/// Of the memory stated, what the buffers of clients may grow to in sum, those of searchers, and frames that they have taken in part.
 const BUFFERS: usize = 8;
 /// Inputs that are taken together in one turn at most, so that no burst holds up what is due.
 const TOGETHER: usize = 256;
@@ -211,6 +211,7 @@
         while let Ok(message) = self.received.recv_deadline(until) {
             self.receive(message, inputs);
         }
+        self.stood_still = false; // the thread of clients has told of the same pause, or of one that is over as well
     }
 
     fn receive(&mut self, message: Message, inputs: &mut Vec<(f64, Input)>) {
