--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -78,7 +78,8 @@
 impl Options {
     /// Builds the libraries that are loaded before each mixer.
     fn libraries(&self) -> Result<Vec<PathBuf>> {
-        let kinds = [(Library::Faults, self.faults), (Library::Sends, true)];
+        // Writes are noted before they are cut short.
+        let kinds = [(Library::Sends, true), (Library::Faults, self.faults)];
         let wanted = kinds.into_iter().filter(|(_, is_wanted)| *is_wanted);
         wanted.map(|(library, _)| build_library(library, &std::env::temp_dir())).collect()
     }
