Mixer: what is open in a drain is answered 0.15 s before the end, as the signal may come in a stop

Cause: SIGTERM came in a stop and was heard 134 ms late; the drain's end counts from its hearing, and lay 0.1 s before SIGKILL at best.

Change: rules::drain_answers_until. The end of the process, for which answers that clients take slowly are held, stays where it was.

Evidence: faults.rs, request_is_answered_before_the_kill_though_the_signal_to_end_came_in_a_stop (a stop of 0.15 s): failed before, passes now.

--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -144,7 +144,7 @@
     /// By when all has to be answered, once the mixer drains.
     fn ends_at(&self) -> Option<f64> {
         match self.phase {
-            Phase::Draining { until, .. } => Some(until),
+            Phase::Draining { until, .. } => Some(rules::drain_answers_until(until)),
             _ => None,
         }
     }
@@ -417,7 +417,7 @@
                 let (listen_until, until) = rules::drain_times(now, longest);
                 self.enter(Phase::Draining { listen_until, listening: true, until });
                 self.add_due(listen_until, Due::Drained);
-                self.end_queries_by(until);
+                self.end_queries_by(rules::drain_answers_until(until));
                 self.hang_up_idle(now, false);
             }
         }
--- a/crates/mixer/src/reducer/rules.rs
+++ b/crates/mixer/src/reducer/rules.rs
@@ -17,6 +17,8 @@
 /// The platform ends a mixer no sooner than its longest query timeout after it was told to, and this one where that is longer,
 /// and 0.7 s.
 const LONGEST_MS: f64 = 3000.0;
+/// All queries are answered so long before the end at the latest: the process may have been held up as it was told to end.
+const ANSWERED_BEFORE_MS: f64 = 150.0;
 /// What a searcher is told may be more than its client has left by so much.
 const DEADLINE_SLACK_MS: f64 = 150.0;
 
@@ -186,6 +188,11 @@
     (now + LISTEN_MS, now + longest_query_timeout_ms.min(LONGEST_MS) + LISTEN_MS)
 }
 
+/// By when the queries of a draining mixer are answered whose end is at `until` at the latest; what is left is for slow clients.
+pub(super) fn drain_answers_until(until: f64) -> f64 {
+    until - ANSWERED_BEFORE_MS
+}
+
 /// When a query is answered at the latest: nobody waits for longer than agreed, whatever time is given, nor beyond the end of a
 /// mixer that drains.
 pub(super) fn query_deadline(now: f64, wait_ms: f64, query_timeout_ms: f64, ends_at: Option<f64>) -> f64 {
--- a/crates/mixer/tests/faults.rs
+++ b/crates/mixer/tests/faults.rs
@@ -140,6 +140,29 @@
     assert!(status.starts_with(b"HTTP/1.1 50"), "{}", String::from_utf8_lossy(&status));
 }
 
+#[test]
+fn request_is_answered_before_the_kill_though_the_signal_to_end_came_in_a_stop() {
+    // The example's longest query timeout, and what the platform waits beyond it.
+    let killed_after = Duration::from_millis(2000 + 700);
+    let mixer = start(&[Manner::Hangs]);
+    let client = mixer.connect();
+    let request = scan("entry", 1).replace("Deadline-Ms: 1000", "Deadline-Ms: 2000");
+    let (first, rest) = request.split_at(60);
+    write!(&client, "{first}").expect("it takes bytes");
+    std::thread::sleep(Duration::from_millis(20)); // it is read
+    mixer.signal("STOP");
+    mixer.signal("TERM");
+    let told = Instant::now();
+    std::thread::sleep(Duration::from_millis(150));
+    mixer.signal("CONT");
+    std::thread::sleep(Duration::from_millis(900).saturating_sub(told.elapsed()));
+    write!(&client, "{rest}").expect("it takes bytes");
+    client.set_read_timeout(Some(killed_after.saturating_sub(told.elapsed()))).expect("a time-out");
+    let mut status = [0; 12];
+    (&client).read_exact(&mut status).expect("an answer before the mixer is killed");
+    assert!(status.starts_with(b"HTTP/1.1 50"), "{}", String::from_utf8_lossy(&status));
+}
+
 #[test]
 fn client_that_sends_kilobytes_behind_its_request_and_leaves_gets_no_retry() {
     let mixer = start(&[Manner::Hangs, Manner::Hangs]);
