--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -51,6 +51,8 @@
     pub served: usize,
     pub refused: usize,
     pub failed: usize,
+    /// Requests whose clients left before the answer.
+    pub left: usize,
     /// Requests that crossed the close of a resting connection.
     pub crossed: usize,
     pub attempts: usize,
@@ -340,6 +342,7 @@
                 _ => verdict.failed += 1,
             }
         }
+        Some(Event::ClientClosed { .. }) => verdict.left += 1,
         Some(Event::ConnectionEnded { at, how, partly, .. }) => {
             let killed = run.kills.get(&request.mixer).and_then(|kills| {
                 kills
