--- a/crates/mixer/tests/faults.rs
+++ b/crates/mixer/tests/faults.rs
@@ -49,7 +49,12 @@
     let lists = pewterwharf_standins::Lists::default();
     lists.serve(discovery);
     lists.tell(pewterwharf_standins::list(1, true, &searchers));
-    let listen = port().local_addr().expect("an address");
+    // On an address of this process alone: its port is free until the mixer takes it.
+    let [low, middle, ..] = std::process::id().to_le_bytes();
+    let free = std::net::TcpListener::bind(SocketAddr::from(([127, 1 + (middle >> 1), low, 1], 0)))
+        .expect("a free port");
+    let listen = free.local_addr().expect("an address");
+    drop(free);
     let redirect = if matches!(log, Log::FullDisk) { "exec 2>/dev/full" } else { "true" };
     let mut command = command(redirect, &at, EXAMPLE);
     command.env("ROUTER_LISTEN", listen.to_string()).env("RUST_LOG", "debug");
