--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod clients;
+mod drain;
 mod frames;
 mod held;
 mod links;
--- /dev/null
+++ b/crates/mixer/src/reducer/drain.rs
@@ -0,0 +1,103 @@
+//! The reducer's part for the end of the program: from the signal on new connections are served for a while, all that was taken is
+//! answered, and the process ends by the time at which the platform would end it.
+
+use pewterwharf::interface::Event;
+
+use super::Reducer;
+use super::held::{Client, ClientStanding, Due};
+use super::rules::{self, ClientCloseReason};
+use crate::inputs::{Effect, Phase};
+
+impl Reducer {
+    /// Until when what was sent behind requests is served, once the mixer drains.
+    pub(super) fn drain_serves_until(&self, now: f64) -> Option<f64> {
+        match self.phase {
+            Phase::Opening | Phase::Ready => None,
+            Phase::Draining { listen_until, until, .. } => {
+                Some(rules::drain_serves_behind_until(listen_until, until))
+            }
+            Phase::Closed => Some(now),
+        }
+    }
+
+    /// By when all has to be answered, once the mixer drains.
+    pub(super) fn ends_at(&self) -> Option<f64> {
+        match self.phase {
+            Phase::Draining { until, .. } => Some(rules::drain_answers_until(until)),
+            _ => None,
+        }
+    }
+
+    pub(super) fn is_draining(&self) -> bool {
+        matches!(self.phase, Phase::Draining { .. } | Phase::Closed)
+    }
+
+    pub(super) fn stop(&mut self, now: f64) {
+        match self.phase {
+            Phase::Closed => {}
+            Phase::Draining { .. } => {
+                // Asked twice: whoever asks does not want to wait.
+                for scan in self.scans.keys().copied().collect::<Vec<_>>() {
+                    self.counters.scans_abandoned += 1;
+                    self.count_type(scan, |of| &mut of.abandoned);
+                    self.events.push(Event::ClientGone { scan });
+                    self.answer_scan(now, scan, 504, None, b"the mixer ends\n");
+                }
+                self.phase =
+                    Phase::Draining { listen_until: now, listening: true, until: now + rules::LINGER_MS };
+            }
+            Phase::Opening | Phase::Ready => {
+                let longest = self.terms.types.iter().map(|t| t.query_timeout_ms).fold(0.0, f64::max);
+                let (listen_until, until) = rules::drain_times(now, longest);
+                self.enter(Phase::Draining { listen_until, listening: true, until });
+                self.add_due(listen_until, Due::Drained);
+                self.end_queries_by(rules::drain_answers_until(until));
+                self.hang_up_idle(now, false);
+            }
+        }
+    }
+
+    /// Has queries whose deadline is later answered by then.
+    fn end_queries_by(&mut self, until: f64) {
+        let later = self.scans.iter().filter(|(_, query)| query.deadline_at > until);
+        let later: Vec<u64> = later.map(|(id, _)| *id).collect();
+        later.into_iter().for_each(|id| self.add_due(until, Due::Overdue(id)));
+    }
+
+    /// Ends the program once new connections come no more and all that was taken is answered.
+    pub(super) fn end_drain(&mut self, now: f64) {
+        let Phase::Draining { listen_until, listening, until } = self.phase else { return };
+        if now < listen_until {
+            return;
+        }
+        if listening {
+            self.enter(Phase::Draining { listen_until, listening: false, until });
+            self.effects.push(Effect::StopListening);
+            self.hang_up_idle(now, true);
+        }
+        if !self.scans.is_empty() {
+            return;
+        }
+        let stays = |c: &Client| c.slow || c.sends;
+        let lingers =
+            self.clients.values().map(|c| if stays(c) { until } else { c.since + rules::LINGER_MS });
+        let lingers = lingers.fold(listen_until + rules::LINGER_MS, f64::max);
+        // Bytes that are not yet written, who still sends, and who waits to be accepted hold the end up for as long as the platform
+        // waits.
+        let (lingers, over) = if self.deaf { (lingers, self.clients.is_empty()) } else { (until, false) };
+        if over || lingers <= now {
+            self.enter(Phase::Closed);
+            self.count_unanswered();
+        } else {
+            self.add_due(lingers, Due::Drained);
+        }
+    }
+
+    /// Hangs up on those that wait for nothing. Who has just come, or is in the midst of asking, goes last: a new connection
+    /// is not closed without an answer while clients may still come.
+    fn hang_up_idle(&mut self, now: f64, new_too: bool) {
+        let goes = |c: &Client| new_too || c.standing == ClientStanding::Resting;
+        let idle: Vec<u64> = self.clients.iter().filter(|c| goes(c.1)).map(|c| *c.0).collect();
+        idle.into_iter().for_each(|conn| self.hang_up(now, conn, ClientCloseReason::Draining));
+    }
+}
