Mixer: a connection that can't be polled yet is read on, not reset

What callers saw: a request on a connection just accepted was reset whenever the connection could not be added to the poll (ENOMEM, ENOSPC) or its options could not be set.

Cause: Clients::begin dropped the connection at the first error, with what it had sent.

Change: it is taken up all the same, read and written after each pause of 20 ms, and tried to be registered again; an option that can't be set is logged. What is read meanwhile counts from the look before. Looked for elsewhere: links to searchers and watches of discovery that can't be registered end as connections that never came up, which loses no request.

Evidence: two tests of tests/waiting.rs, with registering failing half of the time and all of the time; before, requests were reset ("Connection reset by peer"), now all are answered and a client's leaving is seen.

--- a/crates/mixer/src/client.rs
+++ b/crates/mixer/src/client.rs
@@ -6,12 +6,14 @@
 
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
+use std::os::fd::AsRawFd;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, unbounded};
 use mio::net::{TcpListener, TcpStream};
+use mio::unix::SourceFd;
 use mio::{Events, Interest, Poll, Token, Waker};
 use rustix::io::Errno;
 use tracing::debug;
@@ -32,7 +34,7 @@
 const LOOKS_EACH: Duration = Duration::from_millis(40);
 /// Events that are taken together.
 const EVENTS: usize = 256;
-/// After a failed accept (no descriptors left, say) the next one waits so long.
+/// After a failed accept (no descriptors left, say) the next one waits so long; the same where a connection can't be polled.
 const PAUSE: Duration = Duration::from_millis(20);
 const INTEREST: Interest = Interest::READABLE.add(Interest::WRITABLE);
 const LISTENER: Token = Token(0);
@@ -59,6 +61,8 @@
     pause: Option<Instant>,
     /// Connections may wait to be accepted, which came no earlier.
     waiting_since: Option<f64>,
+    /// Connections that could not be registered with the poll: they are looked at after each pause.
+    not_polled: Vec<u64>,
     room: Room,
     orders: Orders,
     given: Receiver<Order>,
@@ -91,6 +95,7 @@
             freed: false,
             pause: None,
             waiting_since: None,
+            not_polled: Vec::new(),
             room,
             orders,
             given,
@@ -109,7 +114,8 @@
         loop {
             let look = self.conns.values().any(|c| !c.out.is_empty()).then_some(LOOK);
             let pause = self.pause.map(|until| until.saturating_duration_since(Instant::now()));
-            let waits = look.into_iter().chain(pause);
+            let not_polled = (!self.not_polled.is_empty()).then_some(PAUSE);
+            let waits = look.into_iter().chain(pause).chain(not_polled);
             let wait = waits.fold(LOOKS_EACH, Duration::min);
             match self.poll.poll(&mut events, Some(wait)) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
@@ -135,6 +141,7 @@
                     }
                 }
             }
+            self.look_at_not_polled();
             // After what has happened on connections: an order to read on tells of no request whose client has gone.
             if ordered {
                 self.obey();
@@ -171,12 +178,7 @@
             && let Some(listener) = &self.listener
         {
             match listener.accept() {
-                Ok((stream, _)) => {
-                    if let Err(error) = self.begin(stream, since) {
-                        debug!("a client could not be served: {error}");
-                        self.messages.send(Input::AcceptFailed { is_full: is_full(&error) });
-                    }
-                }
+                Ok((stream, _)) => self.begin(stream, since),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     // Whoever waited to be accepted may have asked already: the listener goes after them.
                     if self.stopped {
@@ -197,11 +199,17 @@
     }
 
     /// Takes up a connection that came no earlier than `since`.
-    fn begin(&mut self, mut stream: TcpStream, since: f64) -> io::Result<()> {
-        stream.set_nodelay(true)?;
+    fn begin(&mut self, mut stream: TcpStream, since: f64) {
+        if let Err(error) = stream.set_nodelay(true) {
+            debug!("a client's answers may wait for its acknowledgements: {error}");
+        }
         self.next += 1;
         let conn = self.next;
-        self.poll.registry().register(&mut stream, Token(conn as usize), INTEREST)?;
+        let registered = self.poll.registry().register(&mut stream, Token(conn as usize), INTEREST);
+        if let Err(error) = &registered {
+            debug!("client {conn} can't be polled yet: {error}");
+            self.not_polled.push(conn);
+        }
         let shared = Arc::new(Shared {
             stream,
             owing: AtomicBool::new(false),
@@ -210,12 +218,26 @@
         });
         let line =
             Line { conn, shared: shared.clone(), orders: self.orders.clone(), slow: false, over: false };
-        let held = Conn::new(shared, &self.room, since);
+        let held = Conn::new(shared, &self.room, since, registered.is_ok());
         self.conns.insert(conn, held);
         // The service knows the connection before anything else is told of it.
         self.messages.client(conn, line);
         self.read(conn);
-        Ok(())
+    }
+
+    /// Tries again to register those that the poll does not tell of, and goes on with them meanwhile.
+    fn look_at_not_polled(&mut self) {
+        for conn in std::mem::take(&mut self.not_polled) {
+            let Some(held) = self.conns.get_mut(&conn) else { continue };
+            let descriptor = held.shared.stream.as_raw_fd();
+            let token = Token(conn as usize);
+            match self.poll.registry().register(&mut SourceFd(&descriptor), token, INTEREST) {
+                Ok(()) => held.is_polled = true,
+                Err(_) => self.not_polled.push(conn),
+            }
+            self.flush(conn);
+            self.read(conn);
+        }
     }
 
     fn obey(&mut self) {
--- a/crates/mixer/src/client/connection.rs
+++ b/crates/mixer/src/client/connection.rs
@@ -33,6 +33,8 @@
     pub(super) buffer: Buffer,
     /// When what stands in the buffer came.
     pub(super) arrived: Arrived,
+    /// The poll tells of it; else it is looked at again and again.
+    pub(super) is_polled: bool,
     /// Bytes may wait to be read, which came no earlier.
     pub(super) unread_since: Option<f64>,
     pub(super) progress: Progress,
@@ -67,12 +69,13 @@
 const AHEAD: usize = 4096;
 
 impl Conn {
-    /// One that has just been accepted, and came no earlier than `since`.
-    pub(super) fn new(shared: Arc<Shared>, room: &Room, since: f64) -> Self {
+    /// One that has just been accepted, and came no earlier than `since`; whether the poll tells of it.
+    pub(super) fn new(shared: Arc<Shared>, room: &Room, since: f64, is_polled: bool) -> Self {
         Self {
             shared,
             buffer: Buffer::new(room),
             arrived: Arrived::default(),
+            is_polled,
             unread_since: Some(since),
             progress: Progress::default(),
             begun: false,
@@ -186,7 +189,7 @@
             }
             // Nothing is left to read, and the poll tells of what comes from now on.
             Err(error) if error.kind() == ErrorKind::WouldBlock => {
-                self.unread_since = None;
+                self.unread_since = (!self.is_polled).then_some(since);
             }
             Err(_) => {}
         }
--- a/crates/mixer/tests/waiting.rs
+++ b/crates/mixer/tests/waiting.rs
@@ -1,4 +1,4 @@
-//! Requests that wait before the mixer takes them up: to be accepted, or behind another. What searchers are told is no
+//! Requests that wait before the mixer takes them up: to be accepted, to be polled, or behind another. What searchers are told is no
 //! more than their clients have left, by the mixer's own writes.
 
 use std::collections::HashMap;
@@ -90,6 +90,32 @@
     assert!(served * 100 >= answers.len() * 95, "{served} of {} served", answers.len());
 }
 
+/// Guards against a connection that is reset, and a deadline that is wrong, as it can't be registered with the poll at once.
+#[test]
+fn requests_on_connections_that_cannot_be_polled_are_answered() {
+    let (mixer, notes) = start_noted("registers", "SHIM_REGISTERS_FAIL=600,300", &[Manner::Answers]);
+    let (sent, answers) = ask_again_and_again(&mixer, 100, Duration::from_millis(20));
+    let found = told_too_much(&notes, &sent);
+    assert!(found.is_empty(), "{} of {} parts: {:?}", found.len(), sent.len(), &found[..found.len().min(5)]);
+    assert!(answers.iter().all(|answer| answer.starts_with("HTTP/1.1 200")), "{answers:?}");
+}
+
+/// Guards against a request that comes in pieces, or is followed by its client's end, on a connection that the poll does not tell of.
+#[test]
+fn connections_that_cannot_be_polled_are_read_on() {
+    let (mixer, _) = start_noted("unpolled", "SHIM_REGISTERS_FAIL=1000,1000", &[Manner::Hangs]);
+    let mut client = mixer.connect();
+    let request = scan("lookup", 1);
+    let (first, rest) = request.split_at(request.len() / 2);
+    client.write_all(first.as_bytes()).expect("it takes bytes");
+    thread::sleep(Duration::from_millis(100));
+    client.write_all(rest.as_bytes()).expect("it takes bytes");
+    let next_frame = || mixer.heard.recv_timeout(CEILING).expect("a frame");
+    while !next_frame().starts_with("D q1.0") {}
+    drop(client);
+    while !next_frame().starts_with("K q1.0") {}
+}
+
 /// Guards against a deadline that counts from when a request's turn comes though it was read behind another.
 #[test]
 fn requests_behind_another_are_told_no_more_time_than_is_left() {
--- a/crates/soak/shim/accepts.c
+++ b/crates/soak/shim/accepts.c
@@ -1,16 +1,20 @@
 /* Loaded before a mixer (LD_PRELOAD): connections of clients come up late.
-   SHIM_ACCEPTS_FAIL=EACH,FOR: accepting fails in the first FOR of each EACH milliseconds. */
+   SHIM_ACCEPTS_FAIL=EACH,FOR: accepting fails in the first FOR of each EACH milliseconds.
+   SHIM_REGISTERS_FAIL=EACH,FOR: so does adding an accepted connection to a poll. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <time.h>
 
+#define DESCRIPTORS 4096
 #define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
 
+static atomic_int is_accepted[DESCRIPTORS];
 static atomic_uint failed;
 
 static int fails_now(const char *variable) {
@@ -28,5 +32,21 @@
         errno = errors[atomic_fetch_add(&failed, 1) % 4];
         return -1;
     }
-    return REAL(accept4)(socket, address, length, flags);
+    int accepted = REAL(accept4)(socket, address, length, flags);
+    if (accepted >= 0 && accepted < DESCRIPTORS) is_accepted[accepted] = 1;
+    return accepted;
+}
+
+int connect(int socket, const struct sockaddr *address, socklen_t length) {
+    if (socket >= 0 && socket < DESCRIPTORS) is_accepted[socket] = 0;
+    return REAL(connect)(socket, address, length);
+}
+
+int epoll_ctl(int queue, int operation, int descriptor, struct epoll_event *event) {
+    int is_client = descriptor >= 0 && descriptor < DESCRIPTORS && is_accepted[descriptor];
+    if (operation == EPOLL_CTL_ADD && is_client && fails_now("SHIM_REGISTERS_FAIL")) {
+        errno = ENOMEM;
+        return -1;
+    }
+    return REAL(epoll_ctl)(queue, operation, descriptor, event);
 }
