--- a/crates/soak/shim/accepts.c
+++ b/crates/soak/shim/accepts.c
@@ -1,22 +1,36 @@
 /* Loaded before a mixer (LD_PRELOAD): connections of clients come up late.
    SHIM_ACCEPTS_FAIL=EACH,FOR: accepting fails in the first FOR of each EACH milliseconds.
-   SHIM_REGISTERS_FAIL=EACH,FOR: so does adding an accepted connection to a poll. */
+   SHIM_REGISTERS_FAIL=EACH,FOR: so does adding an accepted connection to a poll.
+   SHIM_CLOSES: a file for a line, with the bytes read and written, of each accepted connection that the mixer closes. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <time.h>
+#include <unistd.h>
 
 #define DESCRIPTORS 4096
 #define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
 
 static atomic_int is_accepted[DESCRIPTORS];
+static atomic_long received[DESCRIPTORS], sent[DESCRIPTORS];
+static atomic_int closes = -1;
 static atomic_uint failed;
 
+__attribute__((constructor)) static void begin(void) {
+    const char *path = getenv("SHIM_CLOSES");
+    if (path) closes = open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+}
+
+static int is_client(int descriptor) {
+    return descriptor >= 0 && descriptor < DESCRIPTORS && is_accepted[descriptor];
+}
+
 static int fails_now(const char *variable) {
     const char *span = getenv(variable);
     long each, for_ms;
@@ -33,7 +47,10 @@
         return -1;
     }
     int accepted = REAL(accept4)(socket, address, length, flags);
-    if (accepted >= 0 && accepted < DESCRIPTORS) is_accepted[accepted] = 1;
+    if (accepted >= 0 && accepted < DESCRIPTORS) {
+        received[accepted] = sent[accepted] = 0;
+        is_accepted[accepted] = 1;
+    }
     return accepted;
 }
 
@@ -43,10 +60,31 @@
 }
 
 int epoll_ctl(int queue, int operation, int descriptor, struct epoll_event *event) {
-    int is_client = descriptor >= 0 && descriptor < DESCRIPTORS && is_accepted[descriptor];
-    if (operation == EPOLL_CTL_ADD && is_client && fails_now("SHIM_REGISTERS_FAIL")) {
+    if (operation == EPOLL_CTL_ADD && is_client(descriptor) && fails_now("SHIM_REGISTERS_FAIL")) {
         errno = ENOMEM;
         return -1;
     }
     return REAL(epoll_ctl)(queue, operation, descriptor, event);
 }
+
+ssize_t recv(int socket, void *bytes, size_t count, int flags) {
+    ssize_t got = REAL(recv)(socket, bytes, count, flags);
+    if (is_client(socket) && got > 0) atomic_fetch_add(&received[socket], got);
+    return got;
+}
+
+ssize_t send(int socket, const void *bytes, size_t count, int flags) {
+    ssize_t written = REAL(send)(socket, bytes, count, flags);
+    if (is_client(socket) && written > 0) atomic_fetch_add(&sent[socket], written);
+    return written;
+}
+
+int close(int descriptor) {
+    if (is_client(descriptor)) {
+        char line[80];
+        int length = snprintf(line, sizeof line, "%ld %ld\n", received[descriptor], sent[descriptor]);
+        is_accepted[descriptor] = 0;
+        if (closes >= 0 && write(closes, line, length) < 0) return REAL(close)(descriptor);
+    }
+    return REAL(close)(descriptor);
+}
