Cold searchers: copies find room by lot where a copy of each part asked for would

Change: a copy finds room by lot where twice what is asked for stays below what is borne; each part that is out may be copied once, so that the sum stays below it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -552,6 +552,8 @@
     const DEVIATIONS: f64 = 4.0;
     /// Traffic may be so many times what is known of it: bursts, clients that come again.
     const SURGE: f64 = 1.15;
+    /// What is asked for, and as much again: each part that is out may be copied once.
+    const COPIED: f64 = 2.0;
     /// Less busy than this, what is borne says little of what could be: at most doubled.
     const IDLE: f64 = 0.5;
     /// Span of own traffic: a mixer of hundreds sees a scan of many parts each few seconds at most.
@@ -563,9 +565,10 @@
     /// benefit times what it asks for. Where that is less than a part, a scan is let in by its lot, as often
     /// as leaves what comes by chance below what is borne: one lot for all parts, so that one of many finds
     /// room everywhere or nowhere. A copy of a part that is out was not asked for and has no lot of its own:
-    /// it finds none by lot, or copies of what is late everywhere fill a window. Asked for, and borne, goes by
-    /// own traffic, as if all saw as much, over how busy searchers say they are; one core at least. An earlier
-    /// process of this mixer may have sent its share: it waits a window. Harms when most are cold.
+    /// it finds room where a copy of each would, or copies of what is late everywhere fill a window. Asked
+    /// for, and borne, goes by own traffic, as if all saw as much, over how busy searchers say they are; one
+    /// core at least. An earlier process of this mixer may have sent its share: it waits a window. Harms when
+    /// most are cold.
     fn room(&self, seat: &Seat, scan: &Scan, copy: bool, work: f64, now: f64) -> bool {
         if !self.cold(seat, now) {
             return true;
@@ -588,6 +591,7 @@
         let allowed = match work <= share {
             true if now < self.opened + g.fall_ms => 0.0,
             true => share,
+            false if copy && Self::COPIED * held < mean => together + work,
             false if !copy && scan.lot * held < mean => together + work,
             false => 0.0,
         };
