--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -10,8 +10,8 @@
 
 use rig::*;
 
-/// Between the least and the most that mixers get, 32 and 192.
-const MEMORY_MB: u32 = 64;
+/// The least that mixers get; the most is 192.
+const MEMORY_MB: u32 = 32;
 const BAD_CLIENTS: u64 = 8;
 /// The time that the bad clients say that they wait.
 const BAD_DEADLINE_MS: u64 = 20;
