--- a/review/rig.rs
+++ b/review/rig.rs
@@ -69,7 +69,7 @@
             thread::sleep(Duration::from_secs(112));
             late.say("the case took too long");
             for pid in CHILDREN.lock().unwrap().iter() {
-                let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+                send_signal(*pid, "KILL");
             }
             let _ = fs::remove_dir_all(&temp_late);
             std::process::exit(NOT_RUN);
@@ -114,7 +114,7 @@
 
     pub fn signal(&self, pid: u32, name: &str) {
         self.record.line(format!("signal {name} to the mixer"));
-        let _ = Command::new("kill").args([&format!("-{name}"), &pid.to_string()]).status();
+        send_signal(pid, name);
     }
 
     /// Ends everything and returns the exit status of the case.
@@ -140,6 +140,11 @@
     }
 }
 
+/// Sends a signal by the shell's own `kill`.
+fn send_signal(pid: u32, name: &str) {
+    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).status();
+}
+
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 impl Drop for Run {
