--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -24,7 +24,8 @@
     let trouble = run.trouble;
     let answers = Arc::new(AtomicU64::new(0));
     let (counted, log) = (answers.clone(), record.clone());
-    let spoilt = AtomicU64::new(0);
+    let spoilt = Arc::new(AtomicU64::new(0));
+    let spoilt_in_all = spoilt.clone();
     let on_part: OnPart = Arc::new(move |part: PartCall| {
         thread::sleep(Duration::from_millis(30 + u64::from(part.shard % 5) * 5));
         let number = counted.fetch_add(1, Ordering::SeqCst) + 1;
@@ -96,6 +97,11 @@
     faults.iter().for_each(|fault| record.line(fault));
     let served = served.load(Ordering::SeqCst);
     let text = format!("{served} answers with 200, {} values that no searcher made", faults.len());
+    let spoilt = spoilt_in_all.load(Ordering::SeqCst);
+    if trouble && spoilt == 0 {
+        run.finish(NOT_RUN, "no answer was spoilt");
+    }
+    let text = format!("{text}, {spoilt} answers spoilt");
     match (faults.first(), served) {
         (Some(first), _) => run.finish(BROKEN, &format!("{text}; the first: {first}")),
         (None, 0) => run.finish(NOT_RUN, "nothing was served"),
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -15,6 +15,8 @@
 const BAD_CLIENTS: u64 = 8;
 /// The time that the bad clients say that they wait.
 const BAD_DEADLINE_MS: u64 = 20;
+/// With fewer queries turned away than this, holding the limit says nothing.
+const LEAST_TURNED_AWAY: u64 = 100_000;
 const LENGTH: Duration = Duration::from_secs(60);
 
 fn main() {
@@ -135,5 +137,8 @@
     if served.load(Ordering::Relaxed) == 0 {
         run.finish(NOT_RUN, "nothing was served");
     }
+    if trouble && turned_away.load(Ordering::Relaxed) < LEAST_TURNED_AWAY {
+        run.finish(NOT_RUN, &format!("too little came from the bad clients: {text}"));
+    }
     run.finish(HELD, &text);
 }
--- a/review/rig.rs
+++ b/review/rig.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -43,7 +43,7 @@
     }
 }
 
-/// One run of a case. Dropping it ends every process that it started and removes the temporary folder.
+/// One run of a case. Dropping it ends every process that it started.
 pub struct Run {
     pub root: PathBuf,
     pub temp: PathBuf,
@@ -60,18 +60,18 @@
         let root = folder.join("../..").canonicalize()?;
         let record = Record::create(&folder.join("record.txt"))?;
         let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-        let temp = std::env::temp_dir().join(format!("review-{}", std::process::id()));
-        fs::create_dir_all(&temp)?;
+        // Made and removed by run.sh, which also ends the processes named in `pids` there.
+        let temp = PathBuf::from(std::env::var_os("CASE_TEMP").ok_or(io::ErrorKind::NotFound)?);
+        std::panic::set_hook(Box::new(|panic| {
+            println!("could not run: {panic}");
+            std::process::exit(NOT_RUN);
+        }));
         record.line(format!("trouble: {trouble}"));
         // A case takes 120 s at most, whatever happens.
-        let (late, temp_late) = (record.clone(), temp.clone());
+        let late = record.clone();
         thread::spawn(move || {
             thread::sleep(Duration::from_secs(112));
             late.say("the case took too long");
-            for pid in CHILDREN.lock().unwrap().iter() {
-                send_signal(*pid, "KILL");
-            }
-            let _ = fs::remove_dir_all(&temp_late);
             std::process::exit(NOT_RUN);
         });
         Ok(Self { root, temp, record, trouble, children: Vec::new() })
@@ -100,7 +100,7 @@
         }
         let child = command.stdout(Stdio::null()).stderr(log).spawn()?;
         let pid = child.id();
-        CHILDREN.lock().unwrap().push(pid);
+        writeln!(fs::OpenOptions::new().create(true).append(true).open(self.temp.join("pids"))?, "{pid}")?;
         self.children.push(child);
         self.record.line(format!("mixer {} started at {}", mixer.name, mixer.listen));
         Ok(pid)
@@ -134,9 +134,6 @@
             let _ = child.wait();
         }
         self.children.clear();
-        if std::env::var("KEEP").is_err() {
-            let _ = fs::remove_dir_all(&self.temp);
-        }
     }
 }
 
@@ -145,8 +142,6 @@
     let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).status();
 }
 
-static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
-
 impl Drop for Run {
     fn drop(&mut self) {
         self.end_all();
@@ -401,6 +396,8 @@
     stream: Mutex<TcpStream>,
     /// Parts that came on it and are not answered.
     waiting: AtomicUsize,
+    /// A spoilt answer was written: it stays open and is of no further use.
+    spoilt: AtomicBool,
 }
 
 /// One part as a searcher has received it.
@@ -429,6 +426,10 @@
         bytes.extend_from_slice(body.as_bytes());
         let mut stream = self.link.stream.lock().unwrap();
         self.link.waiting.fetch_sub(1, Ordering::SeqCst);
+        if self.link.spoilt.load(Ordering::SeqCst) {
+            return Ok(()); // nothing more is said there
+        }
+        self.link.spoilt.store(cut > 0, Ordering::SeqCst);
         stream.write_all(&bytes)
     }
 
@@ -482,7 +483,7 @@
 fn serve_link(stream: TcpStream, record: &Record, name: &str, on_part: &OnPart) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut input = BufReader::new(stream.try_clone()?);
-    let link = Arc::new(Link { stream: Mutex::new(stream), waiting: AtomicUsize::new(0) });
+    let link = Arc::new(Link { stream: Mutex::new(stream), waiting: AtomicUsize::new(0), spoilt: AtomicBool::new(false) });
     loop {
         let mut length = [0; 4];
         input.read_exact(&mut length)?;
@@ -515,6 +516,7 @@
                 }
             }
             b'K' => record.line(format!("{name} is told to give up {}", String::from_utf8_lossy(&frame[1..]))),
+            b'I' if link.spoilt.load(Ordering::SeqCst) => {}
             b'I' => link.stream.lock().unwrap().write_all(b"\0\0\0\x04I200")?,
             other => record.line(format!("{name} gets a frame {}", char::from(other))),
         }
