Searcher links: an answer that may be cut is not accepted while others wait

Cause: the stated length of a frame was too short, so that it ended within the value. The frame was reported as good together with the error of the bytes behind it, and the reducer accepted it before it closed the link.

Change: FrameError says whether the unreadable bytes are text, which begins no frame and may continue a value; one byte is enough to see it. Frames are reported once all that has arrived is read, so that what follows the last one is known. New counter answers_doubted.

--- a/crates/mixer/src/counters.rs
+++ b/crates/mixer/src/counters.rs
@@ -100,6 +100,8 @@
     ended_moot,
     /// Answers for attempts that had already ended, and probe answers without an open probe.
     answers_stale,
+    /// Answers that were not accepted, as what was behind them may have been the rest of their value.
+    answers_doubted,
     frames_bad,
     probes,
     probes_ok,
--- a/crates/mixer/src/frame.rs
+++ b/crates/mixer/src/frame.rs
@@ -6,6 +6,7 @@
 /// Longest line of an answer: an id, a status, a score and a load report.
 const MAX_LINE_BYTES: usize = 4 * 1024;
 const MAX_REASON_CHARS: usize = 200;
+const LENGTH_BYTES: usize = 4;
 
 /// How a searcher answered a part or a probe.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,32 +33,85 @@
     Unusable(String),
 }
 
+/// Why bytes can't be decoded as a frame.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FrameError {
+    pub reason: String,
+    /// No frame can begin with these bytes, but text can: if the frame before them states too short a length,
+    /// they are the rest of its value.
+    pub may_continue_value: bool,
+}
+
+impl FrameError {
+    /// An error in a frame whose beginning is sound, so that the frame before it ended where it said.
+    pub fn malformed(reason: impl Into<String>) -> Self {
+        Self { reason: reason.into(), may_continue_value: false }
+    }
+
+    /// The error for bytes that state an impossible length.
+    fn impossible_length(bytes: &[u8], length: usize) -> Self {
+        Self { reason: format!("a frame of {length} bytes"), may_continue_value: begins_with_text(bytes) }
+    }
+}
+
+/// Whether a value may contain a character. Values are text: the length of a frame is not.
+fn is_allowed_in_value(character: char) -> bool {
+    !character.is_control() || character.is_whitespace()
+}
+
+/// Whether the first character of these bytes, which may be incomplete, is one that a value may contain.
+fn begins_with_text(bytes: &[u8]) -> bool {
+    const MAX_CHARACTER_BYTES: usize = 4;
+    let beginning = &bytes[..bytes.len().min(MAX_CHARACTER_BYTES)];
+    let (valid_bytes, is_incomplete) = match std::str::from_utf8(beginning) {
+        Ok(_) => (beginning.len(), false),
+        Err(error) => (error.valid_up_to(), error.error_len().is_none()),
+    };
+    match String::from_utf8_lossy(&beginning[..valid_bytes]).chars().next() {
+        Some(character) => is_allowed_in_value(character),
+        None => is_incomplete,
+    }
+}
+
+/// The stated length of the frame that these bytes begin; `None` while it is incomplete. A length that can't
+/// become a possible one is reported at once, however many of its bytes are still to come.
+fn decode_length(bytes: &[u8]) -> Result<Option<usize>, FrameError> {
+    let mut least = [0; LENGTH_BYTES];
+    let known_bytes = bytes.len().min(LENGTH_BYTES);
+    least[..known_bytes].copy_from_slice(&bytes[..known_bytes]);
+    let length = u32::from_be_bytes(least) as usize;
+    let is_complete = known_bytes == LENGTH_BYTES;
+    if length > MAX_FRAME_BYTES || is_complete && length == 0 {
+        return Err(FrameError::impossible_length(bytes, length));
+    }
+    Ok(is_complete.then_some(length))
+}
+
 /// Decodes the first frame of these bytes, and returns it with its length; `None` while it is incomplete.
 ///
 /// # Errors
 /// If the bytes are no frame.
-pub fn decode(bytes: &[u8]) -> Result<Option<(Frame, usize)>, String> {
-    let Some((head, rest)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
-    let length = u32::from_be_bytes(*head) as usize;
-    if !(1..=MAX_FRAME_BYTES).contains(&length) {
-        return Err(format!("a frame of {length} bytes"));
-    }
+pub fn decode(bytes: &[u8]) -> Result<Option<(Frame, usize)>, FrameError> {
+    let Some(length) = decode_length(bytes)? else { return Ok(None) };
+    let rest = &bytes[LENGTH_BYTES..];
     // Bytes that can't become a frame are reported at once, however many are still to come.
     match rest.first() {
         None | Some(b'O' | b'I' | b'Z') => {}
-        Some(letter) => return Err(format!("a frame of letter {:?}", char::from(*letter))),
+        Some(letter) => {
+            return Err(FrameError::malformed(format!("a frame of letter {:?}", char::from(*letter))));
+        }
     }
     let Some(frame) = rest.get(..length) else {
         let is_line_too_long =
             rest.len() > MAX_LINE_BYTES && rest[0] == b'O' && !rest[..MAX_LINE_BYTES].contains(&b'\n');
         if is_line_too_long {
-            return Err("an answer's line that does not end".to_owned());
+            return Err(FrameError::malformed("an answer's line that does not end"));
         }
         return Ok(None);
     };
     let body = &frame[1..];
     let frame = match frame[0] {
-        b'O' => decode_part(body)?,
+        b'O' => decode_part(body).map_err(FrameError::malformed)?,
         b'I' => Frame::Probe(match body {
             b"200" => Some(Verdict::Ok),
             b"500" => Some(Verdict::Error),
@@ -65,7 +119,7 @@
         }),
         _ => Frame::Unusable(String::from_utf8_lossy(body).chars().take(MAX_REASON_CHARS).collect()),
     };
-    Ok(Some((frame, 4 + length)))
+    Ok(Some((frame, LENGTH_BYTES + length)))
 }
 
 /// Decodes a part's answer: a line of four fields (id, status, score, load report), and the value. An
@@ -91,7 +145,7 @@
     let id = std::str::from_utf8(id).map_err(|_| "an answer's id is not text")?;
     let value = std::str::from_utf8(&body[line_length + 1..]).map_err(|_| "a value is not text")?;
     // If a frame is shorter than its stated length, the length of the next frame becomes part of the value.
-    if value.chars().any(|c| c.is_control() && !c.is_whitespace()) {
+    if !value.chars().all(is_allowed_in_value) {
         return Err("a value with control characters".to_owned());
     }
     Ok(Frame::Part { id: id.to_owned(), verdict, value: value.to_owned(), busy: busy_share(report) })
--- a/crates/mixer/src/inputs.rs
+++ b/crates/mixer/src/inputs.rs
@@ -8,7 +8,7 @@
 use pewterwharf_terms::list::List;
 
 use crate::clock::UnixMs;
-use crate::frame::Frame;
+use crate::frame::{Frame, FrameError};
 use crate::http::RequestKind;
 
 /// Identifies a client's connection. Ids are assigned in the order in which connections are accepted.
@@ -82,8 +82,8 @@
     Frames {
         link: LinkId,
         frames: Vec<Frame>,
-        /// Why nothing after these frames can be read.
-        error: Option<String>,
+        /// Why the bytes directly behind these frames, and all later ones, can't be read.
+        error: Option<FrameError>,
     },
     /// A searcher list that arrived on the watch with this number.
     List {
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -377,14 +377,7 @@
             Input::LinkBlocked { link, made_progress } => self.link_blocked(now, link, made_progress),
             Input::LinkWritable { link } => self.link_writable(link),
             Input::LinkClosed { link, frames_written } => self.link_closed(now, link, frames_written),
-            Input::Frames { link, frames, error } => {
-                for frame in frames {
-                    self.receive_frame(now, link, frame);
-                }
-                if let Some(reason) = error {
-                    self.reject_frame(now, link, &reason);
-                }
-            }
+            Input::Frames { link, frames, error } => self.receive_frames(now, link, frames, error),
             Input::List { watch, list } => self.receive_list(now, watch, list),
             Input::ConfigReloaded(change) => self.reload_config(now, change),
             Input::WatchLost => self.counters.watches_lost += 1,
--- a/crates/mixer/src/reducer/attempts.rs
+++ b/crates/mixer/src/reducer/attempts.rs
@@ -11,7 +11,7 @@
 use super::rules::SendRefusal;
 use super::state::{Attempt, AttemptId, ExpectedAnswer, Link, PartId, QueuedFrame, Timer};
 use crate::clock::UnixMs;
-use crate::frame::{Frame, Verdict};
+use crate::frame::{Frame, FrameError, Verdict};
 use crate::inputs::LinkId;
 
 impl Reducer {
@@ -168,7 +168,39 @@
         self.events.push(Event::DispatchEnded { part, dispatch: number, searcher, outcome, took_ms, busy });
     }
 
-    pub(super) fn receive_frame(&mut self, now: UnixMs, link_id: LinkId, frame: Frame) {
+    /// Receives frames that arrived together on a link. `error`: why what is directly behind them can't be read.
+    pub(super) fn receive_frames(
+        &mut self,
+        now: UnixMs,
+        link_id: LinkId,
+        frames: Vec<Frame>,
+        error: Option<FrameError>,
+    ) {
+        let may_be_cut = error.as_ref().is_some_and(|error| error.may_continue_value);
+        let last = frames.len().saturating_sub(1);
+        for (index, frame) in frames.into_iter().enumerate() {
+            if may_be_cut && index == last && self.is_doubted(link_id, &frame) {
+                self.counters.answers_doubted += 1;
+                debug!("link {link_id}: the rest of the last answer's value may be behind it");
+            } else {
+                self.receive_frame(now, link_id, frame);
+            }
+        }
+        if let Some(error) = error {
+            self.reject_frame(now, link_id, &error.reason);
+        }
+    }
+
+    /// Whether an answer is not accepted because what is behind it may be the rest of its value. Searchers send
+    /// more than belongs to a good answer only when nothing else waits on its link. The attempt of an answer that
+    /// is not accepted ends with the link, as one that may have run.
+    fn is_doubted(&self, link_id: LinkId, frame: &Frame) -> bool {
+        let Frame::Part { id: part_name, .. } = frame else { return false };
+        let is_sent = |id: &AttemptId| self.attempts.get(id).is_some_and(|attempt| attempt.frame.is_some());
+        self.links.get(&link_id).is_some_and(|link| link.awaits_more_than(part_name, is_sent))
+    }
+
+    fn receive_frame(&mut self, now: UnixMs, link_id: LinkId, frame: Frame) {
         let Some(link) = self.links.get_mut(&link_id) else { return };
         link.last_received_at = now;
         link.silent = false;
@@ -178,11 +210,12 @@
                     let reason = format!("an answer for {part_name}, which was never sent on it");
                     return self.reject_frame(now, link_id, &reason);
                 };
-                let Some(attempt_id) = expected.attempt_id() else {
+                let attempt_id = expected.attempt_id();
+                *expected = ExpectedAnswer::Duplicate;
+                let Some(attempt_id) = attempt_id else {
                     self.counters.answers_stale += 1;
                     return;
                 };
-                *expected = ExpectedAnswer::Duplicate;
                 self.receive_answer(now, attempt_id, verdict, value, busy);
             }
             // Without permission to probe, answers to probes carry no information.
--- a/crates/mixer/src/searcher.rs
+++ b/crates/mixer/src/searcher.rs
@@ -14,7 +14,7 @@
 use tracing::debug;
 
 use crate::buffer::{Buffer, MemoryBudget};
-use crate::frame;
+use crate::frame::{self, Frame, FrameError};
 use crate::inputs::{Input, LinkId};
 use crate::link::SharedLink;
 use crate::messages::MessageSender;
@@ -22,6 +22,8 @@
 
 /// Reads of one link in a row. If there is more to read, the other links are read first.
 const MAX_READS_IN_A_ROW: usize = 16;
+/// Once frames of this many bytes have arrived, they are reported before more is read.
+const MAX_UNREPORTED_BYTES: usize = 64 * 1024;
 const MAX_EVENTS: usize = 256;
 
 const COMMANDS: Token = Token(usize::MAX);
@@ -53,6 +55,9 @@
     shared: Arc<SharedLink>,
     up: bool,
     buffer: Buffer,
+    /// Frames that have arrived completely and are not reported yet, and their size.
+    frames: Vec<Frame>,
+    unreported_bytes: usize,
     /// The time by which the connection has to be up, or by which the next bytes of a partly received frame
     /// have to arrive.
     deadline: Option<Instant>,
@@ -123,8 +128,8 @@
             for link in ready {
                 let Some(connection) = self.connections.get_mut(&link) else { continue };
                 match connection.handle_event(link, self.connect_timeout, &self.messages) {
-                    Ok(true) => self.unfinished.push(link),
-                    Ok(false) => {}
+                    Ok(ReadEnd::MayHaveMore) => self.unfinished.push(link),
+                    Ok(ReadEnd::NothingLeft) => {}
                     Err(error) => self.end(link, &error),
                 }
             }
@@ -145,9 +150,12 @@
         let is_overdue = |connection: &Connection| connection.deadline.is_some_and(|at| at <= now);
         let overdue = self.connections.iter().filter(|(_, connection)| is_overdue(connection));
         for link in overdue.map(|(link, _)| *link).collect::<Vec<_>>() {
-            if self.connections.get(&link).is_some_and(|connection| connection.up) {
-                let error = Some("a frame that does not end".to_owned());
-                self.messages.send(Input::Frames { link, frames: Vec::new(), error });
+            if let Some(connection) = self.connections.get_mut(&link).filter(|connection| connection.up) {
+                connection.report_unusable(
+                    link,
+                    FrameError::malformed("a frame that does not end"),
+                    &self.messages,
+                );
             }
             self.end(link, &ErrorKind::TimedOut.into());
         }
@@ -177,12 +185,15 @@
         self.poll.registry().register(&mut stream, Token(link as usize), interest)?;
         let deadline = Some(Instant::now() + self.connect_timeout);
         let buffer = Buffer::new(&self.budget);
-        Ok(Connection { address, shared: Arc::new(SharedLink::new(stream)), up: false, buffer, deadline })
+        let shared = Arc::new(SharedLink::new(stream));
+        let frames = Vec::new();
+        Ok(Connection { address, shared, up: false, buffer, frames, unreported_bytes: 0, deadline })
     }
 
     fn end(&mut self, link: LinkId, error: &io::Error) {
-        if let Some(connection) = self.connections.remove(&link) {
+        if let Some(mut connection) = self.connections.remove(&link) {
             debug!("{}: {error}", connection.address);
+            connection.report_frames(link, &self.messages);
             // Fails if the connection has ended, or was never established.
             let _ = connection.shared.stream.shutdown(Shutdown::Both);
             self.report_closed(link);
@@ -205,61 +216,97 @@
     }
 }
 
+/// Why the reads of a link in one turn have ended.
+enum ReadEnd {
+    /// Everything that has arrived is read.
+    NothingLeft,
+    /// Other links are read first.
+    MayHaveMore,
+}
+
 impl Connection {
-    /// Handles an event. Returns whether there may be more to read; the error is the reason why the connection
-    /// ends.
+    /// Handles an event. The error is the reason why the connection ends.
+    ///
+    /// Frames are reported once everything that has arrived is read: what is behind a frame can show that its
+    /// stated length was too short.
     fn handle_event(
         &mut self,
         link: LinkId,
         frame_timeout: Duration,
         messages: &MessageSender,
-    ) -> io::Result<bool> {
+    ) -> io::Result<ReadEnd> {
         if !self.up {
             if !finish_connecting(&self.shared.stream)? {
-                return Ok(false);
+                return Ok(ReadEnd::NothingLeft);
             }
             self.up = true;
             self.deadline = None;
             messages.send_link_up(link, self.shared.clone());
         }
+        let read_end = self.read(link, messages)?;
+        let last = match read_end {
+            ReadEnd::NothingLeft => None,
+            ReadEnd::MayHaveMore => self.frames.pop(), // what is behind it is not known yet
+        };
+        self.report_frames(link, messages);
+        self.frames.extend(last);
+        self.deadline = (!self.buffer.bytes().is_empty()).then(|| Instant::now() + frame_timeout);
+        Ok(read_end)
+    }
+
+    /// Reads what has arrived, and decodes the frames in it.
+    fn read(&mut self, link: LinkId, messages: &MessageSender) -> io::Result<ReadEnd> {
         for _ in 0..MAX_READS_IN_A_ROW {
+            if self.unreported_bytes >= MAX_UNREPORTED_BYTES {
+                break;
+            }
             match self.buffer.fill(&mut &self.shared.stream) {
                 Ok(0) => return Err(ErrorKind::UnexpectedEof.into()),
-                Ok(_) => self.report_frames(link, frame_timeout, messages)?,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Ok(_) => self.decode_frames(link, messages)?,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(ReadEnd::NothingLeft),
                 Err(error) => return Err(error),
             }
         }
-        Ok(true)
+        Ok(ReadEnd::MayHaveMore)
     }
 
-    /// Reports the frames that have arrived completely.
-    fn report_frames(
-        &mut self,
-        link: LinkId,
-        frame_timeout: Duration,
-        messages: &MessageSender,
-    ) -> io::Result<()> {
-        let mut frames = Vec::new();
+    /// Decodes the frames that have arrived completely.
+    fn decode_frames(&mut self, link: LinkId, messages: &MessageSender) -> io::Result<()> {
         loop {
             match frame::decode(self.buffer.bytes()) {
                 Ok(Some((frame, used))) => {
                     self.buffer.consume(used);
-                    frames.push(frame);
+                    self.frames.push(frame);
+                    self.unreported_bytes += used;
                 }
-                Ok(None) => break,
-                // The frames before it are reported with the error, so that nothing new is sent on the link
-                // in between.
-                Err(reason) => {
-                    messages.send(Input::Frames { link, frames, error: Some(reason.clone()) });
+                Ok(None) => return Ok(()),
+                Err(error) => {
+                    let reason = error.reason.clone();
+                    self.report_unusable(link, error, messages);
                     return Err(io::Error::other(reason));
                 }
             }
         }
+    }
+
+    /// Reports the frames that have arrived completely.
+    fn report_frames(&mut self, link: LinkId, messages: &MessageSender) {
+        let frames = self.take_frames();
         if !frames.is_empty() {
             messages.send(Input::Frames { link, frames, error: None });
         }
-        self.deadline = (!self.buffer.bytes().is_empty()).then(|| Instant::now() + frame_timeout);
-        Ok(())
+    }
+
+    fn take_frames(&mut self) -> Vec<Frame> {
+        self.unreported_bytes = 0;
+        std::mem::take(&mut self.frames)
+    }
+
+    /// Reports that nothing more can be read, together with the frames before, so that nothing new is sent on
+    /// the link in between.
+    fn report_unusable(&mut self, link: LinkId, error: FrameError, messages: &MessageSender) {
+        let frames = self.take_frames();
+        debug!("{}: {} frames are followed by {}", self.address, frames.len(), error.reason);
+        messages.send(Input::Frames { link, frames, error: Some(error) });
     }
 }
--- a/crates/mixer/tests/codecs.rs
+++ b/crates/mixer/tests/codecs.rs
@@ -4,7 +4,7 @@
 
 use insta::assert_snapshot;
 use pewterwharf_mixer::buffer::{Buffer, MemoryBudget};
-use pewterwharf_mixer::frame::{self, CallPart, Frame};
+use pewterwharf_mixer::frame::{self, CallPart, Frame, FrameError};
 use pewterwharf_mixer::http::RequestParser;
 use pewterwharf_mixer::{discovery, http};
 use pewterwharf_terms::StartupConfig;
@@ -135,6 +135,77 @@
     assert_snapshot!(format!("{valid:#?}\n{}\n{oversized}\n{}", invalid.join("\n"), encoded.join("\n")));
 }
 
+/// Decodes frames until the bytes are used up, incomplete or unreadable.
+fn decode_all(mut bytes: &[u8]) -> (Vec<Frame>, Option<FrameError>) {
+    let mut frames = Vec::new();
+    loop {
+        match frame::decode(bytes) {
+            Ok(Some((frame, used))) => {
+                bytes = &bytes[used..];
+                frames.push(frame);
+            }
+            Ok(None) => return (frames, None),
+            Err(error) => return (frames, Some(error)),
+        }
+    }
+}
+
+/// Guards against a value that is taken as whole although the stated length of its frame does not fit: too short
+/// a length has to show by the first byte of the rest, and too long a one by the frame that it takes in.
+#[test]
+fn answer_lengths_that_do_not_fit() {
+    const HEAD_BYTES: usize = 5;
+    for value in ["5be2a07c19f04d63", "žluťoučký kůň\n\t \u{2028}end"] {
+        let body = format!("9b1f03aa5c7e2d41.3 200 1840277719 -\n{value}");
+        let frame_of_length = |length: usize| {
+            let mut frame = (length as u32).to_be_bytes().to_vec();
+            frame.push(b'O');
+            frame.extend_from_slice(body.as_bytes());
+            frame
+        };
+        let length = body.len() + 1;
+        let next = frame_of_length(length);
+        for missing in 1..=value.len() {
+            let bytes = frame_of_length(length - missing);
+            for rest in 1..=missing {
+                let (frames, error) = decode_all(&bytes[..HEAD_BYTES + body.len() - missing + rest]);
+                let error = error.expect("the rest of a value is no frame");
+                let is_doubtful = frames.len() == 1 && error.may_continue_value;
+                assert!(is_doubtful || frames.is_empty(), "{missing} bytes missing, {rest} sent: {error:?}");
+            }
+        }
+        for missing in value.len() + 1..length {
+            let (frames, error) = decode_all(&frame_of_length(length - missing));
+            assert!(frames.is_empty() && error.is_some(), "{missing} bytes missing: {frames:?}");
+        }
+        for excess in 1..=next.len() {
+            let bytes = [frame_of_length(length + excess), next.clone()].concat();
+            let (frames, error) = decode_all(&bytes);
+            assert!(frames.is_empty() && error.is_some(), "{excess} bytes too long: {frames:?}");
+        }
+    }
+}
+
+/// Only text that no frame can begin with makes the answer before it doubtful: binary noise and malformed frames
+/// show that the answer ended where it said.
+#[test]
+fn what_may_continue_a_value() {
+    let may_continue = |bytes: &[u8]| frame::decode(bytes).map_err(|error| error.may_continue_value);
+    let texts: [&[u8]; 6] = [b"f", b"04d6", b"\n", "\u{17e}".as_bytes(), b"\xc5", b"04\0\0\0\x09O"];
+    for bytes in texts {
+        assert_eq!(may_continue(bytes), Err(true), "{}", bytes.escape_ascii());
+    }
+    let others: [&[u8]; 6] =
+        [b"\x01", b"\0\x02", b"\0\0\0\0", b"\xff\xff\xff\xfc", b"\0\0\0\x09\x01", b"\x80abc"];
+    for bytes in others {
+        assert_eq!(may_continue(bytes), Err(false), "{}", bytes.escape_ascii());
+    }
+    let beginnings: [&[u8]; 4] = [b"", b"\0", b"\0\x01", b"\0\x01\x10"];
+    for bytes in beginnings {
+        assert_eq!(may_continue(bytes), Ok(None), "{}", bytes.escape_ascii());
+    }
+}
+
 /// A parser must never report that it used more bytes than it was given, whichever byte of a message is
 /// corrupted.
 #[test]
--- a/crates/mixer/tests/harness/mod.rs
+++ b/crates/mixer/tests/harness/mod.rs
@@ -199,6 +199,11 @@
         send_signal(&self.child, name);
     }
 
+    /// The counter of this name, as the mixer shows it now.
+    pub fn counter(&self, name: &str) -> u64 {
+        counter_of(self.address, name)
+    }
+
     /// Waits until the process ends.
     pub fn wait_for_exit(mut self) -> Exit {
         let status = self.child.wait().expect("the process ends").code();
@@ -210,6 +215,15 @@
     }
 }
 
+/// The counter of this name, as the mixer at this address shows it now.
+pub fn counter_of(mixer: SocketAddr, name: &str) -> u64 {
+    let mut client = TcpStream::connect(mixer).expect("the mixer accepts");
+    client.write_all(b"GET /-/counters HTTP/1.1\r\n\r\n").expect("the connection accepts bytes");
+    let answer = read_answer(&client);
+    let value_of = |line: &str| line.trim().strip_prefix(name)?.strip_prefix(' ')?.parse().ok();
+    answer.split(['\n', '|']).find_map(value_of).expect("a counter of this name")
+}
+
 /// A request with the id `q1` for this many shards, each with the same weight.
 pub fn scan_request(table_type: &str, parts: u32) -> String {
     let parts: Vec<Value> =
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -3,9 +3,9 @@
 use std::fmt::Write;
 
 use insta::assert_snapshot;
-use pewterwharf::interface::SearcherStatus;
+use pewterwharf::interface::{Event, PeerReport, SearcherStatus};
 use pewterwharf_mixer::discovery::{Entry, List};
-use pewterwharf_mixer::frame::{Frame, Verdict};
+use pewterwharf_mixer::frame::{self, Frame, FrameError, Verdict};
 use pewterwharf_mixer::http::{PartRequest, RequestKind, ScanRequest};
 use pewterwharf_mixer::inputs::{Effect, Input, Phase, TimedInput};
 use pewterwharf_mixer::reducer::Reducer;
@@ -752,7 +752,7 @@
     harness.input(Input::LinkUp { link: 3 });
     let answer =
         Frame::Part { id: "q1.0".to_owned(), verdict: Verdict::Ok, value: "a".to_owned(), busy: None };
-    let error = Some("a frame of 2021161080 bytes".to_owned());
+    let error = Some(excess_text());
     // A request in the same step must not be sent on the link that is being closed.
     let scan = ScanRequest { id: "q2".to_owned(), ..one_part_request() };
     harness.step(vec![
@@ -765,6 +765,71 @@
     assert_snapshot!(harness.trace_and_counters());
 }
 
+/// Text behind a frame with which no frame can begin.
+fn excess_text() -> FrameError {
+    frame::decode(b"xxxx").expect_err("no frame begins with text")
+}
+
+/// What waits on the link of an answer that is followed by text.
+#[derive(Clone, Copy, Debug)]
+enum Waiting {
+    Nothing,
+    Part,
+    PartThatWasGivenUp,
+    AnsweredPartThatWasGivenUp,
+    Probe,
+}
+
+/// The harness after an answer that is followed by text, with this waiting on its link.
+fn answer_followed_by_text(waiting: Waiting) -> Harness {
+    let mut harness = Harness::new(1);
+    harness.send_request(1, "once", "q1", 1);
+    harness.input(Input::LinkUp { link: 3 });
+    harness.input(Input::ClientConnected { connection_id: 2 });
+    match waiting {
+        Waiting::Nothing => {}
+        Waiting::Part => harness.send_request(2, "once", "q2", 1),
+        Waiting::PartThatWasGivenUp | Waiting::AnsweredPartThatWasGivenUp => {
+            harness.send_request(2, "once", "q2", 1);
+            harness.input(Input::ClientDisconnected { connection_id: 2 });
+        }
+        Waiting::Probe => {
+            let address = entry(1, SearcherStatus::Ready, 0.0).addr;
+            let report = PeerReport::Marked;
+            harness.input(Input::FleetEvents(vec![Event::PeerReport { searcher: address, report }]));
+        }
+    }
+    if matches!(waiting, Waiting::AnsweredPartThatWasGivenUp) {
+        harness.send_answer(3, "q2.0", Verdict::Ok, "late");
+    }
+    let answer =
+        Frame::Part { id: "q1.0".to_owned(), verdict: Verdict::Ok, value: "a".to_owned(), busy: None };
+    harness.input(Input::Frames { link: 3, frames: vec![answer], error: Some(excess_text()) });
+    harness.input(Input::LinkClosed { link: 3, frames_written: 9 });
+    harness
+}
+
+/// Guards against a cut value that is passed on as whole: text behind an answer may be the rest of its value, and
+/// is noise behind a good answer only if nothing else waits on the link.
+#[test]
+fn text_behind_answer_by_what_waits() {
+    let outcome = |waiting| {
+        let mut harness = answer_followed_by_text(waiting);
+        let trace = harness.trace_and_counters();
+        let answer = trace.lines().find(|line| line.contains("client 1: ")).unwrap_or("no answer").to_owned();
+        format!("{waiting:?}: {answer}; {}", harness.reducer.counters().answers_doubted)
+    };
+    let outcomes = [
+        Waiting::Nothing,
+        Waiting::Part,
+        Waiting::PartThatWasGivenUp,
+        Waiting::AnsweredPartThatWasGivenUp,
+        Waiting::Probe,
+    ]
+    .map(outcome);
+    assert_snapshot!(outcomes.join("\n"));
+}
+
 /// Guards against collections that grow with each searcher, client and scan that has come and gone.
 #[test]
 fn state_after_churn() {
--- a/crates/mixer/tests/watches.rs
+++ b/crates/mixer/tests/watches.rs
@@ -244,6 +244,29 @@
     },
 ];
 
+/// Guards against a list that is taken from a watch although it is cut: by a chunk that states too short a length,
+/// or in a line that lacks its end.
+#[test]
+fn cut_lists() {
+    let mut mixer = ManualDiscoveryMixer::start("true", EXAMPLE_CONFIG);
+    let list = single_searcher_list(9, "up");
+    let line = format!("{list}\n");
+    let with_length = |length: usize| format!("{length:x}\r\n{line}\r\n{}", http_chunk("\n"));
+    let short = [1, 2, 3, 4, 16, 64].map(|missing| with_length(line.len() - missing));
+    let cut_lines = [1, 2, 3, 16].map(|missing| {
+        let end = line.trim_end().len() - missing;
+        http_chunk(&format!("{}\n{line}", &line[..end]))
+    });
+    let mut open = Vec::new();
+    for chunks in short.iter().chain(&cut_lines) {
+        let stream = mixer.accept_discovery_connection();
+        open.extend(respond(stream, &format!("{WATCH_RESPONSE_HEAD}{chunks}")));
+        assert_eq!(counter_of(mixer.address, "lists"), 0, "{chunks:?}");
+    }
+    mixer.serve_discovery_until(&list, "ready");
+    assert_eq!(counter_of(mixer.address, "lists"), 1);
+}
+
 /// Reads a request and sends this response.
 fn respond(stream: TcpStream, text: &str) -> Option<TcpStream> {
     read_request_line(&stream);
