Console: an answer over the limit is an error, not a cut answer

Cause: query reads through a limit of 1 MiB and takes the end of that for the end of the answer. Found on the way from the cut answers of searchers, among the places where a peer's bytes are taken as whole.

Change: one byte more is read, and an answer over the limit is an error that names it.

Test: answer_over_the_limit failed before (the cut text was accepted), passes now, with the longest answer allowed beside it.

--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -20,7 +20,7 @@
 
 /// Maximum length of a request in bytes, including the newline.
 pub const MAX_REQUEST_BYTES: usize = 256;
-/// Maximum length in bytes of a response that [`query`] reads.
+/// Maximum length in bytes of a response that [`query`] accepts.
 pub const MAX_RESPONSE_BYTES: usize = 1 << 20;
 /// Timeout for reading a request and for writing a response.
 pub const TIMEOUT: Duration = Duration::from_secs(5);
@@ -131,14 +131,19 @@
 /// Sends a request to the console at `path` and returns the response.
 ///
 /// # Errors
-/// If the console cannot be reached, does not respond in time, or the response is malformed.
+/// If the console cannot be reached, does not respond in time, or the response is malformed or longer than
+/// [`MAX_RESPONSE_BYTES`].
 pub fn query(path: &Path, request: &str) -> io::Result<Reply> {
     let mut stream = UnixStream::connect(path)?;
     stream.set_read_timeout(Some(TIMEOUT))?;
     stream.set_write_timeout(Some(TIMEOUT))?;
     stream.write_all(format!("{request}\n").as_bytes())?;
     let mut response = String::new();
-    (&stream).take(MAX_RESPONSE_BYTES as u64).read_to_string(&mut response)?;
+    (&stream).take(MAX_RESPONSE_BYTES as u64 + 1).read_to_string(&mut response)?;
+    if response.len() > MAX_RESPONSE_BYTES {
+        let message = format!("the answer is longer than {MAX_RESPONSE_BYTES} bytes");
+        return Err(Error::new(ErrorKind::InvalidData, message));
+    }
     match response.split_once('\n') {
         Some(("ok", text)) => Ok(Ok(text.to_owned())),
         Some(("refused", reason)) => Ok(Err(reason.to_owned())),
--- a/crates/console/tests/console.rs
+++ b/crates/console/tests/console.rs
@@ -5,7 +5,7 @@
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 
-use pewterwharf_console::{Console, MAX_REQUEST_BYTES, query};
+use pewterwharf_console::{Console, MAX_REQUEST_BYTES, MAX_RESPONSE_BYTES, query};
 
 fn path(name: &str) -> PathBuf {
     std::env::temp_dir().join(format!("console-{}-{name}", std::process::id()))
@@ -47,6 +47,21 @@
     }
 }
 
+/// Guards against an answer over the limit that is cut and passed on as whole.
+#[test]
+fn answer_over_the_limit() {
+    let path = path("long");
+    let status_bytes = "ok\n".len();
+    let answer = move |request: &str| Ok("x".repeat(request.parse().expect("a length")));
+    let _console = Console::open(&path, answer).expect("the console opens");
+    let answer_length =
+        |bytes: usize| query(&path, &bytes.to_string()).map(|reply| reply.map(|text| text.len()));
+    let longest = MAX_RESPONSE_BYTES - status_bytes;
+    assert_eq!(answer_length(longest).expect("an answer"), Ok(longest));
+    let error = answer_length(longest + 1).expect_err("the answer is too long");
+    assert_eq!(error.to_string(), "the answer is longer than 1048576 bytes");
+}
+
 #[test]
 fn stale_and_live_sockets() {
     let stale = path("left");
