Consensus group: a message with bytes behind it is rejected

What callers saw: nothing yet, as the package is not in the daemon. A message whose bytes do not fit was handled as if it were whole.

Cause: postcard::from_bytes ignores what is behind the message. Found on the way from the cut answers of searchers; frames between mixers and records are checked already.

Change: the message has to use all bytes. A cut message was rejected before as well.

Test: cut_and_extended_messages failed before ("with [0] behind it"), passes now; it covers every length of a cut message too.

--- a/crates/council/src/wire.rs
+++ b/crates/council/src/wire.rs
@@ -128,9 +128,12 @@
     postcard::to_allocvec(&wire).ok()
 }
 
-/// Decodes a message. Returns `None` if the bytes are not one.
+/// Decodes a message. Returns `None` if the bytes are not exactly one.
 pub(crate) fn decode(bytes: &[u8]) -> Option<Message> {
-    let wire: WireMessage = postcard::from_bytes(bytes).ok()?;
+    let (wire, rest): (WireMessage, _) = postcard::take_from_bytes(bytes).ok()?;
+    if !rest.is_empty() {
+        return None;
+    }
     let mut message = Message::default();
     message.set_msg_type(*MESSAGE_TYPES.get(usize::from(wire.kind))?);
     message.to = wire.to;
--- a/crates/council/tests/agreement.rs
+++ b/crates/council/tests/agreement.rs
@@ -560,3 +560,34 @@
     }
     println!("five commands after the loss of the leader within {worst_ms} ms");
 }
+
+/// A member of a group of three, numbered from one, with an empty storage.
+fn single_node(member: MemberId) -> ConsensusNode<History, SimulatedStorage> {
+    let config = ConsensusConfig { member, members: vec![1, 2, 3], seed: member };
+    let storage = SimulatedStorage::default();
+    ConsensusNode::new(&config, &PersistedState::default(), storage).expect("an empty state is valid")
+}
+
+/// Guards against a message that is taken as whole although bytes of it are missing, or more follow it.
+#[test]
+fn cut_and_extended_messages() {
+    let mut candidate = single_node(1);
+    let request = loop {
+        candidate.tick();
+        if let Some(message) = candidate.messages().into_iter().find(|message| message.to == 2) {
+            break message.bytes;
+        }
+    };
+    let is_rejected = |bytes: &[u8]| {
+        let mut member = single_node(2);
+        member.handle_message(bytes);
+        member.rejected_messages() == 1
+    };
+    assert!(!is_rejected(&request));
+    for end in 0..request.len() {
+        assert!(is_rejected(&request[..end]), "{end} of {} bytes", request.len());
+    }
+    for excess in [vec![0], vec![1; 64], request.clone()] {
+        assert!(is_rejected(&[request.clone(), excess.clone()].concat()), "with {excess:?} behind it");
+    }
+}
