Module: budgets of extra dispatches keep slots of time, and prune them at each count

Cause: each accepted scan and part, also of a scan that is rejected at once, left an entry in two windows. Old entries were dropped only when a budget was asked: the one of hedges when a dispatch is late, the one of retries when parts are dispatched. Where nothing is late, or all is rejected, nobody asks. And a window that is pruned still held an entry for each event: at 37,000 scans of 15 parts a second some 20 MB.

Evidence: the state of the module as text after six seconds of rejected scans, by field: retry_budget 4.8 of 12.8 MB, hedge_budget 4.8, customers 2.6, timers 0.6; after twelve seconds both budgets had doubled. Where scans are served, retry_budget is pruned (1.6 MB) and hedge_budget is not.

Change: BudgetWindow counts in slots of a thousandth of its window (SlidingTotals), and drops what has left the window at each count. A slot of accepted scans leaves with its first event, one of extra dispatches with its last, so the budget is never too large. The window stands beside its logic now.

Test: budgets_under_floods, five kinds of flood, failed before ("Expired: retry_budget has 24005, 240005 at ten times the rate, then 480005"), passes now.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,7 @@
 mod scheduler;
 mod searcher_list;
 mod slices;
+mod sliding_totals;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -45,9 +46,10 @@
 };
 pub use crate::state::Mixer;
 use crate::state::{
-    Address, Baseline, BaselineTracker, BudgetWindow, ConnectionLosses, CustomerTraffic, Message, Scheduler,
+    Address, Baseline, BaselineTracker, ConnectionLosses, CustomerTraffic, Message, Scheduler,
     SearcherDirectory, SearcherMonitor, Turn, TypeEstimate,
 };
+pub(crate) use retry_budget::BudgetWindow;
 
 impl DecisionModule for Mixer {
     fn handle_events(&mut self, now: f64, events: Vec<Event>) -> Vec<Action> {
--- a/src/logic/dispatch.rs
+++ b/src/logic/dispatch.rs
@@ -72,7 +72,7 @@
         let id = DispatchId { part: part.id, number: part.dispatches.len() as u8 };
         let was_sent = !part.dispatches.is_empty();
         if was_sent && (self.limits.retry_budget.is_some() || !part.never_ran()) {
-            self.retry_budget.spent_at.push_back(now);
+            self.retry_budget.count_spent(now);
         }
         part.dispatches.push(PartDispatch { searcher, outcome: None });
         part.state = PartState::InFlight;
@@ -118,7 +118,7 @@
         let Some(dispatch) = self.in_flight.get_mut(&id) else { return };
         self.connection_losses.record(dispatch.on_idle_connection.take(), true, now);
         if self.hedge_budget.allows_one_more(now, self.busy_share) {
-            self.hedge_budget.spent_at.push_back(now);
+            self.hedge_budget.count_spent(now);
             self.request_hedge(id.part);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,9 +8,9 @@
 use oorandom::Rand64;
 
 use crate::interface::{
-    Action, Customer, DispatchOutcome, Event, Layout, Permissions, RetryBudget, SafetyLimits, SearcherStatus,
-    TableType,
+    Action, Customer, DispatchOutcome, Event, Layout, Permissions, SafetyLimits, SearcherStatus, TableType,
 };
+use crate::logic::BudgetWindow;
 use crate::report::{MarkEvidence, REJECTION_REASONS};
 
 /// Index of a searcher: the same in [`Scheduler::searchers`] and in [`Mixer::monitors`].
@@ -347,22 +347,6 @@
     pub decay_ms: f64,
 }
 
-/// Counts extra dispatches against a budget in a sliding window.
-#[derive(Debug)]
-pub(crate) struct BudgetWindow {
-    pub budget: RetryBudget,
-    /// When scans and parts were accepted.
-    pub accepted_at: VecDeque<f64>,
-    /// When extra dispatches were made.
-    pub spent_at: VecDeque<f64>,
-}
-
-impl BudgetWindow {
-    pub fn new(budget: RetryBudget) -> Self {
-        Self { budget, accepted_at: VecDeque::new(), spent_at: VecDeque::new() }
-    }
-}
-
 /// A scan in the time span in which customers' traffic is compared.
 #[derive(Debug)]
 pub(crate) struct RecentScan {
@@ -624,12 +608,6 @@
         }
     }
 
-    /// Counts an accepted scan or part, which raises the budgets of extra dispatches.
-    pub fn count_accepted(&mut self, now: f64) {
-        self.retry_budget.accepted_at.push_back(now);
-        self.hedge_budget.accepted_at.push_back(now);
-    }
-
     /// Whether a call with room for one more part leaves for this searcher in this turn.
     pub fn has_open_call(&self, searcher: SearcherIndex) -> bool {
         self.open_calls.get(&searcher).is_some_and(|open| open.parts < self.layout.parts_per_call)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -142,6 +142,11 @@
     /// Sends a scan of `parts` parts of equal weight. The first scan is 100 with parts from 101 on, the next
     /// is 200.
     pub fn scan(&mut self, table_type: usize, parts: u32) {
+        self.scan_with_deadline(table_type, parts, 2000.0);
+    }
+
+    /// Like [`Self::scan`], with this time left until the deadline. Returns the scan's id.
+    pub fn scan_with_deadline(&mut self, table_type: usize, parts: u32, left_ms: f64) -> u64 {
         self.scans += 1;
         let number = self.scans;
         let id = u64::from(number) * 100;
@@ -150,7 +155,7 @@
             number,
             table_type,
             customer: 0,
-            deadline_at: self.now + 2000.0,
+            deadline_at: self.now + left_ms,
             work_ms: None,
             retry: false,
         }];
@@ -162,6 +167,7 @@
             weight,
         }));
         self.handle(events);
+        id
     }
 
     pub fn end_dispatch(
@@ -183,6 +189,11 @@
         }]);
     }
 
+    /// A text with the mixer's whole state.
+    pub fn state_text(&self) -> String {
+        format!("{:?}", self.mixer)
+    }
+
     /// Takes the trace since the last call.
     pub fn trace(&mut self) -> String {
         std::mem::take(&mut self.trace)
