Reducer: timers are removed with the scan, attempt, client or link that they are for

A scan that is rejected at once left one for up to its query timeout, a client that connects and leaves one for 2 s, a link that its searcher closes one for 12 s.

Change: Reducer::remove_timer; scans, attempts, clients and links remember the time of their timer and remove it when they end. Timers of what is over did nothing when they were due.

Test: timers_under_floods failed before in both parts ("due" 2002 after 2,000 rejected scans; 8002 after 2,000 clients and links that came and went), passes now with fewer than 32.

--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -349,6 +349,12 @@
         self.timers.insert(ScheduledTimer::new(at, timer));
     }
 
+    /// Removes a timer that was added for this time, unless it has fired. Scans, attempts and connections may end
+    /// far faster than their timers become due.
+    fn remove_timer(&mut self, at: UnixMs, timer: Timer) {
+        self.timers.remove(&ScheduledTimer::new(at, timer));
+    }
+
     fn next_id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
--- a/crates/mixer/src/reducer/attempts.rs
+++ b/crates/mixer/src/reducer/attempts.rs
@@ -138,6 +138,7 @@
         busy: Option<f64>,
     ) {
         let Some(attempt) = self.attempts.remove(&attempt_id) else { return };
+        self.remove_timer(attempt.wait_until, Timer::AttemptTimeout(attempt_id));
         let count = match outcome {
             DispatchOutcome::Ok => &mut self.counters.ended_ok,
             DispatchOutcome::Error => &mut self.counters.ended_error,
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -32,7 +32,7 @@
     pub(super) fn client_connected(&mut self, now: UnixMs, connection_id: ConnectionId) {
         self.counters.clients_accepted += 1;
         self.clients.insert(connection_id, Client::new(now));
-        self.add_timer(now + IDLE_MS, Timer::ClientIdle(connection_id));
+        self.set_idle_timer(now + IDLE_MS, connection_id);
         // Clients that are being closed are not counted, as their places will be free.
         if self.clients.values().filter(|c| !c.closing).count() > self.max_clients {
             self.make_room(now);
@@ -49,7 +49,7 @@
         if let Some(client) = self.clients.get_mut(&connection_id).filter(is_open) {
             client.state = ClientState::AwaitingRequest;
             client.state_since = now;
-            self.start_idle_timer(now, connection_id);
+            self.set_idle_timer(now + IDLE_MS, connection_id);
         }
     }
 
@@ -59,10 +59,11 @@
         }
     }
 
-    fn start_idle_timer(&mut self, now: UnixMs, connection_id: ConnectionId) {
-        if let Some(client) = self.clients.get_mut(&connection_id).filter(|c| !c.idle_timer_set) {
-            client.idle_timer_set = true;
-            self.add_timer(now + IDLE_MS, Timer::ClientIdle(connection_id));
+    /// Sets the idle timer of a client, unless it is set already.
+    fn set_idle_timer(&mut self, at: UnixMs, connection_id: ConnectionId) {
+        if let Some(client) = self.clients.get_mut(&connection_id).filter(|c| c.idle_timer_at.is_none()) {
+            client.idle_timer_at = Some(at);
+            self.add_timer(at, Timer::ClientIdle(connection_id));
         }
     }
 
@@ -71,7 +72,7 @@
     pub(super) fn check_idle_client(&mut self, now: UnixMs, connection_id: ConnectionId) {
         let crowded = 2 * self.clients.len() > self.max_clients;
         let Some(client) = self.clients.get_mut(&connection_id) else { return };
-        client.idle_timer_set = false;
+        client.idle_timer_at = None;
         // A client that was sending a request when its connection began to close still has time to complete it.
         let is_closing = client.closing && client.state != ClientState::AwaitingRequest;
         if client.scan.is_some() || client.state == ClientState::Finished || is_closing {
@@ -79,8 +80,7 @@
         }
         let idle_at = client.state_since + IDLE_MS;
         if now < idle_at {
-            client.idle_timer_set = true;
-            return self.add_timer(idle_at, Timer::ClientIdle(connection_id));
+            return self.set_idle_timer(idle_at, connection_id);
         }
         match client.state {
             ClientState::AwaitingRequest => self.answer_incomplete_request(now, connection_id),
@@ -88,7 +88,7 @@
                 self.counters.clients_dropped_for_room += 1;
                 self.close_client(now, connection_id, ClientCloseReason::Crowded);
             }
-            _ => self.start_idle_timer(now, connection_id),
+            _ => self.set_idle_timer(now + IDLE_MS, connection_id),
         }
     }
 
@@ -151,9 +151,11 @@
     }
 
     pub(super) fn client_disconnected(&mut self, now: UnixMs, connection_id: ConnectionId) {
-        let Some(client) = self.clients.get(&connection_id) else { return };
+        let Some(client) = self.clients.remove(&connection_id) else { return };
         let scan = client.scan;
-        self.clients.remove(&connection_id);
+        if let Some(at) = client.idle_timer_at {
+            self.remove_timer(at, Timer::ClientIdle(connection_id));
+        }
         self.effects.push(Effect::ReleaseClient { connection_id });
         if let Some(scan) = scan {
             self.counters.scans_gone += 1;
@@ -376,8 +378,9 @@
     }
 
     /// Removes a scan and its parts. Its open attempts are not ended here.
-    fn remove_scan(&mut self, scan: ScanId) {
-        let Some(scan) = self.scans.remove(&scan) else { return };
+    fn remove_scan(&mut self, scan_id: ScanId) {
+        let Some(scan) = self.scans.remove(&scan_id) else { return };
+        self.remove_timer(scan.deadline_at, Timer::ScanDeadline(scan_id));
         self.open_request_ids.remove(&scan.request_id);
         for id in scan.parts {
             self.parts.remove(&id);
@@ -407,7 +410,7 @@
             client.state = ClientState::Finished;
             self.add_timer(now + rules::LINGER_MS, Timer::ClientLinger(connection_id));
         } else {
-            self.start_idle_timer(now, connection_id);
+            self.set_idle_timer(now + IDLE_MS, connection_id);
         }
         // An incomplete request is answered although it awaits no answer yet.
         if !was_awaited && status != REQUEST_TIMEOUT {
--- a/crates/mixer/src/reducer/links.rs
+++ b/crates/mixer/src/reducer/links.rs
@@ -122,7 +122,7 @@
             last_received_at: now,
             silent: false,
             idle_since: now,
-            idle_timer_set: false,
+            idle_timer_at: None,
         };
         self.links.insert(link_id, link);
         let links = &mut self.searchers.get_mut(&searcher)?.links;
@@ -158,21 +158,26 @@
         link.idle_since = now;
         if self.searchers.get(&link.searcher).is_none_or(|searcher| searcher.address != link.address) {
             self.close_link(link_id, LinkCloseReason::Moved);
-        } else if !link.idle_timer_set {
-            link.idle_timer_set = true;
-            self.add_timer(now + IDLE_SHARE * self.config.idle_close_ms, Timer::LinkIdle(link_id));
+        } else if link.idle_timer_at.is_none() {
+            self.set_link_idle_timer(now + IDLE_SHARE * self.config.idle_close_ms, link_id);
         }
     }
 
     pub(super) fn close_if_idle(&mut self, now: UnixMs, link_id: LinkId) {
         let Some(link) = self.links.get_mut(&link_id) else { return };
-        link.idle_timer_set = false;
+        link.idle_timer_at = None;
         let until = link.idle_since + IDLE_SHARE * self.config.idle_close_ms;
         if link.is_idle() && now >= until {
             self.close_link(link_id, LinkCloseReason::Idle);
         } else if link.is_idle() {
-            link.idle_timer_set = true;
-            self.add_timer(until, Timer::LinkIdle(link_id));
+            self.set_link_idle_timer(until, link_id);
+        }
+    }
+
+    fn set_link_idle_timer(&mut self, at: UnixMs, link_id: LinkId) {
+        if let Some(link) = self.links.get_mut(&link_id) {
+            link.idle_timer_at = Some(at);
+            self.add_timer(at, Timer::LinkIdle(link_id));
         }
     }
 
@@ -212,6 +217,9 @@
         self.counters.links_failed += u64::from(failed);
         self.close_link(link_id, LinkCloseReason::Ended);
         let Some(link) = self.links.remove(&link_id) else { return };
+        if let Some(at) = link.idle_timer_at {
+            self.remove_timer(at, Timer::LinkIdle(link_id));
+        }
         if let Some(searcher) = self.searchers.get_mut(&link.searcher) {
             searcher.links.retain(|id| *id != link_id);
         }
--- a/crates/mixer/src/reducer/state.rs
+++ b/crates/mixer/src/reducer/state.rs
@@ -131,7 +131,8 @@
     pub(super) still_sends: bool,
     /// When it entered its state.
     pub(super) state_since: UnixMs,
-    pub(super) idle_timer_set: bool,
+    /// The time of its [`Timer::ClientIdle`], if one is set.
+    pub(super) idle_timer_at: Option<UnixMs>,
     /// Number of unusable requests in a row.
     pub(super) unusable_requests: u32,
 }
@@ -150,7 +151,7 @@
             answer_delayed: false,
             still_sends: false,
             state_since: now,
-            idle_timer_set: true,
+            idle_timer_at: None,
             unusable_requests: 0,
         }
     }
@@ -214,7 +215,8 @@
     /// Something sent on it timed out and nothing has arrived since: nothing new is sent on it.
     pub(super) silent: bool,
     pub(super) idle_since: UnixMs,
-    pub(super) idle_timer_set: bool,
+    /// The time of its [`Timer::LinkIdle`], if one is set.
+    pub(super) idle_timer_at: Option<UnixMs>,
 }
 
 /// The answer that may still arrive for a name that was sent on a link.
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -1028,3 +1028,40 @@
     assert!(count(": I\n") >= 10, "{}", harness.trace);
     assert!(count("connect to") - count(": close\n") <= 2, "{}", harness.trace);
 }
+
+/// The number of timers that are set.
+fn timer_count(harness: &Harness) -> usize {
+    harness.reducer.sizes().iter().find(|(name, _)| *name == "due").expect("the size of the timers").1
+}
+
+/// Guards against timers that stay until they are due although what they are for is over: scans that are rejected at
+/// once, clients that come and go, and links that searchers close.
+#[test]
+fn timers_under_floods() {
+    const EVENTS: u64 = 2000;
+    const INTERVAL_MS: f64 = 0.05;
+    /// Timers of the mixer itself, and of what is open or has just ended.
+    const MAX_TIMERS: usize = 32;
+    let mut without_searchers = Harness::new(0);
+    for number in 0..EVENTS {
+        without_searchers.send_request(1, "all", &format!("q{number}"), 3);
+        without_searchers.advance(INTERVAL_MS);
+        without_searchers.trace.clear();
+    }
+    assert!(timer_count(&without_searchers) < MAX_TIMERS, "{:?}", without_searchers.reducer.sizes());
+    let mut with_searcher = Harness::new(1);
+    for number in 0..EVENTS {
+        let connection_id = number + 2;
+        with_searcher.input(Input::ClientConnected { connection_id });
+        with_searcher.send_request(connection_id, "all", &format!("q{number}"), 1);
+        let link = with_searcher.last_link();
+        with_searcher.input(Input::LinkUp { link });
+        with_searcher.send_answer(link, &format!("q{number}.0"), Verdict::Ok, "a");
+        with_searcher.input(Input::LinkClosed { link, frames_written: 1 });
+        with_searcher.input(Input::ClientDisconnected { connection_id });
+        with_searcher.advance(INTERVAL_MS);
+        with_searcher.trace.clear();
+    }
+    assert_eq!(with_searcher.reducer.counters().scans_completed, EVENTS);
+    assert!(timer_count(&with_searcher) < MAX_TIMERS, "{:?}", with_searcher.reducer.sizes());
+}
