--- /dev/null
+++ b/review/trial.sh
@@ -0,0 +1,13 @@
+# Plays one trial; sourced by review/*/run.sh, which sets $folder to its own folder.
+root=$(cd "$folder/../.." && pwd)
+trial="$root/target/review-2/trial-$(basename "$folder")"
+if [ ! -x "$trial" ] || [ ! -x "$root/target/release/pewterwharf-mixer" ]; then
+    echo "could not run: the build of the deploy file and review/build-2.sh come first"
+    exit 2
+fi
+temporary=$(mktemp -d) || exit 2
+trap 'rm -rf "$temporary"' EXIT
+status=0
+TRIAL_ROOT="$root" TRIAL_FOLDER="$folder" TRIAL_TMP="$temporary" "$trial" || status=$?
+[ "$status" -le 2 ] || status=2
+exit "$status"
