--- a/review/stage.rs
+++ b/review/stage.rs
@@ -9,10 +9,10 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitCode, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const SIGTERM: i32 = 15;
 
@@ -112,6 +112,9 @@
     Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.port())
 }
 
+/// How many mixers were started.
+static STARTS: AtomicU32 = AtomicU32::new(0);
+
 /// A mixer, as a process of its own. It is killed when this is dropped.
 pub struct Mixer {
     stage: Stage,
@@ -135,8 +138,10 @@
         let line = deploy.lines().find_map(|line| line.strip_prefix("run = \""));
         let run = line.and_then(|rest| rest.split('"').next());
         let run = run.ok_or_else(|| io::Error::other("no line `run` in deploy/balancer.toml"))?;
+        // New with each start.
+        let seed = value_of(STARTS.fetch_add(1, Ordering::SeqCst), name);
         let config = format!(
-            r#"{{"name":"{name}","listen":"{address}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"{name}","listen":"{address}","discovery":"{discovery}","seed":"{seed}",
 "limits":{limits},"known":{known},"settings":{settings}}}"#
         );
         let config_path = stage.temporary.join(format!("{name}.json"));
@@ -541,15 +546,25 @@
         self.received.lock().map(|parts| parts.clone()).unwrap_or_default()
     }
 
-    /// Its entry in the list.
+    /// Its entry in the list, as one that started long ago.
     pub fn entry(&self, status: &str) -> String {
+        self.entry_since(status, 0)
+    }
+
+    /// Its entry in the list, with its latest start as Unix time in milliseconds.
+    pub fn entry_since(&self, status: &str, since_ms: u64) -> String {
         format!(
-            r#"{{"name":"{}","address":"{}","zone":"a","type":"m2","group":{},"status":"{status}","weight":1.0,"since_ms":0}}"#,
+            r#"{{"name":"{}","address":"{}","zone":"a","type":"m2","group":{},"status":"{status}","weight":1.0,"since_ms":{since_ms}}}"#,
             self.name, self.address, self.cell
         )
     }
 }
 
+/// The machine's clock, as Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+}
+
 fn serve_link(
     stage: &Stage,
     name: &str,
