Show that slow discovery is never heard: not ready without a list, drains unknown with one

Shown: every call to discovery is ended 2.6 s after it began, so one whose answer takes 3 s is never heard, nor is any after it. A mixer that starts without a list is not ready after 30 s; one that starts with an old list goes by it and sends to searchers that drained before it started, past the 6 s by which that counts as told.

Measured: discovery answers each call after 3 s, three of twelve searchers drain, six clients ask the mixer with the old list from the seventh second on.

--- a/review/10/trial.rs
+++ b/review/10/trial.rs
@@ -1,4 +1,5 @@
-//! A mixer that starts while discovery is down sends by the list of before, though the agent holds a drain.
+//! Discovery that takes 3 s for each call is never heard: a mixer without a list is never ready, and one with an old list
+//! goes by it for good.
 
 #[path = "../stage.rs"]
 mod stage;
@@ -6,19 +7,23 @@
 use std::io;
 use std::process::ExitCode;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use stage::{Discovery, Mixer, Part, Scan, Searcher, Stage, ask, serve, sleep_ms};
+use stage::{Discovery, Mixer, Part, Scan, Searcher, Stage, ask, ms, serve, sleep_ms};
 
 const WORK_MS: u64 = 30;
+/// What discovery takes for a call while it is slow.
+const CALL_MS: u64 = 3000;
+/// A mixer has so long to be ready.
+const READY_MS: u64 = 30_000;
+/// A change counts as told so long after discovery had it and could be reached, at the latest.
+const TOLD_MS: f64 = 6000.0;
 /// The grace of a drain.
 const GRACE_MS: f64 = 250.0;
 /// All time limits are this much longer on sockets.
 const SLACK_MS: f64 = 50.0;
 /// A mixer may be held up for so long between reading its clock and writing.
 const HELD_UP_MS: f64 = 150.0;
-/// Discovery is down for so long after the mixer's start.
-const OUTAGE_MS: u64 = 4000;
 
 const SETTINGS: &str = r#"{"peers_total":1,"zone":0,"zones":["a"],"discovery":"push",
 "services":[
@@ -32,6 +37,7 @@
 "rules":{"cold_from":0.16,"warm_after_ms":17000.0,"tip_multiple":4.0,"fall_ms":1000.0,"drain_grace_ms":250.0}}"#;
 
 const LIMITS: &str = r#"{"cores":1.0,"memory_mb":192,"sockets":1024}"#;
+const EMPTY: &str = r#"{"index":0,"snapshot":true,"endpoints":[]}"#;
 
 fn scan(nth: u32) -> Scan {
     let id = format!("{:016x}", 0x9b1f_03aa_5c7e_0000u64 + u64::from(nth));
@@ -47,59 +53,48 @@
         })?);
     }
     let discovery = Discovery::start(stage, &searchers.iter().collect::<Vec<_>>())?;
-    let empty = r#"{"index":0,"snapshot":true,"endpoints":[]}"#;
-    let mut mixer = Mixer::start(stage, "n1", discovery.address, LIMITS, empty, SETTINGS)?;
-    mixer.wait_until_ready(Duration::from_secs(10))?;
-    for nth in 0..20 {
-        ask(stage, mixer.address, &scan(nth), 500);
-    }
-    // The mixer is killed. While it is away, three of twelve searchers begin to drain, and its agent hears of that.
     let known = discovery.list();
-    drop(mixer);
+    // Three of twelve searchers begin to drain before the mixers start; no list that they held has that.
     let entry = |(nth, searcher): (usize, &Searcher)| searcher.entry(if nth < 3 { "draining" } else { "up" });
     discovery.change(searchers.iter().enumerate().map(entry).collect());
-    sleep_ms(1000);
     if stage.trouble {
-        discovery.set_down(true);
+        discovery.set_delay(CALL_MS);
     }
-    sleep_ms(1000);
-    // What the agent holds counts as told from the first moment of the new process.
-    let told_at = stage.now_ms();
-    let mut mixer = Mixer::start(stage, "n1", discovery.address, LIMITS, &known, SETTINGS)?;
-    let stays_down = thread::scope(|scope| {
-        let outage = scope.spawn(|| {
-            sleep_ms(OUTAGE_MS);
-            if stage.trouble {
-                discovery.set_down(false);
-            }
-        });
-        mixer.wait_until_ready(Duration::from_secs(30))?;
-        // Six clients, so that the mixer spreads the parts over the searchers that it knows.
-        let address = mixer.address;
+    let began = Instant::now();
+    let began_ms = stage.now_ms();
+    let mut old = Mixer::start(stage, "n1", discovery.address, LIMITS, &known, SETTINGS)?;
+    let mut new = Mixer::start(stage, "n2", discovery.address, LIMITS, EMPTY, SETTINGS)?;
+    old.wait_until_ready(ms(READY_MS))?;
+    // The first one is used from the time on by which the drain counts as told, however slow discovery is.
+    sleep_ms((TOLD_MS as u64 + 1000).saturating_sub(began.elapsed().as_millis() as u64));
+    thread::scope(|scope| {
         for client in 1..=6 {
+            let address = old.address;
             scope.spawn(move || {
-                for nth in 0..30 {
+                for nth in 0..40 {
                     ask(stage, address, &scan(100 * client + nth), 500);
-                    sleep_ms(30);
+                    sleep_ms(50);
                 }
             });
         }
-        outage.join().map_err(|_| io::Error::other("the outage could not be played"))
     });
-    stays_down?;
-    mixer.note_counters();
     let mut breaks = Vec::new();
+    let left = Duration::from_millis(READY_MS).saturating_sub(began.elapsed());
+    if new.wait_until_ready(left).is_err() {
+        breaks.push(format!("n2, which started without a list, is not ready after {READY_MS} ms"));
+    }
     for searcher in &searchers[..3] {
-        let late = |part: &Part| part.at_ms > told_at + GRACE_MS + SLACK_MS + HELD_UP_MS;
-        for part in searcher.received().into_iter().filter(late) {
+        let late = |part: &Part| part.at_ms > began_ms + TOLD_MS + GRACE_MS + SLACK_MS + HELD_UP_MS;
+        let count = searcher.received().into_iter().filter(late).count();
+        if count > 0 {
             breaks.push(format!(
-                "{}, which drains, gets {} {:.0} ms after that was told",
-                searcher.name,
-                part.id,
-                part.at_ms - told_at
+                "{}, which drains, gets {count} parts after that counts as told",
+                searcher.name
             ));
         }
     }
+    old.note_counters();
+    new.note_counters();
     Ok(breaks)
 }
 
--- a/review/stage.rs
+++ b/review/stage.rs
@@ -377,6 +377,8 @@
     index: u64,
     entries: Vec<String>,
     down: bool,
+    /// Each call is answered so long after it has come.
+    delay_ms: u64,
 }
 
 impl Board {
@@ -397,7 +399,7 @@
     /// Starts with the version 41 of the list: these searchers, all of them up.
     pub fn start(stage: &Stage, searchers: &[&Searcher]) -> io::Result<Self> {
         let entries = searchers.iter().map(|searcher| searcher.entry("up")).collect();
-        let board = Arc::new(Mutex::new(Board { index: 41, entries, down: false }));
+        let board = Arc::new(Mutex::new(Board { index: 41, entries, down: false, delay_ms: 0 }));
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let discovery = Self { address, stage: stage.clone(), board: board.clone() };
@@ -425,6 +427,14 @@
         }
     }
 
+    /// From now on it is slow: each call is answered so long after it has come. Once a watch is answered, it tells at once.
+    pub fn set_delay(&self, delay_ms: u64) {
+        if let Ok(mut board) = self.board.lock() {
+            board.delay_ms = delay_ms;
+            self.stage.note(&format!("discovery takes {delay_ms} ms for each call from now on"));
+        }
+    }
+
     /// Falls silent, or speaks again.
     pub fn set_down(&self, down: bool) {
         if let Ok(mut board) = self.board.lock() {
@@ -460,6 +470,7 @@
             bytes.push(byte[0]);
         }
         let line = String::from_utf8_lossy(&bytes);
+        sleep_ms(board.lock().map_or(0, |board| board.delay_ms));
         let (_, list) = wait_for_list(board);
         if !line.contains("watch=1") {
             write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len())?;
