Let the review's trials end their mixers when stopped, and at 115 s at the latest

A trial whose mixer answers nothing could have run past 120 s, and one that was sent SIGTERM left its mixers behind. The rig now kills the mixers that it started, by their ids, and exits with 2 in both cases; review/trial.sh passes the signal on.

--- a/review/stage.rs
+++ b/review/stage.rs
@@ -15,9 +15,46 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const SIGTERM: i32 = 15;
+const SIGINT: i32 = 2;
+const SIGKILL: i32 = 9;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn signal(signal: i32, handler: extern "C" fn(i32)) -> usize;
+}
+
+/// A run that has not ended by itself after so long is ended, and counts as one that could not run.
+const LONGEST_RUN: Duration = Duration::from_secs(115);
+
+/// The mixers that were started and are not waited for yet, by their process ids.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The trial was asked to end.
+static ASKED_TO_END: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn ask_to_end(_: i32) {
+    ASKED_TO_END.store(true, Ordering::SeqCst);
+}
+
+/// Ends the trial and its mixers if it is asked to end or takes too long.
+fn guard(stage: &Stage) {
+    for number in [SIGTERM, SIGINT] {
+        // SAFETY: the handler only stores a flag.
+        unsafe { signal(number, ask_to_end) };
+    }
+    let stage = stage.clone();
+    thread::spawn(move || {
+        while !ASKED_TO_END.load(Ordering::SeqCst) && stage.began.elapsed() < LONGEST_RUN {
+            sleep_ms(100);
+        }
+        if let Ok(running) = RUNNING.lock() {
+            for id in running.iter() {
+                // SAFETY: a process is taken off this list before it is waited for, so the id is its own.
+                unsafe { kill(*id as i32, SIGKILL) };
+            }
+            stage.note("could not run: asked to end, or not over in time");
+            std::process::exit(2);
+        }
+    });
 }
 
 pub fn ms(ms: u64) -> Duration {
@@ -83,6 +120,7 @@
             return ExitCode::from(2);
         }
     };
+    guard(&stage);
     let with = if stage.trouble { "with the disruption" } else { "without the disruption" };
     stage.note(&format!("begins, {with}"));
     match trial(&stage) {
@@ -147,6 +185,7 @@
         let config_path = stage.temporary.join(format!("{name}.json"));
         fs::write(&config_path, config)?;
         let log = File::create(stage.temporary.join(format!("{name}.log")))?;
+        let mut running = RUNNING.lock().map_err(|_| io::Error::other("the list of mixers is lost"))?;
         let child = Command::new("/bin/sh")
             .args(["-c", run])
             .current_dir(&stage.root)
@@ -159,6 +198,8 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
+        running.push(child.id());
+        drop(running);
         stage.note(&format!("mixer {name} is started by `{run}`, process {}, at {address}", child.id()));
         Ok(Self { stage: stage.clone(), name: name.to_owned(), child, address })
     }
@@ -202,6 +243,9 @@
 impl Drop for Mixer {
     fn drop(&mut self) {
         let _ = self.child.kill();
+        if let Ok(mut running) = RUNNING.lock() {
+            running.retain(|id| *id != self.child.id());
+        }
         let _ = self.child.wait();
         if let Ok(log) = fs::read_to_string(self.stage.temporary.join(format!("{}.log", self.name))) {
             for line in log.lines().take(200) {
--- a/review/trial.sh
+++ b/review/trial.sh
@@ -8,6 +8,14 @@
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
 status=0
-TRIAL_ROOT="$root" TRIAL_FOLDER="$folder" TRIAL_TMP="$temporary" "$trial" || status=$?
+TRIAL_ROOT="$root" TRIAL_FOLDER="$folder" TRIAL_TMP="$temporary" "$trial" &
+pid=$!
+trap 'kill -TERM "$pid" 2>/dev/null' TERM INT
+wait "$pid" || status=$?
+# A signal ends the first wait; the trial then ends its mixers and itself.
+while kill -0 "$pid" 2>/dev/null; do
+    status=0
+    wait "$pid" || status=$?
+done
 [ "$status" -le 2 ] || status=2
 exit "$status"
