Mixer: an answer with text behind it is not accepted, whatever waits on its link

Cause: text behind an answer may be the rest of its value, or noise behind a good one. The same choice took a spoilt 503 for one that never ran, and sent the part again.

Change: such an answer ends with its link, as one that may have run. What waits on the link is not asked any more.

Evidence: in each broken request the reader had reported the answer and the unreadable text together. Before the change cut_answer_alone_on_its_link and cut_answer_at_end_of_read_buffer fail with the cut value at the client, and text_behind_answer_that_says_never_ran with a scan that waits to be sent again.

--- a/crates/mixer/src/reducer/attempts.rs
+++ b/crates/mixer/src/reducer/attempts.rs
@@ -170,37 +170,30 @@
     }
 
     /// Receives frames that arrived together on a link. `error`: why what is directly behind them can't be read.
+    ///
+    /// If that may be the rest of the last answer's value, the answer is not accepted: a value that was cut can't be
+    /// told from a whole one with excess text behind it. Its attempt ends with the link, as one that may have run.
     pub(super) fn receive_frames(
         &mut self,
         now: UnixMs,
         link_id: LinkId,
-        frames: Vec<Frame>,
+        mut frames: Vec<Frame>,
         error: Option<FrameError>,
     ) {
         let may_be_cut = error.as_ref().is_some_and(|error| error.may_continue_value);
-        let last = frames.len().saturating_sub(1);
-        for (index, frame) in frames.into_iter().enumerate() {
-            if may_be_cut && index == last && self.is_doubted(link_id, &frame) {
-                self.counters.answers_doubted += 1;
-                debug!("link {link_id}: the rest of the last answer's value may be behind it");
-            } else {
-                self.receive_frame(now, link_id, frame);
-            }
+        let is_answer = |frame: &mut Frame| matches!(frame, Frame::Part { .. });
+        if may_be_cut && frames.pop_if(is_answer).is_some() {
+            self.counters.answers_doubted += 1;
+            debug!("link {link_id}: the rest of the last answer's value may be behind it");
+        }
+        for frame in frames {
+            self.receive_frame(now, link_id, frame);
         }
         if let Some(error) = error {
             self.reject_frame(now, link_id, &error.reason);
         }
     }
 
-    /// Whether an answer is not accepted because what is behind it may be the rest of its value. Searchers send
-    /// more than belongs to a good answer only when nothing else waits on its link. The attempt of an answer that
-    /// is not accepted ends with the link, as one that may have run.
-    fn is_doubted(&self, link_id: LinkId, frame: &Frame) -> bool {
-        let Frame::Part { id: part_name, .. } = frame else { return false };
-        let is_sent = |id: &AttemptId| self.attempts.get(id).is_some_and(|attempt| attempt.frame.is_some());
-        self.links.get(&link_id).is_some_and(|link| link.awaits_more_than(part_name, is_sent))
-    }
-
     fn receive_frame(&mut self, now: UnixMs, link_id: LinkId, frame: Frame) {
         let Some(link) = self.links.get_mut(&link_id) else { return };
         link.last_received_at = now;
--- a/crates/mixer/src/reducer/state.rs
+++ b/crates/mixer/src/reducer/state.rs
@@ -299,19 +299,6 @@
         self.probes.iter().any(Probe::is_overdue)
     }
 
-    /// Whether its searcher may still answer anything but this part. An attempt that has ended counts as well, as
-    /// its searcher may not know that.
-    pub(super) fn awaits_more_than(&self, part_name: &str, is_sent: impl Fn(&AttemptId) -> bool) -> bool {
-        let is_awaited = |expected: &ExpectedAnswer| match expected {
-            ExpectedAnswer::Attempt(attempt_id) => is_sent(attempt_id),
-            ExpectedAnswer::Late => true,
-            ExpectedAnswer::Duplicate => false,
-        };
-        let mut other_parts = self.expected.iter().filter(|(name, _)| name.as_ref() != part_name);
-        other_parts.any(|(_, expected)| is_awaited(expected))
-            || self.probes.iter().any(|probe| probe.frame.is_some())
-    }
-
     /// Records that one part of a call is finished. With the last one, the call is no longer open, and is not
     /// sent any more if it is still queued.
     pub(super) fn finish_part_of_call(&mut self, call_id: CallId) {
--- a/crates/mixer/tests/cut_answers.rs
+++ b/crates/mixer/tests/cut_answers.rs
@@ -23,6 +23,8 @@
     payload_bytes: usize,
     /// The stated length is too short by this many bytes.
     missing_bytes: usize,
+    /// Parts that wait on the connection when the answer is sent, beside the one that it is for.
+    other_parts: u32,
 }
 
 struct ReceivedPart {
@@ -59,7 +61,7 @@
     frame
 }
 
-/// A searcher that cuts its first answer once another part waits on the connection, and sends nothing more there.
+/// A searcher that cuts its first answer once the other parts wait on the connection, and sends nothing more there.
 /// All later connections get good answers.
 #[derive(Clone)]
 struct CuttingSearcher {
@@ -89,7 +91,9 @@
                 for part in waiting.drain(..) {
                     stream.write_all(&answer_frame(&self.make_answer(&part), 0))?;
                 }
-            } else if let [first, _, ..] = waiting.as_slice() {
+            } else if let [first, others @ ..] = waiting.as_slice()
+                && others.len() >= self.cut.other_parts as usize
+            {
                 self.has_cut.store(true, Ordering::SeqCst);
                 stream.write_all(&answer_frame(&self.make_answer(first), self.cut.missing_bytes))?;
                 io::copy(&mut input, &mut io::sink())?;
@@ -105,7 +109,7 @@
     }
 }
 
-/// Asks for two parts of a searcher that cuts its answers.
+/// Asks a searcher that cuts its answers for a part, and for the others that have to wait.
 fn check_cut_answer(cut: Cut) {
     let mixer = start(&[SearcherBehavior::Answers]);
     let listener = bind_free_port();
@@ -118,7 +122,9 @@
         assert!(published_at.elapsed() < TIMEOUT, "the list is not applied");
     }
     let mut client = mixer.connect();
-    client.write_all(scan_request("lookup", 2).as_bytes()).expect("the connection accepts bytes");
+    client
+        .write_all(scan_request("lookup", cut.other_parts + 1).as_bytes())
+        .expect("the connection accepts bytes");
     let answer = read_answer(&client);
     assert!(searcher.has_cut.load(Ordering::SeqCst), "no answer was cut");
     let values = searcher.values.lock().expect("no thread panics while it holds the lock").clone();
@@ -132,15 +138,25 @@
 #[test]
 fn cut_answer_beside_waiting_part() {
     for missing_bytes in [1, 2, 3, 4, 16] {
-        check_cut_answer(Cut { payload_bytes: 60, missing_bytes });
+        check_cut_answer(Cut { payload_bytes: 60, missing_bytes, other_parts: 1 });
+    }
+}
+
+/// Guards against a cut value that is passed on as whole, when nothing else waits on the link of its answer.
+#[test]
+fn cut_answer_alone_on_its_link() {
+    for missing_bytes in [1, 2, 3, 4, 6, 16] {
+        check_cut_answer(Cut { payload_bytes: 60, missing_bytes, other_parts: 0 });
     }
 }
 
 /// Guards against a cut value that is passed on as whole, when the rest of the value is left for the next read.
 #[test]
 fn cut_answer_at_end_of_read_buffer() {
-    for missing_bytes in [1, 4, 1024] {
-        let payload_bytes = READ_BUFFER_BYTES - LENGTH_BYTES - 1 + missing_bytes;
-        check_cut_answer(Cut { payload_bytes, missing_bytes });
+    for other_parts in [0, 1] {
+        for missing_bytes in [1, 4, 1024] {
+            let payload_bytes = READ_BUFFER_BYTES - LENGTH_BYTES - 1 + missing_bytes;
+            check_cut_answer(Cut { payload_bytes, missing_bytes, other_parts });
+        }
     }
 }
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -781,7 +781,7 @@
 }
 
 /// The harness after an answer that is followed by text, with this waiting on its link.
-fn answer_followed_by_text(waiting: Waiting) -> Harness {
+fn answer_followed_by_text(waiting: Waiting, verdict: Verdict) -> Harness {
     let mut harness = Harness::new(1);
     harness.send_request(1, "once", "q1", 1);
     harness.input(Input::LinkUp { link: 3 });
@@ -802,19 +802,18 @@
     if matches!(waiting, Waiting::AnsweredPartThatWasGivenUp) {
         harness.send_answer(3, "q2.0", Verdict::Ok, "late");
     }
-    let answer =
-        Frame::Part { id: "q1.0".to_owned(), verdict: Verdict::Ok, value: "a".to_owned(), busy: None };
+    let answer = Frame::Part { id: "q1.0".to_owned(), verdict, value: "a".to_owned(), busy: None };
     harness.input(Input::Frames { link: 3, frames: vec![answer], error: Some(excess_text()) });
     harness.input(Input::LinkClosed { link: 3, frames_written: 9 });
     harness
 }
 
-/// Guards against a cut value that is passed on as whole: text behind an answer may be the rest of its value, and
-/// is noise behind a good answer only if nothing else waits on the link.
+/// Guards against a cut value that is passed on as whole: text behind an answer may be the rest of its value,
+/// whatever else waits on the link.
 #[test]
 fn text_behind_answer_by_what_waits() {
     let outcome = |waiting| {
-        let mut harness = answer_followed_by_text(waiting);
+        let mut harness = answer_followed_by_text(waiting, Verdict::Ok);
         let trace = harness.trace_and_counters();
         let answer = trace.lines().find(|line| line.contains("client 1: ")).unwrap_or("no answer").to_owned();
         format!("{waiting:?}: {answer}; {}", harness.reducer.counters().answers_doubted)
@@ -830,6 +829,14 @@
     assert_snapshot!(outcomes.join("\n"));
 }
 
+/// Guards against a part that is repeated, or refused as one that never ran, because of a spoilt answer that says
+/// so: what is spoilt may have run.
+#[test]
+fn text_behind_answer_that_says_never_ran() {
+    let mut harness = answer_followed_by_text(Waiting::Nothing, Verdict::Full);
+    assert_snapshot!(harness.trace_and_counters());
+}
+
 /// Guards against collections that grow with each searcher, client and scan that has come and gone.
 #[test]
 fn state_after_churn() {
