Module: the lots for cold searchers expect a burst, and the load of holders that are gone

Cause: the fraction of scans that each mixer admits was the limit over the work that all would send, and that was taken (1) from its own traffic of 30 s, which after a quiet time is next to nothing, (2) as spread over all searchers that are up, though the last holder of three gets the load of three, and (3) with the parts of one scan spread over all holders of its shards, though the last one gets several at once, so that chance was underrated.

Change: a core's work is expected at a searcher at any time; it is multiplied by the searcher's share of its shards (holders that are up and not marked); parts_per_searcher is counted shard by shard.

--- a/src/logic/cold_capacity.rs
+++ b/src/logic/cold_capacity.rs
@@ -1,7 +1,9 @@
 //! Capacity of cold searchers: how much work this mixer may send a searcher that is still warming up.
 
+use std::collections::BTreeMap;
+
 use super::sliding_totals::SlotTotal;
-use crate::state::{Scan, Scheduler, SearcherState, TypeIndex};
+use crate::state::{Scan, ScanIndex, Scheduler, SearcherIndex, SearcherState, TypeIndex};
 
 impl Scheduler {
     /// The mean work that sampled scans bring to a cold searcher in a window is lower than the limit by this
@@ -16,6 +18,10 @@
     /// Lower busy shares count as this one. The traffic of almost idle searchers says little about how much
     /// they could carry, so that the capacity is derived as twice the traffic at most.
     const MIN_BUSY_SHARE: f64 = 0.5;
+    /// Sums of shares of parts that exceed a whole number by this much count as that number.
+    const PARTS_TOLERANCE: f64 = 1e-9;
+    /// Demand per searcher, in cores, that is expected at any time: after little traffic a burst may follow.
+    const MIN_DEMAND: f64 = 1.0;
 
     /// Whether a searcher has capacity for one more part of a scan. A warm searcher always has.
     ///
@@ -47,7 +53,7 @@
         let allowed_ms = if work_ms <= own_share_ms {
             let is_first_window = now < self.first_list_at + window_ms;
             if is_first_window { 0.0 } else { own_share_ms }
-        } else if self.is_sampled(scan, is_hedge, work_ms, capacity_ms) {
+        } else if self.is_sampled(searcher, scan, is_hedge, work_ms, capacity_ms) {
             scan_work_ms + work_ms
         } else {
             0.0
@@ -60,21 +66,22 @@
 
     /// Work that all mixers together may send a cold searcher in a window. What the searcher can carry in it
     /// is the product of its present speed, the rate of work that a warm searcher can carry, and the length
-    /// of the window; it fails at a multiple of this.
-    ///
-    /// The speed is that of the slowest warm-up that the deployment allows: it grows linearly with the time
-    /// since the searcher's latest start. The rate of a warm searcher is estimated from this mixer's traffic,
-    /// as if all mixers sent as much, divided by the busy share that searchers report. It is at least one
-    /// core.
+    /// of the window; it fails at a multiple of this. The speed is that of the slowest warm-up that the deployment
+    /// allows: it grows linearly with the time since the searcher's latest start.
     fn cold_capacity_ms(&self, searcher: &SearcherState, now: f64) -> f64 {
         let limits = &self.limits;
         let age_ms = now - searcher.latest_start_at();
         let warmed_up_share = (age_ms / limits.warm_up_ms).max(0.0);
         let speed = limits.cold_capacity_share + (1.0 - limits.cold_capacity_share) * warmed_up_share;
+        limits.overload_multiple * speed * self.warm_work_rate() * limits.overload_window_ms
+    }
+
+    /// The rate of work that a warm searcher is taken to carry. It is estimated from this mixer's traffic, as if
+    /// all mixers sent as much, divided by the busy share that searchers report. It is at least one core.
+    fn warm_work_rate(&self) -> f64 {
         let busy_share = self.busy_share.map_or(1.0, |busy| busy.clamp(Self::MIN_BUSY_SHARE, 1.0));
         let received_work_rate = self.sent_work_rate * self.mixers_per_searcher();
-        let warm_work_rate = (received_work_rate / busy_share).max(1.0);
-        limits.overload_multiple * speed * warm_work_rate * limits.overload_window_ms
+        (received_work_rate / busy_share).max(1.0)
     }
 
     /// Factor that converts the rate of one mixer at all searchers to the rate of all mixers at one searcher.
@@ -82,6 +89,40 @@
         self.mixer_count / self.ready_searcher_count.max(1.0)
     }
 
+    /// The load of a searcher over the mean load of all, if every shard is requested as often and its requests are
+    /// divided equally among its holders that may get parts. It is higher than 1 where other holders are gone.
+    fn relative_load(&self, searcher: &SearcherState) -> f64 {
+        let load_of = |shard: u32| 1.0 / self.usable_holders(shard).count().max(1) as f64;
+        let shards = self.shard_map.shards_of(searcher.cell);
+        let load: f64 = shards.map(load_of).sum();
+        (load * self.ready_searcher_count / f64::from(self.layout.cells.max(1))).max(1.0)
+    }
+
+    /// The holders of a shard that get its parts: those that are up, without the marked ones, which come last.
+    fn usable_holders(&self, shard: u32) -> impl Iterator<Item = SearcherIndex> {
+        let is_usable = |holder: &SearcherIndex| {
+            let state = &self.searchers[*holder];
+            state.is_up() && !state.health.marked
+        };
+        self.shard_map.holders(shard).filter(is_usable)
+    }
+
+    /// Computes [`Scan::parts_per_searcher`].
+    pub(super) fn set_parts_per_searcher(&mut self, scan: ScanIndex) {
+        let Some(parts) = self.scans.get(&scan).map(|scan| &scan.parts) else { return };
+        let mut parts_by_searcher: BTreeMap<SearcherIndex, f64> = BTreeMap::new();
+        for part in parts {
+            let holders: Vec<SearcherIndex> = self.usable_holders(part.shard).collect();
+            for holder in &holders {
+                *parts_by_searcher.entry(*holder).or_default() += 1.0 / holders.len() as f64;
+            }
+        }
+        let most_parts = parts_by_searcher.into_values().fold(0.0, f64::max);
+        if let Some(scan) = self.scans.get_mut(&scan) {
+            scan.parts_per_searcher = (most_parts - Self::PARTS_TOLERANCE).ceil().max(1.0);
+        }
+    }
+
     /// Share of this mixer's capacity at cold searchers that a table type gets. It is proportional to the
     /// type's benefit times its demand.
     fn capacity_share(&self, table_type: TypeIndex) -> f64 {
@@ -104,10 +145,21 @@
     /// capacity of N parts, another `2 * sqrt(N) + 2` parts. All parts of a scan have the same sampling
     /// number, so that a scan of many parts finds capacity for all of them or for none.
     ///
+    /// The fraction depends on the work that all mixers would send the searcher. It is derived from this mixer's own
+    /// traffic, but is [`Self::MIN_DEMAND`] at least, as a burst reaches all mixers before any of them has seen it;
+    /// and it is higher where other holders of the searcher's shards are gone, see [`Self::relative_load`].
+    ///
     /// A hedge is not sampled, as it is not a scan of its own. It is admitted only if the limit leaves room
     /// for a hedge of every part. Otherwise the hedges could fill a window when parts are late at many
     /// searchers at once.
-    fn is_sampled(&self, scan: &Scan, is_hedge: bool, work_ms: f64, capacity_ms: f64) -> bool {
+    fn is_sampled(
+        &self,
+        searcher: &SearcherState,
+        scan: &Scan,
+        is_hedge: bool,
+        work_ms: f64,
+        capacity_ms: f64,
+    ) -> bool {
         let scan_work_ms = scan.parts_per_searcher * work_ms;
         // Parts are counted in those of the table type with the least work: N = capacity / least work.
         let least_work_ms = self.baseline.work_ms.iter().copied().fold(f64::INFINITY, f64::min);
@@ -121,10 +173,11 @@
         let margin_factor = Self::COLD_LOAD_DEVIATIONS * scan_work_ms.sqrt();
         let doubled_mean_root = (margin_factor * margin_factor + 4.0 * limit_ms).sqrt() - margin_factor;
         let max_mean_ms = doubled_mean_root.powi(2) / 4.0;
-        let demanded_work_rate = self.demanded_work_rates.iter().sum::<f64>().max(self.sent_work_rate);
+        let demanded_work_rate = self.demanded_work_rates.iter().sum::<f64>().max(self.sent_work_rate)
+            * self.mixers_per_searcher();
         let demand_ms = Self::TRAFFIC_SURGE
-            * demanded_work_rate
-            * self.mixers_per_searcher()
+            * demanded_work_rate.max(Self::MIN_DEMAND)
+            * self.relative_load(searcher)
             * self.limits.overload_window_ms;
         // The work to expect if all scans were admitted. In a window, each mixer sends a searcher at most the
         // work of one scan and one more part.
--- a/src/state.rs
+++ b/src/state.rs
@@ -397,6 +397,14 @@
         let first = shard as usize % cells.len();
         (0..self.cells_per_shard).flat_map(move |nth| &cells[(first + nth) % cells.len()]).copied()
     }
+
+    /// The first cells of the shards that the searchers of a cell hold. Shards with the same first cell have the same
+    /// holders.
+    pub fn shards_of(&self, cell: u32) -> impl Iterator<Item = u32> {
+        let cells = self.searchers_by_cell.len();
+        let last = cell as usize % cells;
+        (0..self.cells_per_shard).map(move |nth| ((last + cells - nth) % cells) as u32)
+    }
 }
 
 /// Indices of the known searchers by address. The index of a removed searcher is used again.
@@ -567,15 +575,6 @@
         self.open_calls.get(&searcher).is_some_and(|open| open.parts < self.layout.parts_per_call)
     }
 
-    /// Computes how many parts of a scan each searcher gets if they are spread evenly over all searchers that
-    /// hold its shards.
-    pub fn set_parts_per_searcher(&mut self, scan: ScanIndex) {
-        let Some(scan) = self.scans.get_mut(&scan) else { return };
-        let holders: BTreeSet<SearcherIndex> =
-            scan.parts.iter().flat_map(|part| self.shard_map.holders(part.shard)).collect();
-        scan.parts_per_searcher = (scan.parts.len() as f64 / holders.len().max(1) as f64).ceil();
-    }
-
     /// Whether a searcher may still be warming up.
     pub fn is_cold(&self, searcher: &SearcherState, now: f64) -> bool {
         let started_at = searcher.latest_start_at();
@@ -780,8 +779,8 @@
     /// Number from 0 to 1. Where cold searchers have capacity for only a fraction of the scans, those whose
     /// number is below the fraction are admitted.
     pub sampling_number: f64,
-    /// Parts that each searcher gets if they are spread evenly over all searchers that hold the scan's
-    /// shards.
+    /// Highest number of parts that a searcher gets if each part is as likely to go to one of its shard's holders as
+    /// to another.
     pub parts_per_searcher: f64,
 }
 
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -139,6 +139,8 @@
             restart_interval_ms: 0.0,
             restart_stride: 1,
             silence: None,
+            gone_neighbors: 0,
+            burst: None,
             restart_notice_ms: self.between(200.0, 4000.0),
             limits: self.limits(),
             permissions: self.permissions(),
--- a/tests/common/ramp.rs
+++ b/tests/common/ramp.rs
@@ -18,6 +18,8 @@
 pub const ONE_WAY_MS: f64 = 0.5;
 /// When the first searcher fails.
 pub const FIRST_FAULT_MS: f64 = 3000.0;
+/// A burst begins so long after the first restart.
+const BURST_DELAY_MS: f64 = 1000.0;
 const PROBE_TIMEOUT_MS: f64 = 500.0;
 /// All mixers learn within this time that a searcher is gone.
 const REMOVAL_NOTICE_MS: f64 = 200.0;
@@ -50,6 +52,15 @@
     pub removed_after_ms: Option<f64>,
 }
 
+/// Traffic is low for a long time, and rises after the first restart.
+#[derive(Clone, Debug)]
+pub struct Burst {
+    /// The first searcher restarts so much later.
+    pub quiet_ms: f64,
+    /// The load until the burst, as [`Scenario::load`] is the one from then on.
+    pub load_before: f64,
+}
+
 /// A deployment and the faults in it.
 #[derive(Clone, Debug)]
 pub struct Scenario {
@@ -70,6 +81,9 @@
     pub restart_stride: usize,
     /// All of them are silent before they restart, the first from [`FIRST_FAULT_MS`] on.
     pub silence: Option<Silence>,
+    /// So many searchers on each side of the first one that restarts are gone for good.
+    pub gone_neighbors: usize,
+    pub burst: Option<Burst>,
     /// Each mixer learns of a restart within this time.
     pub restart_notice_ms: f64,
     pub limits: SafetyLimits,
@@ -351,7 +365,7 @@
         let weights: Vec<f64> = (0..self.mixers)
             .map(|nth| if nth % 10 == 0 { self.uneven } else { 0.5 + random.rand_float() })
             .collect();
-        let listed = ListEntry { started_at: 0.0, status: SearcherStatus::Ready };
+        let list = (0..self.searchers).map(|searcher| self.first_list_entry(searcher)).collect();
         let counts = vec![ScanCounts::default(); self.classes.len()];
         let mut simulation = Simulation {
             scenario: self.clone(),
@@ -359,7 +373,7 @@
             event_count: 0,
             events: BinaryHeap::new(),
             mixers: Vec::new(),
-            lists: vec![vec![listed; self.searchers]; self.mixers],
+            lists: vec![list; self.mixers],
             weights,
             searchers: (0..self.searchers).map(|_| Searcher::default()).collect(),
             scans: BTreeMap::new(),
@@ -392,12 +406,39 @@
         self.classes.iter().map(work).sum::<f64>() / parts
     }
 
-    fn scans_per_ms(&self) -> f64 {
+    /// The list's entry of a searcher at the start.
+    fn first_list_entry(&self, searcher: usize) -> ListEntry {
+        let distance = searcher.min(self.searchers - searcher);
+        let is_gone = (1..=self.gone_neighbors).contains(&distance);
+        let status = if is_gone { SearcherStatus::Gone } else { SearcherStatus::Ready };
+        ListEntry { started_at: 0.0, status }
+    }
+
+    /// When the first searcher restarts.
+    fn first_restart_ms(&self) -> f64 {
+        let silence_ms = self.silence.as_ref().map_or(0.0, |silence| silence.duration_ms);
+        FIRST_FAULT_MS + silence_ms + self.burst.as_ref().map_or(0.0, |burst| burst.quiet_ms)
+    }
+
+    /// Time from now to the next scan, given a random number from 0 to 1.
+    fn interval_ms(&self, now: f64, random: f64) -> f64 {
+        let mean_intervals = -(1.0 - random).ln();
+        let burst_at = self.first_restart_ms() + BURST_DELAY_MS;
+        match &self.burst {
+            // What is left of the interval at the burst is drawn anew.
+            Some(burst) if now < burst_at => {
+                (mean_intervals / self.scans_per_ms(burst.load_before)).min(burst_at - now)
+            }
+            _ => mean_intervals / self.scans_per_ms(self.load),
+        }
+    }
+
+    fn scans_per_ms(&self, load: f64) -> f64 {
         let shares: f64 = self.classes.iter().map(|class| class.share).sum();
         let sent_parts = |class: &ScanClass| (class.required_weight * f64::from(class.parts)).ceil();
         let work = |class: &ScanClass| class.share / shares * sent_parts(class) * class.work_ms;
         let scan_work_ms: f64 = self.classes.iter().map(work).sum();
-        self.load * (self.searchers * self.cores) as f64 / scan_work_ms
+        load * (self.searchers * self.cores) as f64 / scan_work_ms
     }
 
     /// Speed of a searcher of this age, as a share of its speed when warm.
@@ -422,7 +463,7 @@
 
     /// The restarts of searchers that follow the first fault; second restarts are not among them.
     pub fn restarts(&self) -> Vec<Restart> {
-        let first_at = FIRST_FAULT_MS + self.silence.as_ref().map_or(0.0, |silence| silence.duration_ms);
+        let first_at = self.first_restart_ms();
         let searcher = |nth: usize| nth * self.restart_stride % self.searchers;
         let at = |nth: usize| first_at + nth as f64 * self.restart_interval_ms;
         (0..self.restarting).map(|nth| Restart { searcher: searcher(nth), at: at(nth) }).collect()
@@ -431,7 +472,7 @@
     /// Scans per millisecond, by table type.
     pub fn rates(&self) -> Vec<f64> {
         let shares: f64 = self.classes.iter().map(|class| class.share).sum();
-        self.classes.iter().map(|class| self.scans_per_ms() * class.share / shares).collect()
+        self.classes.iter().map(|class| self.scans_per_ms(self.load) * class.share / shares).collect()
     }
 
     /// When all scans are over.
@@ -602,8 +643,7 @@
         if self.now >= self.scenario.length_ms {
             return None;
         }
-        let mean_interval_ms = 1.0 / self.scenario.scans_per_ms();
-        let interval_ms = -mean_interval_ms * (1.0 - self.random.rand_float()).ln();
+        let interval_ms = self.scenario.interval_ms(self.now, self.random.rand_float());
         self.schedule(self.now + interval_ms, SimEvent::RequestScan);
         let mixer = draw_weighted(&mut self.random, self.weights.iter().copied())?;
         let shares = self.scenario.classes.iter().map(|class| class.share);
@@ -986,6 +1026,8 @@
             restart_interval_ms: between(0.0, 300.0),
             restart_stride: 1,
             silence: None,
+            gone_neighbors: 0,
+            burst: None,
             restart_notice_ms: between(200.0, 4000.0),
             limits,
             permissions: permissions(),
--- a/tests/ramp.rs
+++ b/tests/ramp.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use pewterwharf::interface::SafetyLimits;
-use ramp::{ScanClass, Scenario, Simulated, permissions};
+use ramp::{Burst, ScanClass, Scenario, Simulated, permissions};
 
 fn class(share: f64, parts: u32, required_weight: f64, work_ms: f64, target_ms: f64) -> ScanClass {
     ScanClass { share, parts, required_weight, work_ms, target_ms, ..ScanClass::plain() }
@@ -29,6 +29,8 @@
         restart_interval_ms: 300.0,
         restart_stride: 1,
         silence: None,
+        gone_neighbors: 0,
+        burst: None,
         restart_notice_ms: 2000.0,
         limits: SafetyLimits {
             cold_capacity_share: 0.2,
@@ -66,6 +68,41 @@
     Scenario { restarting: scenario.searchers, restart_interval_ms: 100.0, load: 0.3, ..scenario }
 }
 
+/// After a long time of little traffic a searcher comes back cold, and a burst follows.
+fn burst(mixers: usize, load_before: f64, gone_neighbors: usize) -> Scenario {
+    let scenario = several_types(mixers);
+    Scenario {
+        uneven: 1.0,
+        searchers: 30,
+        load: 0.9,
+        classes: vec![class(1.0, 5, 1.0, 130.0, 1500.0)],
+        restarting: 1,
+        gone_neighbors,
+        burst: Some(Burst { quiet_ms: 60_000.0, load_before }),
+        restart_notice_ms: 100.0,
+        limits: SafetyLimits {
+            cold_capacity_share: 0.05,
+            warm_up_ms: 18_000.0,
+            overload_multiple: 4.0,
+            overload_window_ms: 1500.0,
+            retry_budget: None,
+        },
+        length_ms: 70_000.0,
+        ..scenario
+    }
+}
+
+/// Bursts before few and many mixers, by seed.
+fn bursts(load_before: f64, gone_neighbors: usize, reports_busy: bool) -> Vec<Run> {
+    let run = |mixers: usize, cores: usize, seed: u64| {
+        let scenario = Scenario { cores, reports_busy, ..burst(mixers, load_before, gone_neighbors) };
+        let name = format!("load {load_before} before, {gone_neighbors} neighbors gone, {cores} cores");
+        Run { name, scenario, seed }
+    };
+    let sizes = [(20, 2), (45, 1), (45, 2), (45, 4)];
+    sizes.into_iter().flat_map(|(mixers, cores)| (0..4).map(move |seed| run(mixers, cores, seed))).collect()
+}
+
 /// A scenario to simulate.
 struct Run {
     name: String,
@@ -184,6 +221,28 @@
     assert_within_capacity(cases.map(run).collect());
 }
 
+/// Guards against a cold searcher that a burst after a long quiet time pushes over: what a mixer has seen of the
+/// traffic then says nothing of what all mixers are about to send.
+#[test]
+fn cold_capacity_in_burst_after_quiet_time() {
+    assert_within_capacity(bursts(0.001, 0, false));
+}
+
+/// Guards against a cold searcher that is pushed over as the one holder that is left of its shards: their load is
+/// not spread over all searchers.
+#[test]
+fn cold_capacity_where_other_holders_are_gone() {
+    let runs = [0.001, 0.9].into_iter().flat_map(|load_before| bursts(load_before, 2, false));
+    assert_within_capacity(runs.collect());
+}
+
+/// Guards against a cold searcher that a burst pushes over while searchers report little load: capacity that is
+/// estimated by their reports is not free, as all traffic may rise.
+#[test]
+fn cold_capacity_in_burst_at_half_load() {
+    assert_within_capacity(bursts(0.45, 0, true));
+}
+
 /// All mixers together stay within the capacity of a cold searcher, whatever the settings.
 #[test]
 fn cold_capacity_under_drawn_settings() {
