Mixer: an id whose request may have taken effect is refused when it comes again

Cause: with its client a request was forgotten, though its part was out or had run; the same id was a new request then. PROTOCOL.md has ids fresh on each request, a retry included, but for the one that a mixer has not read.

Change: the ids of requests that are not replayable and of which a part may have run are remembered, the newest 16,384 as hashes, and answered 409. What never ran, and what is replayable, is served as before.

Evidence: searchers' records of what came under which id.

--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod clients;
 mod drain;
+mod effective_requests;
 mod frames;
 mod links;
 mod lists;
@@ -27,6 +28,7 @@
 use crate::counters::{Counters, TableTypeCounters};
 use crate::http;
 use crate::inputs::{ConnectionId, Effect, Input, LinkId, Phase, TimedInput, WatchNumber};
+use effective_requests::EffectiveRequests;
 use rules::Violation;
 use state::{Attempt, AttemptId, Client, Link, Part, PartId, Scan, ScanId, ScheduledTimer, Searcher, Timer};
 
@@ -67,6 +69,8 @@
     clients: BTreeMap<ConnectionId, Client>,
     scans: BTreeMap<ScanId, Scan>,
     open_request_ids: HashSet<String>,
+    /// Requests of table types that may not simply be repeated.
+    effective_requests: EffectiveRequests,
     parts: HashMap<PartId, Part>,
     attempts: BTreeMap<AttemptId, Attempt>,
     /// By the address under which the decision module knows them.
@@ -115,6 +119,7 @@
             clients: BTreeMap::new(),
             scans: BTreeMap::new(),
             open_request_ids: HashSet::new(),
+            effective_requests: EffectiveRequests::new(),
             parts: HashMap::new(),
             attempts: BTreeMap::new(),
             searchers: BTreeMap::new(),
@@ -217,11 +222,12 @@
     }
 
     /// The sizes of all collections, for tests that nothing grows over time.
-    pub fn sizes(&self) -> [(&'static str, usize); 9] {
+    pub fn sizes(&self) -> [(&'static str, usize); 10] {
         [
             ("clients", self.clients.len()),
             ("scans", self.scans.len()),
             ("asked", self.open_request_ids.len()),
+            ("effective", self.effective_requests.len()),
             ("parts", self.parts.len()),
             ("attempts", self.attempts.len()),
             ("searchers", self.searchers.len()),
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -1,6 +1,6 @@
 //! Clients: their connections, their requests, and the answers.
 
-use pewterwharf::interface::Event;
+use pewterwharf::interface::{Event, Idempotency};
 use tracing::debug;
 
 use super::Reducer;
@@ -18,6 +18,7 @@
 /// unless the machine paused.
 const FIRST_REQUEST_MS: f64 = 100.0;
 const REQUEST_TIMEOUT: u16 = 408;
+const CONFLICT: u16 = 409;
 /// Unusable requests in a row after which the connection ends. A client gets more than one answer that
 /// explains its mistake.
 const MAX_UNUSABLE_REQUESTS: u32 = 3;
@@ -232,7 +233,11 @@
         // Two open requests with one id could not be told apart.
         if self.open_request_ids.contains(&scan.id) {
             let reason = format!("the request {} is still open", scan.id);
-            return Err(RequestError { status: 409, reason });
+            return Err(RequestError { status: CONFLICT, reason });
+        }
+        if self.effective_requests.contains(&scan.id) {
+            let reason = format!("the request {} came before, and may have taken effect", scan.id);
+            return Err(RequestError { status: CONFLICT, reason });
         }
         Ok(ScanIds { table_type, customer })
     }
@@ -382,8 +387,13 @@
         let Some(scan) = self.scans.remove(&scan_id) else { return };
         self.remove_timer(scan.deadline_at, Timer::ScanDeadline(scan_id));
         self.open_request_ids.remove(&scan.request_id);
+        let mut may_have_run = false;
         for id in scan.parts {
-            self.parts.remove(&id);
+            may_have_run |= self.parts.remove(&id).is_some_and(|part| part.may_have_run > 0);
+        }
+        let idempotency = self.config.table_types[scan.table_type].idempotency;
+        if may_have_run && idempotency != Idempotency::Replayable {
+            self.effective_requests.insert(&scan.request_id);
         }
     }
 
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -837,6 +837,69 @@
     assert_snapshot!(harness.trace_and_counters());
 }
 
+/// What becomes of a request before its id comes again.
+#[derive(Clone, Copy, Debug)]
+enum FirstRun {
+    /// Its client leaves before its part is sent.
+    Unsent,
+    /// Its client leaves while its part is out.
+    Sent,
+    /// Its searcher rejects it, and says that it never ran.
+    NeverRan,
+    Answered,
+}
+
+/// The answer to the second request of an id, or what is sent for it.
+fn second_run(table_type: &str, first_run: FirstRun) -> String {
+    let mut harness = Harness::new(1);
+    harness.send_request(1, table_type, "q1", 1);
+    if !matches!(first_run, FirstRun::Unsent) {
+        harness.input(Input::LinkUp { link: 3 });
+    }
+    match first_run {
+        FirstRun::Unsent | FirstRun::Sent => {}
+        FirstRun::NeverRan => harness.send_answer(3, "q1.0", Verdict::Full, ""),
+        FirstRun::Answered => harness.send_answer(3, "q1.0", Verdict::Ok, "a"),
+    }
+    harness.input(Input::ClientDisconnected { connection_id: 1 });
+    harness.input(Input::ClientConnected { connection_id: 2 });
+    harness.trace.clear();
+    harness.send_request(2, table_type, "q1", 1);
+    if matches!(first_run, FirstRun::Unsent) {
+        harness.input(Input::LinkUp { link: 3 });
+    }
+    let lines: Vec<&str> = harness.trace.lines().map(str::trim).collect();
+    format!("{table_type}, {first_run:?}: {}", lines.join("; "))
+}
+
+/// Guards against a request that takes effect twice when its id comes again: after its client has left, nothing
+/// but the id shows that it is the same one.
+#[test]
+fn id_that_comes_again() {
+    let first_runs = [FirstRun::Unsent, FirstRun::Sent, FirstRun::NeverRan, FirstRun::Answered];
+    let outcomes = ["once", "all"].map(|table_type| first_runs.map(|first| second_run(table_type, first)));
+    assert_snapshot!(outcomes.concat().join("\n"));
+}
+
+/// Guards against memory that grows with each request of a table type that may not be repeated.
+#[test]
+fn ids_of_past_requests_are_bounded() {
+    const MAX_IDS: usize = 16_384;
+    let mut harness = Harness::new(1);
+    harness.send_request(1, "once", "first", 1);
+    let link = harness.last_link();
+    harness.input(Input::LinkUp { link });
+    harness.send_answer(link, "first.0", Verdict::Ok, "a");
+    for number in 0..2 * MAX_IDS {
+        harness.send_request(1, "once", &format!("q{number}"), 1);
+        harness.send_answer(link, &format!("q{number}.0"), Verdict::Ok, "a");
+        harness.advance(10.0);
+        harness.trace.clear();
+    }
+    let remembered = harness.reducer.sizes().into_iter().find(|(name, _)| *name == "effective");
+    assert_eq!(remembered, Some(("effective", MAX_IDS)));
+}
+
 /// Guards against collections that grow with each searcher, client and scan that has come and gone.
 #[test]
 fn state_after_churn() {
