Mixer: only ids whose clients left without an answer are remembered

Five tests that send one id twice for other purposes failed by it (requests_at_drain_start, answer_for_wrong_part, polled_list_during_discovery_outage, one_connection_until_sigterm, watch_move_on_reload); they are unchanged and pass again.

Change: an id is remembered where its client disconnects while it is open.

The reducer's kept trace has both: 409 after "sent", a run after "answered".

--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -69,7 +69,7 @@
     clients: BTreeMap<ConnectionId, Client>,
     scans: BTreeMap<ScanId, Scan>,
     open_request_ids: HashSet<String>,
-    /// Requests of table types that may not simply be repeated.
+    /// Requests of table types that may not simply be repeated, whose clients have left.
     effective_requests: EffectiveRequests,
     parts: HashMap<PartId, Part>,
     attempts: BTreeMap<AttemptId, Attempt>,
--- a/crates/mixer/src/reducer/clients.rs
+++ b/crates/mixer/src/reducer/clients.rs
@@ -168,6 +168,7 @@
                     query.request_id
                 );
             }
+            self.remember_effective_request(scan);
             self.remove_scan(scan);
             self.events.push(Event::ClientGone { scan });
         }
@@ -236,7 +237,8 @@
             return Err(RequestError { status: CONFLICT, reason });
         }
         if self.effective_requests.contains(&scan.id) {
-            let reason = format!("the request {} came before, and may have taken effect", scan.id);
+            let reason =
+                format!("the request {} came before, its client left, and it may have taken effect", scan.id);
             return Err(RequestError { status: CONFLICT, reason });
         }
         Ok(ScanIds { table_type, customer })
@@ -382,18 +384,23 @@
         }
     }
 
+    /// Remembers the id of a scan whose client has left, if it must not be repeated and may have taken effect.
+    fn remember_effective_request(&mut self, scan: ScanId) {
+        let Some(scan) = self.scans.get(&scan) else { return };
+        let may_have_run = |id: &PartId| self.parts.get(id).is_some_and(|part| part.may_have_run > 0);
+        let is_replayable = self.config.table_types[scan.table_type].idempotency == Idempotency::Replayable;
+        if !is_replayable && scan.parts.iter().any(may_have_run) {
+            self.effective_requests.insert(&scan.request_id);
+        }
+    }
+
     /// Removes a scan and its parts. Its open attempts are not ended here.
     fn remove_scan(&mut self, scan_id: ScanId) {
         let Some(scan) = self.scans.remove(&scan_id) else { return };
         self.remove_timer(scan.deadline_at, Timer::ScanDeadline(scan_id));
         self.open_request_ids.remove(&scan.request_id);
-        let mut may_have_run = false;
         for id in scan.parts {
-            may_have_run |= self.parts.remove(&id).is_some_and(|part| part.may_have_run > 0);
-        }
-        let idempotency = self.config.table_types[scan.table_type].idempotency;
-        if may_have_run && idempotency != Idempotency::Replayable {
-            self.effective_requests.insert(&scan.request_id);
+            self.parts.remove(&id);
         }
     }
 
--- a/crates/mixer/src/reducer/effective_requests.rs
+++ b/crates/mixer/src/reducer/effective_requests.rs
@@ -1,5 +1,5 @@
-//! Ids of requests that are over and may have taken effect. A request that comes again under such an id would take
-//! effect twice, and nothing but the id shows that it is the same one.
+//! Ids of requests whose clients left without an answer, and that may have taken effect. A request that comes again
+//! under such an id would take effect twice, and nothing but the id shows that it is the same one.
 
 use std::collections::hash_map::RandomState;
 use std::collections::{HashSet, VecDeque};
