Watch of discovery: calls are kept until slow discovery has answered them

A running mixer whose watch breaks misses drains for as long as discovery takes over 2.6 s, and so does one that SIGHUP moves to such a place.

Cause: make_room_for_attempt ended each call after 2.6 s without a list, and the younger of two every 0.1 s. It assumed that a call which has been silent for so long will never be answered, and that the next one is worth more. That holds for calls lost in an outage and for nothing else. A watch that was being replaced had one call, ended each 0.1 s.

Change: discovery/call_schedule.rs, without I/O, decides when calls are made and for how long each is kept. Slow and away can't be told apart, so calls go on each 0.1 s while scans are sent (what the agent has at its return counts at once, and the grace is 250 ms), the first and one each 8 s are kept for 32 s, one each second for 6 s, the others for 0.2 s: 15 at most, 9 for a watch that is being replaced. An answer that has begun is kept while more of it comes. While no list is in use nothing is sent, so calls are 0.25 to 1 s apart. Their descriptors are set aside: 103 places each for clients and searchers of 256, 114 before. Partial lists of all connections are bounded together (8 MiB).

Tests: the 8 of tests/slow_discovery.rs.

--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -1,14 +1,15 @@
 //! Watches the searcher list and forwards what discovery sends. Each watch is one thread. It does not depend on
-//! a single connection: while its connection can't be trusted, it opens others as well and uses the first that
-//! sends a list.
+//! a single connection: while its connection can't be trusted, it makes further calls, each on a connection of
+//! its own, and uses the first that sends a list. [`call_schedule`] decides how often, and which calls are kept.
 
+pub mod call_schedule;
 mod connection;
 mod list_text;
 
 use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, SocketAddrV4};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, ensure};
@@ -21,26 +22,26 @@
 use crate::buffer::{Buffer, MemoryBudget};
 use crate::inputs::{Input, WatchNumber};
 use crate::messages::MessageSender;
+use call_schedule::{CallSchedule, KeptFor, Pace, Retention};
 use connection::Connection;
 
 /// Discovery sends an empty line on a watch every 2 s. A connection that has sent nothing for this long is no
 /// longer trusted, and others are opened beside it. Changes that it misses count as known to the mixer 6 s
 /// after its last line, so another connection still has over 3 s to deliver them.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2600);
-/// While no connection can be trusted, another is opened this often. When discovery is back after an outage,
-/// its list thus arrives well within the 250 ms of grace for a drain, whether discovery answers earlier
-/// requests or only new ones.
-const ATTEMPT_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum number of connections that have sent no list yet. The oldest is kept for up to [`SILENCE_TIMEOUT`],
-/// in case discovery is slow to start, and the youngest is replaced by the next, in case discovery answers no
-/// request that was sent while it was down.
-const MAX_ATTEMPTS: usize = 2;
 /// How often a watch checks whether it is still needed.
 const STATUS_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 const MAX_EVENTS: usize = 8;
 
+/// The maximum number of file descriptors of the connections of both watches: calls in flight, one more that has
+/// begun to answer, and one that has sent a list.
+pub(crate) const MAX_CONNECTIONS: usize =
+    Retention::Full.max_calls() + Retention::Reduced.max_calls() + 2 * 2;
+
 /// Maximum size of a line or a list. It is enough for thousands of searchers.
 const MAX_LIST_BYTES: usize = 4 << 20;
+/// Maximum size of the partial lists of all connections of a watch.
+const MAX_PARTIAL_LIST_BYTES: usize = 2 * MAX_LIST_BYTES;
 
 /// The numbers of the watches that are needed: the newest, and the one whose lists are used. An older watch
 /// runs until a newer one has sent a list.
@@ -50,6 +51,8 @@
     pub active: AtomicU64,
     /// When a needed watch last received anything, in whole milliseconds; zero before.
     pub last_received_ms: AtomicU64,
+    /// Scans are sent by some list, which may be one from before the start.
+    pub list_in_use: AtomicBool,
 }
 
 impl WatchStatus {
@@ -86,6 +89,7 @@
             index,
             budget: MemoryBudget::new(2 * MAX_LIST_BYTES),
             connections: BTreeMap::new(),
+            schedule: None,
             last_id: 0,
             lists_received: 0,
             status,
@@ -103,8 +107,10 @@
     address: SocketAddrV4,
     index: Option<u64>,
     budget: MemoryBudget,
-    /// The oldest first: at most one that has sent a list, and attempts at a better one.
+    /// The oldest first: at most one that has sent a list, and calls in flight.
     connections: BTreeMap<usize, Connection>,
+    /// The calls since no connection is trusted; `None` while one is.
+    schedule: Option<CallSchedule>,
     last_id: usize,
     lists_received: u64,
     status: &'a WatchStatus,
@@ -114,17 +120,9 @@
 impl RunningWatch<'_> {
     fn run(&mut self) -> Result<()> {
         let mut events = Events::with_capacity(MAX_EVENTS);
-        let mut next_attempt = Instant::now();
         while self.status.is_needed(self.number) {
             let now = Instant::now();
-            let trusted_until = self.connections.values().filter_map(|c| c.trusted_until(now)).max();
-            if trusted_until.is_some() {
-                self.connections.retain(|_, connection| connection.has_list); // no other is needed
-            } else if now >= next_attempt {
-                next_attempt = now + ATTEMPT_INTERVAL;
-                self.attempt(now);
-            }
-            let wait_until = trusted_until.unwrap_or(next_attempt);
+            let wait_until = self.update_calls(now);
             let wait = wait_until.saturating_duration_since(now).min(STATUS_CHECK_INTERVAL);
             match self.poll.poll(&mut events, Some(wait)) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
@@ -137,38 +135,72 @@
         Ok(())
     }
 
-    /// Opens one more connection, in place of another if there are too many.
-    fn attempt(&mut self, now: Instant) {
-        self.make_room_for_attempt(now);
+    /// Makes the call that is due, and ends those that are not kept. Returns when this has to be done next.
+    fn update_calls(&mut self, now: Instant) -> Instant {
+        let trusted_until = self.connections.values().filter_map(|c| c.trusted_until(now)).max();
+        if let Some(trusted_until) = trusted_until {
+            self.schedule = None;
+            self.connections.retain(|_, connection| connection.has_list); // no call is needed
+            return trusted_until;
+        }
+        let mut schedule = self.schedule.unwrap_or_else(|| CallSchedule::new(now));
+        if now >= schedule.next_call_at(self.pace()) {
+            let retention = self.retention();
+            self.end_calls(now, retention);
+            self.call(schedule.count_call(now, retention), now);
+        }
+        self.schedule = Some(schedule);
+        schedule.next_call_at(self.pace())
+    }
+
+    fn pace(&self) -> Pace {
+        let is_call_in_flight = self.connections.values().any(|connection| !connection.has_list);
+        match is_call_in_flight && !self.status.list_in_use.load(Ordering::Acquire) {
+            true => Pace::Patient,
+            false => Pace::Urgent,
+        }
+    }
+
+    fn retention(&self) -> Retention {
+        match self.status.newest.load(Ordering::Acquire) == self.number {
+            true => Retention::Full,
+            false => Retention::Reduced,
+        }
+    }
+
+    /// Ends the calls that have not been answered for as long as they are kept, and the youngest if there is no
+    /// room for another. The oldest call that has begun to answer is kept while more arrives.
+    fn end_calls(&mut self, now: Instant, retention: Retention) {
+        let mut has_answering = false;
+        let mut calls_kept = 0;
+        self.connections.retain(|_, connection| {
+            if connection.has_list {
+                return true;
+            }
+            if connection.has_begun_to_answer() && !has_answering {
+                has_answering = true;
+                return connection.silent_for(now) < KeptFor::Long.duration();
+            }
+            calls_kept += 1;
+            now < connection.kept_until && calls_kept < retention.max_calls()
+        });
+    }
+
+    /// Calls discovery on a new connection.
+    fn call(&mut self, kept_for: KeptFor, now: Instant) {
         self.last_id += 1;
         debug!("requests the changes after {:?} from discovery at {}", self.index, self.address);
-        match self.connect(now) {
+        match self.connect(kept_for, now) {
             Ok(connection) => drop(self.connections.insert(self.last_id, connection)),
             Err(error) => debug!("discovery at {}: {error}", self.address),
         }
     }
 
-    /// Ends the connections that have sent no list for [`SILENCE_TIMEOUT`] since they were opened, and if there
-    /// are still too many without a list, the youngest of those.
-    fn make_room_for_attempt(&mut self, now: Instant) {
-        // A watch that is being replaced leaves the file descriptors to the newer one.
-        let is_newest = self.status.newest.load(Ordering::Acquire) == self.number;
-        let max_attempts = if is_newest { MAX_ATTEMPTS } else { 1 };
-        self.connections.retain(|_, c| c.has_list || now.duration_since(c.opened_at) < SILENCE_TIMEOUT);
-        let attempts: Vec<usize> =
-            self.connections.iter().filter(|(_, c)| !c.has_list).map(|(id, _)| *id).collect();
-        if attempts.len() >= max_attempts
-            && let Some(youngest) = attempts.last()
-        {
-            self.connections.remove(youngest);
-        }
-    }
-
-    fn connect(&self, now: Instant) -> Result<Connection> {
+    fn connect(&self, kept_for: KeptFor, now: Instant) -> Result<Connection> {
         let mut stream = TcpStream::connect(SocketAddr::V4(self.address))?;
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, Token(self.last_id), interest)?;
-        Ok(Connection::new(stream, Buffer::new(&self.budget), now))
+        Ok(Connection::new(stream, Buffer::new(&self.budget), now, kept_for))
     }
 
     /// Handles an event on a connection; fails once the service has ended.
@@ -176,8 +208,9 @@
         let Some(mut connection) = self.connections.remove(&id) else { return Ok(()) };
         let index_before = self.index;
         let had_list = connection.has_list;
-        let outcome = connection.handle_event(self);
+        let outcome = connection.handle_event(self).and_then(|()| self.check_partial_lists(&connection));
         if connection.has_list && !had_list {
+            debug!("discovery at {} has answered after {:.1?}", self.address, connection.opened_at.elapsed());
             // Its list is newer than anything that the other connections have sent.
             self.connections.clear();
         }
@@ -191,6 +224,16 @@
         Ok(())
     }
 
+    /// Checks that the partial lists of all connections together are not too long.
+    fn check_partial_lists(&self, latest: &Connection) -> Result<()> {
+        let others = self.connections.values().map(Connection::partial_list_bytes).sum::<usize>();
+        ensure!(
+            others + latest.partial_list_bytes() <= MAX_PARTIAL_LIST_BYTES,
+            "over {MAX_PARTIAL_LIST_BYTES} bytes of partial lists"
+        );
+        Ok(())
+    }
+
     fn receive_list(&mut self, text: &[u8]) -> Result<()> {
         let read = serde_json::from_slice(text).context("not JSON").and_then(|value| parse_list(&value));
         let list = read.inspect_err(|error| warn!("discovery sent a line that can't be read: {error:#}"))?;
--- a/crates/mixer/src/discovery/connection.rs
+++ b/crates/mixer/src/discovery/connection.rs
@@ -8,6 +8,7 @@
 use anyhow::{Error, Result, bail, ensure};
 use mio::net::TcpStream;
 
+use super::call_schedule::KeptFor;
 use super::list_text::ListText;
 use super::{MAX_LIST_BYTES, RunningWatch, SILENCE_TIMEOUT};
 use crate::buffer::Buffer;
@@ -37,8 +38,10 @@
     stream: TcpStream,
     buffer: Buffer,
     stage: Stage,
+    /// Until when an answer to its call is waited for.
+    pub(super) kept_until: Instant,
     pub(super) opened_at: Instant,
-    /// When anything last arrived.
+    /// When anything last arrived; the time of opening before.
     received_at: Instant,
     /// Since when a list has been arriving that is not whole yet.
     partial_since: Option<Instant>,
@@ -49,11 +52,12 @@
 
 impl Connection {
     /// A connection that is being established since `now`.
-    pub(super) fn new(stream: TcpStream, buffer: Buffer, now: Instant) -> Self {
+    pub(super) fn new(stream: TcpStream, buffer: Buffer, now: Instant, kept_for: KeptFor) -> Self {
         Self {
             stream,
             buffer,
             stage: Stage::Connecting,
+            kept_until: now + kept_for.duration(),
             opened_at: now,
             received_at: now,
             partial_since: None,
@@ -72,6 +76,21 @@
         (self.has_list && until > now).then_some(until)
     }
 
+    /// Whether a part of the answer has arrived.
+    pub(super) fn has_begun_to_answer(&self) -> bool {
+        self.received_at > self.opened_at
+    }
+
+    /// For how long nothing has arrived.
+    pub(super) fn silent_for(&self, now: Instant) -> Duration {
+        now.duration_since(self.received_at)
+    }
+
+    /// The size of a list that has not arrived completely.
+    pub(super) fn partial_list_bytes(&self) -> usize {
+        self.text.bytes.len()
+    }
+
     fn request(&mut self, path: &str, address: SocketAddrV4, next: Stage) -> Result<()> {
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         (&self.stream).write_all(request.as_bytes())?;
--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -26,6 +26,7 @@
 
 use crate::clock::UnixMs;
 use crate::counters::{Counters, TableTypeCounters};
+use crate::discovery;
 use crate::http;
 use crate::inputs::{ConnectionId, Effect, Input, LinkId, Phase, TimedInput, WatchNumber};
 use effective_requests::EffectiveRequests;
@@ -40,9 +41,12 @@
 const CACHED_LIST_DELAY_MS: f64 = 1500.0;
 /// Number of client connections above the limit that may be accepted while others are being closed.
 const CLIENTS_IN_TRANSITION: usize = 8;
-/// File descriptors for everything but clients and searchers: twelve once started, three more for each of two
-/// watches while they connect again, and two for a watch that ends.
-const OTHER_DESCRIPTORS: usize = 20;
+/// File descriptors for everything but clients, searchers and the watches' connections: eleven once started, one
+/// for a second watch, and two for a watch that ends.
+const FIXED_DESCRIPTORS: usize = 14;
+/// The share of the file descriptors that is left to the connections of watches, and the fewest that are.
+const WATCH_DESCRIPTORS_DIVISOR: usize = 8;
+const MIN_WATCH_DESCRIPTORS: usize = 6;
 
 /// The list in use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +55,13 @@
     pub ready_searchers: u32,
 }
 
+/// The number of file descriptors that clients and searchers together may take, if the process may open `sockets`.
+fn connection_descriptors(sockets: usize) -> usize {
+    let watches =
+        (sockets / WATCH_DESCRIPTORS_DIVISOR).clamp(MIN_WATCH_DESCRIPTORS, discovery::MAX_CONNECTIONS);
+    sockets.saturating_sub(FIXED_DESCRIPTORS + watches + CLIENTS_IN_TRANSITION)
+}
+
 /// What the decision module has counted in the last seconds.
 #[derive(Clone, Copy, Debug)]
 pub struct RecentUsage<'a> {
@@ -102,7 +113,7 @@
     /// `sockets`: the limit on open file descriptors. Clients and searchers get half each of what is left of
     /// it.
     pub fn new(config: MixerConfig, seed: u64, sockets: usize) -> Self {
-        let max_connections = sockets.saturating_sub(OTHER_DESCRIPTORS + CLIENTS_IN_TRANSITION) / 2;
+        let max_connections = connection_descriptors(sockets) / 2;
         let mut config = config;
         for table_type in &mut config.table_types {
             // The protocol does not state how a second step is sent, so none is started.
--- a/crates/mixer/src/service.rs
+++ b/crates/mixer/src/service.rs
@@ -212,6 +212,8 @@
             let received_at = self.clock.now();
             let effects = self.reducer.step(received_at, inputs);
             effects.into_iter().for_each(|effect| self.carry_out(effect));
+            let list_in_use = self.reducer.phase() != Phase::Starting;
+            self.watch_status.list_in_use.store(list_in_use, Ordering::Release);
             let paused = self.pauses.check(self.clock.now(), 0.0);
             // After a pause, writing waits until inputs are received again, but not twice in a row: on a
             // machine where every step takes this long, nothing would ever be sent.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 #[cfg(feature = "bgp")]
 pub mod bgp;
+pub mod scripted_discovery;
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
