Mixer: a new process waits 4 s for discovery before it uses the list from before

What callers saw: a mixer that starts while discovery is silent, or slow by over 1.5 s, goes by the list of before and sends to searchers whose drain its own agent holds.

Nothing is sent before, so nothing else is lost than the time. An outage or a delay of over 4 s from the start on is still not covered: the mixer has to be ready at some time, and cannot know.

Tests: start_within_outage failed before in four of its six cases (ready after 1.50 s, discovery back after 2.5 and 3.8 s), and passes.

--- a/crates/mixer/src/reducer.rs
+++ b/crates/mixer/src/reducer.rs
@@ -36,9 +36,10 @@
 /// After a warning, further ones are logged at the debug level for this long.
 const WARNING_INTERVAL_MS: f64 = 1000.0;
 /// A new process waits this long for the watch's first list before it uses the cached list from before its
-/// start. Every change that discovery knows of counts as known to the mixer from its start on, so nothing
-/// should be sent by the cached list if discovery has a newer one. If discovery is up, it answers at once.
-const CACHED_LIST_DELAY_MS: f64 = 1500.0;
+/// start. What discovery's agent holds counts as known to the mixer from its start on, also while the agent is
+/// silent, so nothing should be sent by the cached list if discovery has a newer one. A restarted mixer has to be
+/// ready within 6 s.
+const CACHED_LIST_DELAY_MS: f64 = 4000.0;
 /// Number of client connections above the limit that may be accepted while others are being closed.
 const CLIENTS_IN_TRANSITION: usize = 8;
 /// File descriptors for everything but clients, searchers and the watches' connections: eleven once started, one
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -580,8 +580,8 @@
         .reducer
         .set_cached_list(START_MS, List { index: 1, whole: true, entries: known, bad: Vec::new() });
     // Discovery's list counts as known to the mixer from its start on: it sends nothing until discovery has
-    // had time to send a newer list.
-    harness.advance(1499.0);
+    // had time to send a newer list, which it may be slow to do.
+    harness.advance(3999.0);
     assert_eq!(harness.reducer.phase(), Phase::Starting);
     harness.advance(1.0);
     assert_eq!(harness.reducer.phase(), Phase::Ready);
--- a/crates/mixer/tests/slow_discovery.rs
+++ b/crates/mixer/tests/slow_discovery.rs
@@ -146,6 +146,28 @@
     });
 }
 
+/// Guards against a mixer that starts while discovery is silent and sends to a searcher by its old list, although
+/// discovery holds that it drains.
+#[test]
+fn start_within_outage() {
+    let outages = [CallBehavior::Hangs, CallBehavior::WaitsForReturn];
+    let cases = outages.map(|outage| [(outage, 1000), (outage, 2500), (outage, 3800)]);
+    check_all(cases.as_flattened(), |(during_outage, outage_ms)| {
+        let case = format!("start-{during_outage:?}-{outage_ms}");
+        let discovery = ScriptedDiscovery::start(&searchers("draining")).expect("a free port");
+        discovery.set_behavior(*during_outage);
+        let mixer = WatchingMixer::start(&case, discovery, true);
+        thread::sleep(Duration::from_millis(*outage_ms));
+        mixer.discovery.set_behavior(answered_after(0));
+        // Calls are at most 1 s apart. The old list, by which the mixer would send, does not have the drain.
+        let ready_at = mixer.wait_for("ready");
+        let ready_after = ready_at.duration_since(mixer.started_at);
+        let within = Duration::from_millis(*outage_ms) + Duration::from_secs(1) + SLACK;
+        assert!(ready_after < within, "{case}: ready after {ready_after:?}");
+        assert!(ready_after >= Duration::from_millis(*outage_ms), "{case}: ready after {ready_after:?}");
+    });
+}
+
 /// Guards against a drain that is missed because discovery is slow from the break of a watch on.
 #[test]
 fn slow_answers_after_silent_watch() {
