Watch of discovery: the first call is the watch, in place of a list and a watch

Cause: a mixer that holds a list of another place (an old one, or after a move) asked for the whole list and then for the watch. The second call waited behind all that had been made meanwhile, and what happened between the two was not told until it was answered.

Change: such a mixer opens the watch with after=0, like one without a list. Should changes come, they say nothing of the searchers that the old list has and this place never had, so they are not used, and the whole list is asked for as before. A start and a move cost one call less.

Tests: calls_answered_in_turn failed before in the case of 3 s with an old list (the drain received after 15.0 s), and passes; changes_where_whole_list_ is_needed holds the other way.

--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result, ensure};
+use anyhow::{Context, Result, bail, ensure};
 use mio::net::TcpStream;
 use mio::{Events, Interest, Poll, Token};
 use tracing::{debug, warn};
@@ -66,7 +66,7 @@
     pub number: WatchNumber,
     /// The address of discovery.
     pub address: SocketAddrV4,
-    /// The version of the list that is held, if it is one of this discovery service.
+    /// The version of the list that is held, if it is one of this discovery service; zero if no list is held.
     pub index: Option<u64>,
 }
 
@@ -87,6 +87,7 @@
             number,
             address,
             index,
+            needs_list_request: false,
             budget: MemoryBudget::new(2 * MAX_LIST_BYTES),
             connections: BTreeMap::new(),
             schedule: None,
@@ -101,11 +102,22 @@
     }
 }
 
+/// What a call requests first.
+enum ListRequest {
+    /// The changes after this version and all further ones, on one connection.
+    ChangesAfter(u64),
+    /// The whole list. The changes after it are requested once it has arrived.
+    WholeList,
+}
+
 struct RunningWatch<'a> {
     poll: Poll,
     number: WatchNumber,
     address: SocketAddrV4,
+    /// The version of the list that is held; `None` if it is not one of this discovery service.
     index: Option<u64>,
+    /// Discovery has sent changes when no list of it was held.
+    needs_list_request: bool,
     budget: MemoryBudget,
     /// The oldest first: at most one that has sent a list, and calls in flight.
     connections: BTreeMap<usize, Connection>,
@@ -186,6 +198,16 @@
         });
     }
 
+    /// What a call requests. Discovery sends the whole list for the changes after version 0, unless it still knows
+    /// all changes since.
+    fn next_request(&self) -> ListRequest {
+        match self.index {
+            Some(index) => ListRequest::ChangesAfter(index),
+            None if self.needs_list_request => ListRequest::WholeList,
+            None => ListRequest::ChangesAfter(0),
+        }
+    }
+
     /// Calls discovery on a new connection.
     fn call(&mut self, kept_for: KeptFor, now: Instant) {
         self.last_id += 1;
@@ -237,6 +259,10 @@
     fn receive_list(&mut self, text: &[u8]) -> Result<()> {
         let read = serde_json::from_slice(text).context("not JSON").and_then(|value| parse_list(&value));
         let list = read.inspect_err(|error| warn!("discovery sent a line that can't be read: {error:#}"))?;
+        if self.index.is_none() && !list.whole {
+            self.needs_list_request = true;
+            bail!("it has sent changes, and no list of it is held");
+        }
         self.index = Some(list.index);
         self.lists_received += 1;
         self.messages.send(Input::List { watch: self.number, list });
--- a/crates/mixer/src/discovery/connection.rs
+++ b/crates/mixer/src/discovery/connection.rs
@@ -10,7 +10,7 @@
 
 use super::call_schedule::KeptFor;
 use super::list_text::ListText;
-use super::{MAX_LIST_BYTES, RunningWatch, SILENCE_TIMEOUT};
+use super::{ListRequest, MAX_LIST_BYTES, RunningWatch, SILENCE_TIMEOUT};
 use crate::buffer::Buffer;
 use crate::http::{self, BodyFraming, Chunk};
 use crate::stream::finish_connecting;
@@ -98,9 +98,8 @@
         Ok(())
     }
 
-    fn request_watch(&mut self, watch: &RunningWatch) -> Result<()> {
-        let after = watch.index.unwrap_or(0);
-        self.request(&format!("/api/targets?watch=1&after={after}"), watch.address, Stage::WatchHead)
+    fn request_watch(&mut self, after: u64, address: SocketAddrV4) -> Result<()> {
+        self.request(&format!("/api/targets?watch=1&after={after}"), address, Stage::WatchHead)
     }
 
     /// Handles an event. The error is the reason why the connection ends.
@@ -109,11 +108,9 @@
             if !finish_connecting(&self.stream)? {
                 return Ok(());
             }
-            match watch.index {
-                // A list that is held is from another discovery service, which numbers its versions
-                // independently: the whole list is requested.
-                None => self.request("/api/targets", watch.address, Stage::ListHead)?,
-                Some(_) => self.request_watch(watch)?,
+            match watch.next_request() {
+                ListRequest::ChangesAfter(index) => self.request_watch(index, watch.address)?,
+                ListRequest::WholeList => self.request("/api/targets", watch.address, Stage::ListHead)?,
             }
         }
         loop {
@@ -182,7 +179,7 @@
         watch.receive_list(body)?;
         self.buffer.consume(length);
         self.has_list = true;
-        self.request_watch(watch)?;
+        self.request_watch(watch.index.unwrap_or(0), watch.address)?;
         Ok(true)
     }
 
@@ -192,7 +189,7 @@
         if data.is_empty() {
             watch.receive_list(&self.text.take())?;
             self.has_list = true;
-            self.request_watch(watch)?;
+            self.request_watch(watch.index.unwrap_or(0), watch.address)?;
         } else {
             self.text.bytes.extend(data);
             ensure!(self.text.bytes.len() <= MAX_LIST_BYTES, "a list over {MAX_LIST_BYTES} bytes");
--- a/crates/mixer/tests/slow_discovery.rs
+++ b/crates/mixer/tests/slow_discovery.rs
@@ -210,6 +210,28 @@
     });
 }
 
+/// Guards against calls that queue up at discovery which answers one after the other, so that later ones wait for
+/// those that were ended.
+#[test]
+fn calls_answered_in_turn() {
+    let cases = [300, 1000, 3000].map(|delay_ms| [(delay_ms, false), (delay_ms, true)]);
+    check_all(cases.as_flattened(), |(delay_ms, has_known)| {
+        let case = format!("in-turn-{delay_ms}-{has_known}");
+        let discovery = ScriptedDiscovery::start(&searchers("up")).expect("a free port");
+        let delay = Duration::from_millis(*delay_ms);
+        discovery.set_behavior(CallBehavior::AnsweredInTurn(delay));
+        let mixer = WatchingMixer::start(&case, discovery, *has_known);
+        let heard_at = mixer.wait_for("has answered after");
+        let heard_after = heard_at.duration_since(mixer.started_at);
+        assert!(heard_after < delay + SLACK, "{case}: heard after {heard_after:?}");
+        let calls = mixer.discovery.calls().len();
+        assert!(calls <= 6, "{case}: {calls} calls");
+        // A change that comes right after the list is told on the connection that brought it.
+        mixer.discovery.publish(&searchers("draining"));
+        mixer.check_drain_received(Instant::now(), TOLD_AFTER, &case);
+    });
+}
+
 /// Guards against an answer that is given up although more of it arrives all the time.
 #[test]
 fn answer_that_arrives_slowly() {
--- a/crates/mixer/tests/watches.rs
+++ b/crates/mixer/tests/watches.rs
@@ -169,6 +169,22 @@
     standins::discovery_list(index, index == 1, &[("127.0.0.1:9".parse().expect("an address"), status)])
 }
 
+/// Guards against searchers of an old list that are kept because discovery sends only changes: a mixer with an old
+/// list then requests the whole list.
+#[test]
+fn changes_where_whole_list_is_needed() {
+    let path = write_config("changes", |config| config["known"] = single_searcher_list(1, "up"));
+    let mut mixer = ManualDiscoveryMixer::start("true", &path);
+    let first = mixer.accept_discovery_connection();
+    assert!(read_request_line(&first).contains("watch=1&after=0"));
+    start_response(&first, &format!("{}\n", single_searcher_list(7, "draining")));
+    let second = mixer.accept_discovery_connection();
+    assert!(read_request_line(&second).starts_with("GET /api/targets HTTP"));
+    assert_eq!(counter_of(mixer.address, "lists"), 0);
+    drop(second);
+    mixer.serve_discovery_until(&single_searcher_list(1, "up"), "ready");
+}
+
 /// Guards against a list that arrives byte by byte: each byte would renew the trust in its connection, while
 /// the drain in the list is not applied.
 #[test]
