Watch of discovery: first calls ask for the whole list and for changes in turn

Change: the first call asks for the whole list, as it always did, and the watch follows on its connection. Only if it is not answered at once are further calls made, and these ask for the changes after version 0 and for the whole list in turn. When the list comes, a call for changes that is in flight is kept beside the watch that has just been asked for; whichever is answered first is the watch. Changes that come before any list are not used, and an empty line says nothing of a list that is not held.

--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -87,7 +87,7 @@
             number,
             address,
             index,
-            needs_list_request: false,
+            next_request: ListRequest::WholeList,
             budget: MemoryBudget::new(2 * MAX_LIST_BYTES),
             connections: BTreeMap::new(),
             schedule: None,
@@ -103,6 +103,7 @@
 }
 
 /// What a call requests first.
+#[derive(Clone, Copy)]
 enum ListRequest {
     /// The changes after this version and all further ones, on one connection.
     ChangesAfter(u64),
@@ -110,14 +111,25 @@
     WholeList,
 }
 
+impl ListRequest {
+    /// What the call after this one requests, as long as no list is held: the whole list and all changes in turn.
+    /// Discovery that is slow then sends changes soon after the list, and need not be asked for them again.
+    fn alternate(self) -> Self {
+        match self {
+            Self::ChangesAfter(_) => Self::WholeList,
+            Self::WholeList => Self::ChangesAfter(0),
+        }
+    }
+}
+
 struct RunningWatch<'a> {
     poll: Poll,
     number: WatchNumber,
     address: SocketAddrV4,
     /// The version of the list that is held; `None` if it is not one of this discovery service.
     index: Option<u64>,
-    /// Discovery has sent changes when no list of it was held.
-    needs_list_request: bool,
+    /// What the next call requests if no list of this discovery service is held.
+    next_request: ListRequest,
     budget: MemoryBudget,
     /// The oldest first: at most one that has sent a list, and calls in flight.
     connections: BTreeMap<usize, Connection>,
@@ -152,7 +164,7 @@
         let trusted_until = self.connections.values().filter_map(|c| c.trusted_until(now)).max();
         if let Some(trusted_until) = trusted_until {
             self.schedule = None;
-            self.connections.retain(|_, connection| connection.has_list); // no call is needed
+            self.end_needless_calls();
             return trusted_until;
         }
         let mut schedule = self.schedule.unwrap_or_else(|| CallSchedule::new(now));
@@ -165,6 +177,13 @@
         schedule.next_call_at(self.pace())
     }
 
+    /// Ends the calls in flight, as a connection is trusted. While that one has sent a list and waits for its watch
+    /// to be answered, the other calls for changes are kept: they may be answered earlier.
+    fn end_needless_calls(&mut self) {
+        let is_watch_open = self.connections.values().any(Connection::is_watch_open);
+        self.connections.retain(|_, call| call.has_list || call.requests_changes() && !is_watch_open);
+    }
+
     fn pace(&self) -> Pace {
         let is_call_in_flight = self.connections.values().any(|connection| !connection.has_list);
         match is_call_in_flight && !self.status.list_in_use.load(Ordering::Acquire) {
@@ -198,31 +217,32 @@
         });
     }
 
-    /// What a call requests. Discovery sends the whole list for the changes after version 0, unless it still knows
-    /// all changes since.
-    fn next_request(&self) -> ListRequest {
-        match self.index {
-            Some(index) => ListRequest::ChangesAfter(index),
-            None if self.needs_list_request => ListRequest::WholeList,
-            None => ListRequest::ChangesAfter(0),
+    /// What a call requests that is made now.
+    fn take_request(&mut self) -> ListRequest {
+        if let Some(index) = self.index {
+            return ListRequest::ChangesAfter(index);
         }
+        let request = self.next_request;
+        self.next_request = request.alternate();
+        request
     }
 
     /// Calls discovery on a new connection.
     fn call(&mut self, kept_for: KeptFor, now: Instant) {
         self.last_id += 1;
         debug!("requests the changes after {:?} from discovery at {}", self.index, self.address);
-        match self.connect(kept_for, now) {
+        let request = self.take_request();
+        match self.connect(request, kept_for, now) {
             Ok(connection) => drop(self.connections.insert(self.last_id, connection)),
             Err(error) => debug!("discovery at {}: {error}", self.address),
         }
     }
 
-    fn connect(&self, kept_for: KeptFor, now: Instant) -> Result<Connection> {
+    fn connect(&self, request: ListRequest, kept_for: KeptFor, now: Instant) -> Result<Connection> {
         let mut stream = TcpStream::connect(SocketAddr::V4(self.address))?;
         let interest = Interest::READABLE | Interest::WRITABLE;
         self.poll.registry().register(&mut stream, Token(self.last_id), interest)?;
-        Ok(Connection::new(stream, Buffer::new(&self.budget), now, kept_for))
+        Ok(Connection::new(stream, Buffer::new(&self.budget), request, now, kept_for))
     }
 
     /// Handles an event on a connection; fails once the service has ended.
@@ -234,7 +254,8 @@
         if connection.has_list && !had_list {
             debug!("discovery at {} has answered after {:.1?}", self.address, connection.opened_at.elapsed());
             // Its list is newer than anything that the other connections have sent.
-            self.connections.clear();
+            let is_watch_open = connection.is_watch_open();
+            self.connections.retain(|_, call| !call.has_list && call.requests_changes() && !is_watch_open);
         }
         match outcome {
             Ok(()) => drop(self.connections.insert(id, connection)),
@@ -260,7 +281,6 @@
         let read = serde_json::from_slice(text).context("not JSON").and_then(|value| parse_list(&value));
         let list = read.inspect_err(|error| warn!("discovery sent a line that can't be read: {error:#}"))?;
         if self.index.is_none() && !list.whole {
-            self.needs_list_request = true;
             bail!("it has sent changes, and no list of it is held");
         }
         self.index = Some(list.index);
--- a/crates/mixer/src/discovery/connection.rs
+++ b/crates/mixer/src/discovery/connection.rs
@@ -38,6 +38,7 @@
     stream: TcpStream,
     buffer: Buffer,
     stage: Stage,
+    request: ListRequest,
     /// Until when an answer to its call is waited for.
     pub(super) kept_until: Instant,
     pub(super) opened_at: Instant,
@@ -52,11 +53,18 @@
 
 impl Connection {
     /// A connection that is being established since `now`.
-    pub(super) fn new(stream: TcpStream, buffer: Buffer, now: Instant, kept_for: KeptFor) -> Self {
+    pub(super) fn new(
+        stream: TcpStream,
+        buffer: Buffer,
+        request: ListRequest,
+        now: Instant,
+        kept_for: KeptFor,
+    ) -> Self {
         Self {
             stream,
             buffer,
             stage: Stage::Connecting,
+            request,
             kept_until: now + kept_for.duration(),
             opened_at: now,
             received_at: now,
@@ -86,12 +94,22 @@
         now.duration_since(self.received_at)
     }
 
+    /// Whether its call requests changes at once.
+    pub(super) fn requests_changes(&self) -> bool {
+        matches!(self.request, ListRequest::ChangesAfter(_))
+    }
+
+    /// Whether it has sent a list, and now sends changes.
+    pub(super) fn is_watch_open(&self) -> bool {
+        self.has_list && matches!(self.stage, Stage::WatchLines)
+    }
+
     /// The size of a list that has not arrived completely.
     pub(super) fn partial_list_bytes(&self) -> usize {
         self.text.bytes.len()
     }
 
-    fn request(&mut self, path: &str, address: SocketAddrV4, next: Stage) -> Result<()> {
+    fn send(&mut self, path: &str, address: SocketAddrV4, next: Stage) -> Result<()> {
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         (&self.stream).write_all(request.as_bytes())?;
         self.stage = next;
@@ -99,7 +117,7 @@
     }
 
     fn request_watch(&mut self, after: u64, address: SocketAddrV4) -> Result<()> {
-        self.request(&format!("/api/targets?watch=1&after={after}"), address, Stage::WatchHead)
+        self.send(&format!("/api/targets?watch=1&after={after}"), address, Stage::WatchHead)
     }
 
     /// Handles an event. The error is the reason why the connection ends.
@@ -108,9 +126,9 @@
             if !finish_connecting(&self.stream)? {
                 return Ok(());
             }
-            match watch.next_request() {
+            match self.request {
                 ListRequest::ChangesAfter(index) => self.request_watch(index, watch.address)?,
-                ListRequest::WholeList => self.request("/api/targets", watch.address, Stage::ListHead)?,
+                ListRequest::WholeList => self.send("/api/targets", watch.address, Stage::ListHead)?,
             }
         }
         loop {
@@ -222,7 +240,8 @@
                 if !text.iter().all(u8::is_ascii_whitespace) {
                     watch.receive_list(&text)?;
                 }
-                self.has_list = true;
+                // An empty line says nothing of a list that is not held.
+                self.has_list = watch.index.is_some();
             }
         }
         ensure!(self.text.bytes.len() <= MAX_LIST_BYTES, "a line over {MAX_LIST_BYTES} bytes");
--- a/crates/mixer/tests/watches.rs
+++ b/crates/mixer/tests/watches.rs
@@ -169,20 +169,30 @@
     standins::discovery_list(index, index == 1, &[("127.0.0.1:9".parse().expect("an address"), status)])
 }
 
-/// Guards against searchers of an old list that are kept because discovery sends only changes: a mixer with an old
-/// list then requests the whole list.
+/// Guards against searchers of an old list that are kept because discovery sends only changes, and against changes
+/// that are missed between the whole list and the watch behind it.
 #[test]
-fn changes_where_whole_list_is_needed() {
+fn whole_list_and_changes_on_two_connections() {
     let path = write_config("changes", |config| config["known"] = single_searcher_list(1, "up"));
     let mut mixer = ManualDiscoveryMixer::start("true", &path);
     let first = mixer.accept_discovery_connection();
-    assert!(read_request_line(&first).contains("watch=1&after=0"));
-    start_response(&first, &format!("{}\n", single_searcher_list(7, "draining")));
+    assert!(read_request_line(&first).starts_with("GET /api/targets HTTP"));
     let second = mixer.accept_discovery_connection();
-    assert!(read_request_line(&second).starts_with("GET /api/targets HTTP"));
+    assert!(read_request_line(&second).contains("watch=1&after=0"));
+    // Changes alone do not replace the old list.
+    start_response(&second, &format!("{}\n", single_searcher_list(7, "draining")));
+    let third = mixer.accept_discovery_connection();
+    assert!(read_request_line(&third).starts_with("GET /api/targets HTTP"));
+    let fourth = mixer.accept_discovery_connection();
+    assert!(read_request_line(&fourth).contains("watch=1&after=0"));
     assert_eq!(counter_of(mixer.address, "lists"), 0);
-    drop(second);
-    mixer.serve_discovery_until(&single_searcher_list(1, "up"), "ready");
+    let body = single_searcher_list(1, "up").to_string();
+    send(&first, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+    wait_for_log(&mut mixer.log, "ready");
+    // The watch behind the list is not answered, the one that was called before is.
+    start_response(&fourth, &format!("{}\n", single_searcher_list(7, "draining")));
+    wait_for_log(&mut mixer.log, "drains");
+    drop(third);
 }
 
 /// Guards against a list that arrives byte by byte: each byte would renew the trust in its connection, while
