Watch of discovery: a list is asked for on each second call that is kept for long

What callers saw: after a move to discovery that takes 1 s a call, and whose first call hangs, a drain was received 9.0 s after SIGHUP.

Cause: calls asked for the whole list and for changes in turn by their number. With a call each 0.1 s, the one each second that is kept for 6 s always had an odd number, so that only calls for changes lived until they were answered, and changes alone are not used.

Change: only the calls that are kept for long take turns. The others, which are there for a quick return, ask for the whole list, and its connection becomes the watch.

Tests: move_to_slow_discovery with a first call that hangs failed before (9.04 s, bound 4.25 s), and passes; call_that_hangs_before_slow_answers has the start as well.

--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -87,7 +87,7 @@
             number,
             address,
             index,
-            next_request: ListRequest::WholeList,
+            has_requested_list: false,
             budget: MemoryBudget::new(2 * MAX_LIST_BYTES),
             connections: BTreeMap::new(),
             schedule: None,
@@ -111,25 +111,14 @@
     WholeList,
 }
 
-impl ListRequest {
-    /// What the call after this one requests, as long as no list is held: the whole list and all changes in turn.
-    /// Discovery that is slow then sends changes soon after the list, and need not be asked for them again.
-    fn alternate(self) -> Self {
-        match self {
-            Self::ChangesAfter(_) => Self::WholeList,
-            Self::WholeList => Self::ChangesAfter(0),
-        }
-    }
-}
-
 struct RunningWatch<'a> {
     poll: Poll,
     number: WatchNumber,
     address: SocketAddrV4,
     /// The version of the list that is held; `None` if it is not one of this discovery service.
     index: Option<u64>,
-    /// What the next call requests if no list of this discovery service is held.
-    next_request: ListRequest,
+    /// Whether the latest call that is kept for long has requested the whole list.
+    has_requested_list: bool,
     budget: MemoryBudget,
     /// The oldest first: at most one that has sent a list, and calls in flight.
     connections: BTreeMap<usize, Connection>,
@@ -217,21 +206,27 @@
         });
     }
 
-    /// What a call requests that is made now.
-    fn take_request(&mut self) -> ListRequest {
+    /// What a call requests that is made now. As long as no list of this discovery service is held, the calls that
+    /// are kept for long request the whole list and the changes in turn: slow discovery then sends changes soon
+    /// after the list.
+    fn choose_request(&mut self, kept_for: KeptFor) -> ListRequest {
         if let Some(index) = self.index {
             return ListRequest::ChangesAfter(index);
         }
-        let request = self.next_request;
-        self.next_request = request.alternate();
-        request
+        if kept_for != KeptFor::Short {
+            self.has_requested_list = !self.has_requested_list;
+            if !self.has_requested_list {
+                return ListRequest::ChangesAfter(0);
+            }
+        }
+        ListRequest::WholeList
     }
 
     /// Calls discovery on a new connection.
     fn call(&mut self, kept_for: KeptFor, now: Instant) {
         self.last_id += 1;
         debug!("requests the changes after {:?} from discovery at {}", self.index, self.address);
-        let request = self.take_request();
+        let request = self.choose_request(kept_for);
         match self.connect(request, kept_for, now) {
             Ok(connection) => drop(self.connections.insert(self.last_id, connection)),
             Err(error) => debug!("discovery at {}: {error}", self.address),
--- a/crates/standins/src/scripted_discovery.rs
+++ b/crates/standins/src/scripted_discovery.rs
@@ -127,7 +127,7 @@
                     request_line.split("after=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
                 return self.serve_watch(stream, after.unwrap_or(0), piece_delay);
             }
-            let body = self.list().1.to_string();
+            let body = self.list(true).1.to_string();
             let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
             write_pieces(&mut stream, &answer, piece_delay)?;
         }
@@ -165,13 +165,13 @@
         }
     }
 
-    /// The version of the list, and the whole list.
-    fn list(&self) -> (u64, Value) {
+    /// The version of the list, and its entries: as a whole list, or as changes since the beginning.
+    fn list(&self, is_whole: bool) -> (u64, Value) {
         let script = self.script();
-        (script.index, discovery_list(script.index, true, &script.searchers))
+        (script.index, discovery_list(script.index, is_whole, &script.searchers))
     }
 
-    /// Sends the list if it is newer than this version, then each newer one, and empty lines in between.
+    /// Sends the changes if the list is newer than this version, then each time it changes, and empty lines in between.
     fn serve_watch(
         &self,
         mut stream: TcpStream,
@@ -183,7 +183,7 @@
         let (mut told, mut told_at) = (after, None::<Instant>);
         loop {
             let is_silent = self.script().silent_before.is_some_and(|before| answered_at < before);
-            let (index, list) = self.list();
+            let (index, list) = self.list(false);
             let is_due = told_at.is_none_or(|at| at.elapsed() >= KEEPALIVE_INTERVAL);
             if !is_silent && (index != told || is_due) {
                 let line = if index == told { "\n".to_owned() } else { format!("{list}\n") };
