Watch of discovery: a call that fails leaves its place to the next

What callers saw: after calls that were refused or closed at once, discovery that then takes 7 s a call is heard 15.2 s after the start in place of 7 s.

Cause: the first call, which is kept for long, and the second took their places in the schedule though they had failed, so that the next call kept for long came 8 s later.

Change: a failed call gives its place back (CallSchedule::note_failure).

Tests: slow_answers_after_refused_calls (15.2 s before, bound 7.9 s) and calls_that_fail_at_once; the former was seen failing with the change taken out.

--- a/crates/mixer/src/discovery.rs
+++ b/crates/mixer/src/discovery.rs
@@ -160,7 +160,11 @@
         if now >= schedule.next_call_at(self.pace()) {
             let retention = self.retention();
             self.end_calls(now, retention);
-            self.call(schedule.count_call(now, retention), now);
+            let kept_for = schedule.count_call(now, retention);
+            if let Err(error) = self.call(kept_for, now) {
+                debug!("discovery at {}: {error:#}", self.address);
+                schedule.note_failure(kept_for);
+            }
         }
         self.schedule = Some(schedule);
         schedule.next_call_at(self.pace())
@@ -202,7 +206,7 @@
                 return connection.silent_for(now) < KeptFor::Long.duration();
             }
             calls_kept += 1;
-            now < connection.kept_until && calls_kept < retention.max_calls()
+            now < connection.kept_until() && calls_kept < retention.max_calls()
         });
     }
 
@@ -223,14 +227,13 @@
     }
 
     /// Calls discovery on a new connection.
-    fn call(&mut self, kept_for: KeptFor, now: Instant) {
+    fn call(&mut self, kept_for: KeptFor, now: Instant) -> Result<()> {
         self.last_id += 1;
         debug!("requests the changes after {:?} from discovery at {}", self.index, self.address);
         let request = self.choose_request(kept_for);
-        match self.connect(request, kept_for, now) {
-            Ok(connection) => drop(self.connections.insert(self.last_id, connection)),
-            Err(error) => debug!("discovery at {}: {error}", self.address),
-        }
+        let connection = self.connect(request, kept_for, now)?;
+        self.connections.insert(self.last_id, connection);
+        Ok(())
     }
 
     fn connect(&self, request: ListRequest, kept_for: KeptFor, now: Instant) -> Result<Connection> {
@@ -256,6 +259,9 @@
             Ok(()) => drop(self.connections.insert(id, connection)),
             Err(error) => {
                 debug!("discovery at {}: {error:#}, version {index_before:?} before", self.address);
+                if let Some(schedule) = self.schedule.as_mut().filter(|_| !connection.has_list) {
+                    schedule.note_failure(connection.kept_for);
+                }
                 ensure!(self.messages.send(Input::WatchLost), "the service has ended");
             }
         }
--- a/crates/mixer/src/discovery/call_schedule.rs
+++ b/crates/mixer/src/discovery/call_schedule.rs
@@ -129,4 +129,13 @@
             KeptFor::Short
         }
     }
+
+    /// Notes that a call has failed: the next one is kept in its place.
+    pub fn note_failure(&mut self, kept_for: KeptFor) {
+        match kept_for {
+            KeptFor::Short => {}
+            KeptFor::Medium => self.last_medium_call_at = None,
+            KeptFor::Long => self.last_long_call_at = None,
+        }
+    }
 }
--- a/crates/mixer/src/discovery/connection.rs
+++ b/crates/mixer/src/discovery/connection.rs
@@ -39,8 +39,8 @@
     buffer: Buffer,
     stage: Stage,
     request: ListRequest,
-    /// Until when an answer to its call is waited for.
-    pub(super) kept_until: Instant,
+    /// For how long an answer to its call is waited for.
+    pub(super) kept_for: KeptFor,
     pub(super) opened_at: Instant,
     /// When anything last arrived; the time of opening before.
     received_at: Instant,
@@ -65,7 +65,7 @@
             buffer,
             stage: Stage::Connecting,
             request,
-            kept_until: now + kept_for.duration(),
+            kept_for,
             opened_at: now,
             received_at: now,
             partial_since: None,
@@ -89,6 +89,11 @@
         self.received_at > self.opened_at
     }
 
+    /// Until when an answer to its call is waited for.
+    pub(super) fn kept_until(&self) -> Instant {
+        self.opened_at + self.kept_for.duration()
+    }
+
     /// For how long nothing has arrived.
     pub(super) fn silent_for(&self, now: Instant) -> Duration {
         now.duration_since(self.received_at)
--- a/crates/mixer/tests/call_schedule.rs
+++ b/crates/mixer/tests/call_schedule.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use oorandom::Rand64;
-use pewterwharf_mixer::discovery::call_schedule::{CallSchedule, Pace, Retention};
+use pewterwharf_mixer::discovery::call_schedule::{CallSchedule, KeptFor, Pace, Retention};
 
 /// A change counts as known to the mixer this long after discovery had it and could be reached.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
@@ -153,3 +153,21 @@
         now = schedule.next_call_at(Pace::Urgent);
     }
 }
+
+/// Guards against failed calls that take the place of one which is kept: after an outage in which connections were
+/// refused, slow discovery would not be heard.
+#[test]
+fn calls_that_fail_at_once() {
+    let mut schedule = CallSchedule::new(Instant::now());
+    for _ in 0..25 {
+        let now = schedule.next_call_at(Pace::Urgent);
+        let kept_for = schedule.count_call(now, Retention::Full);
+        assert_eq!(kept_for, KeptFor::Long);
+        schedule.note_failure(kept_for);
+    }
+    let mut next_call = || {
+        let now = schedule.next_call_at(Pace::Urgent);
+        schedule.count_call(now, Retention::Full)
+    };
+    assert_eq!([next_call(), next_call(), next_call()], [KeptFor::Long, KeptFor::Medium, KeptFor::Short]);
+}
--- a/crates/mixer/tests/slow_discovery.rs
+++ b/crates/mixer/tests/slow_discovery.rs
@@ -239,6 +239,18 @@
     });
 }
 
+/// Guards against calls that were refused in an outage and take the place of one that slow discovery then answers.
+#[test]
+fn slow_answers_after_refused_calls() {
+    let delay = Duration::from_millis(7000);
+    let discovery = ScriptedDiscovery::start(&searchers("up")).expect("a free port");
+    discovery.set_next_behaviors(&[CallBehavior::Closes; 3]);
+    discovery.set_behavior(CallBehavior::Answered(delay));
+    let mixer = WatchingMixer::start("refused", discovery, false);
+    let heard_after = mixer.wait_for("has answered after").duration_since(mixer.started_at);
+    assert!(heard_after < delay + SLACK, "heard after {heard_after:?}");
+}
+
 /// Guards against calls that queue up at discovery which answers one after the other, so that later ones wait for
 /// those that were ended.
 #[test]
--- a/crates/standins/src/scripted_discovery.rs
+++ b/crates/standins/src/scripted_discovery.rs
@@ -25,6 +25,8 @@
     AnsweredInPieces(Duration),
     /// It is never answered.
     Hangs,
+    /// Its connection is closed at once.
+    Closes,
     /// It is answered once calls no longer wait for the return of discovery.
     WaitsForReturn,
     /// It is answered this long after the call before it, even if that one was ended meanwhile.
@@ -121,7 +123,7 @@
             while input.read_line(&mut line)? > 2 {
                 line.clear();
             }
-            let piece_delay = self.wait_for_turn();
+            let piece_delay = self.wait_for_turn()?;
             if request_line.contains("watch=1") {
                 let after =
                     request_line.split("after=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
@@ -134,7 +136,7 @@
     }
 
     /// Waits until a call that has just come is answered. Returns the delay of each piece of the answer.
-    fn wait_for_turn(&self) -> Option<Duration> {
+    fn wait_for_turn(&self) -> io::Result<Option<Duration>> {
         let called_at = Instant::now();
         let behavior = {
             let mut script = self.script();
@@ -150,17 +152,18 @@
         match behavior {
             CallBehavior::Answered(after) | CallBehavior::AnsweredInTurn(after) => {
                 thread::sleep(after);
-                None
+                Ok(None)
             }
-            CallBehavior::AnsweredInPieces(delay) => Some(delay),
+            CallBehavior::AnsweredInPieces(delay) => Ok(Some(delay)),
             CallBehavior::Hangs => loop {
                 thread::park();
             },
+            CallBehavior::Closes => Err(io::ErrorKind::ConnectionAborted.into()),
             CallBehavior::WaitsForReturn => {
                 while self.script().behavior == CallBehavior::WaitsForReturn {
                     thread::sleep(POLL_INTERVAL);
                 }
-                None
+                Ok(None)
             }
         }
     }
